--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# Entry points for people and CI; the build itself is CMake's.
+BUILD ?= build
+SANITIZED ?= build-sanitized
+JOBS ?= $(shell nproc)
+
+all: build
+
+packages:
+	@tools/install-packages
+
+build: packages
+	@cmake -S . -B $(BUILD) >/dev/null
+	@$(MAKE) --no-print-directory -s -C $(BUILD) -j$(JOBS)
+
+check: packages
+	@tools/check
+
+format: packages
+	@tools/check-format -i
+
+.PHONY: all packages build check format
--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,30 @@
+# foxtailrun_add_package (NAME LIBRARIES...): a static library from source/*.c of the current folder,
+# with its public headers under include/, and one test program for each tests/test-*.c file.
+function (foxtailrun_add_package name)
+  file (GLOB sources CONFIGURE_DEPENDS source/*.c source/*.cc)
+  if (NOT sources)
+    add_library (fx-${name} INTERFACE)
+    target_include_directories (fx-${name} INTERFACE include)
+    target_link_libraries (fx-${name} INTERFACE ${ARGN})
+    return ()
+  endif ()
+  add_library (fx-${name} STATIC ${sources})
+  target_include_directories (fx-${name} PUBLIC include PRIVATE source)
+  target_link_libraries (fx-${name} PUBLIC ${ARGN})
+  foxtailrun_add_tests (${name} fx-${name})
+endfunction ()
+
+# foxtailrun_add_tests (NAME LIBRARIES...): registers the test programs of the current folder; other
+# files in tests/ are helpers linked into each of them.
+function (foxtailrun_add_tests name)
+  file (GLOB tests CONFIGURE_DEPENDS tests/test-*.c)
+  file (GLOB fixtures CONFIGURE_DEPENDS tests/fixture-*.c)
+  foreach (test ${tests})
+    get_filename_component (base ${test} NAME_WE)
+    add_executable (${name}-${base} ${test} ${fixtures})
+    target_include_directories (${name}-${base} PRIVATE tests source)
+    target_link_libraries (${name}-${base} PRIVATE ${ARGN})
+    add_test (NAME ${name}/${base} COMMAND ${name}-${base} --tap)
+    set_tests_properties (${name}/${base} PROPERTIES TIMEOUT 300)
+  endforeach ()
+endfunction ()
--- /dev/null
+++ b/packages/base/source/log.c
@@ -0,0 +1,209 @@
+#include <foxtailrun/base/log.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Lines of one service and message passed in each period before the rest is counted only. */
+#define REPEAT_LIMIT 10
+#define REPEAT_PERIOD (10 * FB_SECOND)
+
+/* Distinct messages whose repeats are tracked; the table is cleared at this bound. */
+#define REPEAT_TABLE_MAX 256
+
+typedef struct
+{
+  fb_time_t period_start;
+  uint32_t written;
+  uint32_t dropped;
+} repeat_t;
+
+struct fb_log
+{
+  const fb_clock_t *clock;
+  fb_log_format_t format;
+  fb_log_level_t level;
+  fb_log_sink_fn_t sink;
+  void *user;
+  GHashTable *levels;
+  GHashTable *repeats;
+};
+
+static const char *const level_names[] = { "debug", "info", "warning", "error" };
+
+static void
+write_stderr (fb_str_t line, void *user)
+{
+  fwrite (line.data, 1, line.len, stderr);
+}
+
+static bool
+needs_quotes (fb_str_t text)
+{
+  for (size_t i = 0; i < text.len; i++)
+    {
+      unsigned char c = (unsigned char)text.data[i];
+      if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f)
+        return true;
+    }
+  return text.len == 0;
+}
+
+static void
+append_quoted (GString *line, fb_str_t text)
+{
+  g_string_append_c (line, '"');
+  for (size_t i = 0; i < text.len; i++)
+    {
+      unsigned char c = (unsigned char)text.data[i];
+      if (c == '"' || c == '\\')
+        g_string_append_printf (line, "\\%c", c);
+      else if (c < ' ' || c == 0x7f)
+        g_string_append_printf (line, "\\u%04x", c);
+      else
+        g_string_append_c (line, (char)c);
+    }
+  g_string_append_c (line, '"');
+}
+
+static void
+append_text (const fb_log_t *log, GString *line, const char *key, fb_str_t text)
+{
+  if (log->format == FB_LOG_JSON)
+    {
+      g_string_append_printf (line, "%s\"%s\":", line->len > 1 ? "," : "", key);
+      append_quoted (line, text);
+      return;
+    }
+  g_string_append_printf (line, "%s%s=", line->len > 0 ? " " : "", key);
+  if (needs_quotes (text))
+    append_quoted (line, text);
+  else
+    g_string_append_len (line, text.data, (gssize)text.len);
+}
+
+static void
+append_number (const fb_log_t *log, GString *line, const char *key, int64_t number)
+{
+  if (log->format == FB_LOG_JSON)
+    g_string_append_printf (line, "%s\"%s\":%" G_GINT64_FORMAT, line->len > 1 ? "," : "", key,
+                            number);
+  else
+    g_string_append_printf (line, "%s%s=%" G_GINT64_FORMAT, line->len > 0 ? " " : "", key,
+                            number);
+}
+
+/* Counts a line against the limit on repeats; returns whether to write it, and in DROPPED how
+ * many were left out before it. */
+static bool
+admit_line (fb_log_t *log, const char *service, const char *message, fb_time_t now,
+            uint32_t *dropped)
+{
+  char *key = g_strconcat (service, "\n", message, NULL);
+  repeat_t *repeat = g_hash_table_lookup (log->repeats, key);
+
+  *dropped = 0;
+  if (!repeat)
+    {
+      if (g_hash_table_size (log->repeats) >= REPEAT_TABLE_MAX)
+        g_hash_table_remove_all (log->repeats);
+      repeat = g_new0 (repeat_t, 1);
+      repeat->period_start = now;
+      g_hash_table_insert (log->repeats, g_steal_pointer (&key), repeat);
+    }
+  g_free (key);
+  if (now - repeat->period_start >= REPEAT_PERIOD)
+    {
+      *dropped = repeat->dropped;
+      *repeat = (repeat_t){ .period_start = now };
+    }
+  if (repeat->written >= REPEAT_LIMIT)
+    {
+      repeat->dropped++;
+      return false;
+    }
+  repeat->written++;
+  return true;
+}
+
+fb_log_t *
+fb_create_log (const fb_clock_t *clock, fb_log_format_t format, fb_log_level_t level,
+               fb_log_sink_fn_t sink, void *user)
+{
+  fb_log_t *log = g_new0 (fb_log_t, 1);
+
+  log->clock = clock;
+  log->format = format;
+  log->level = level;
+  log->sink = sink ? sink : write_stderr;
+  log->user = user;
+  log->levels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  log->repeats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return log;
+}
+
+void
+fb_destroy_log (fb_log_t *log)
+{
+  if (!log)
+    return;
+  g_hash_table_destroy (log->levels);
+  g_hash_table_destroy (log->repeats);
+  g_free (log);
+}
+
+void
+fb_set_log_level (fb_log_t *log, const char *service, fb_log_level_t level)
+{
+  g_hash_table_insert (log->levels, g_strdup (service), GINT_TO_POINTER (level));
+}
+
+void
+fb_write_log (fb_log_t *log, fb_log_level_t level, const char *service, const char *message,
+              const fb_log_field_t *fields, size_t count)
+{
+  fb_time_t now;
+  uint32_t dropped;
+  GString *line;
+  gpointer override;
+
+  if (!log)
+    return;
+  if (g_hash_table_lookup_extended (log->levels, service, NULL, &override)
+          ? (int)level < GPOINTER_TO_INT (override)
+          : level < log->level)
+    return;
+  now = fb_read_clock (log->clock);
+  if (!admit_line (log, service, message, now, &dropped))
+    return;
+  line = g_string_new (log->format == FB_LOG_JSON ? "{" : "");
+  append_number (log, line, "ms", now / FB_MILLISECOND);
+  append_text (log, line, "level", fb_wrap_text (level_names[level]));
+  append_text (log, line, "service", fb_wrap_text (service));
+  append_text (log, line, "msg", fb_wrap_text (message));
+  for (size_t i = 0; i < count; i++)
+    {
+      if (fields[i].text.data)
+        append_text (log, line, fields[i].key, fields[i].text);
+      else
+        append_number (log, line, fields[i].key, fields[i].number);
+    }
+  if (dropped > 0)
+    append_number (log, line, "dropped", dropped);
+  g_string_append (line, log->format == FB_LOG_JSON ? "}\n" : "\n");
+  log->sink ((fb_str_t){ line->str, line->len }, log->user);
+  g_string_free (line, TRUE);
+}
+
+fb_status_t
+fb_parse_log_level (fb_str_t text, fb_log_level_t *level)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (level_names); i++)
+    {
+      if (fb_equal_str (text, fb_wrap_text (level_names[i])))
+        {
+          *level = (fb_log_level_t)i;
+          return FB_OK;
+        }
+    }
+  return FB_INVALID;
+}
--- /dev/null
+++ b/packages/base/tests/test-base.c
@@ -0,0 +1,183 @@
+/* Strings, versions, digests, clock, counters and log lines of the base package. */
+#include <foxtailrun/base/clock.h>
+#include <foxtailrun/base/counter.h>
+#include <foxtailrun/base/log.h>
+#include <foxtailrun/base/version.h>
+#include <glib.h>
+
+/* Guards against overflow and stray characters being taken for a number. */
+static void
+test_parse_number (void)
+{
+  static const struct
+  {
+    const char *text;
+    bool good;
+    uint64_t value;
+  } cases[] = {
+    { "0", true, 0 },
+    { "18446744073709551615", true, UINT64_MAX },
+    { "18446744073709551616", false, 0 },
+    { "", false, 0 },
+    { "-1", false, 0 },
+    { "12a", false, 0 },
+    { " 1", false, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      uint64_t value = 0;
+      g_assert_cmpint (fb_parse_u64 (fb_wrap_text (cases[i].text), &value), ==, cases[i].good);
+      g_assert_cmpuint (value, ==, cases[i].value);
+    }
+}
+
+/* Guards against a name that is cut or not terminated being taken for a whole one. */
+static void
+test_name_limit (void)
+{
+  char long_text[FB_NAME_MAX + 2];
+  fb_name_t name;
+
+  memset (long_text, 'a', sizeof long_text);
+  g_assert_true (fb_set_name (&name, (fb_str_t){ long_text, FB_NAME_MAX }));
+  g_assert_cmpuint (name.len, ==, FB_NAME_MAX);
+  g_assert_cmpint (name.data[FB_NAME_MAX], ==, 0);
+  g_assert_false (fb_set_name (&name, (fb_str_t){ long_text, FB_NAME_MAX + 1 }));
+  g_assert_cmpuint (name.len, ==, 0);
+}
+
+/* Guards against an order in which an older publication overrides a newer one. */
+static void
+test_version_order (void)
+{
+  static const struct
+  {
+    fb_version_t a;
+    fb_version_t b;
+    int order;
+  } cases[] = {
+    { { 1, 9, { { 9 } } }, { 2, 1, { { 1 } } }, -1 },
+    { { 2, 1, { { 9 } } }, { 2, 2, { { 1 } } }, -1 },
+    { { 2, 2, { { 1 } } }, { 2, 2, { { 2 } } }, -1 },
+    { { 2, 2, { { 2 } } }, { 2, 2, { { 2 } } }, 0 },
+    { { 0, 0, { { 0 } } }, { 1, 0, { { 0 } } }, -1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      int order = fb_compare_versions (&cases[i].a, &cases[i].b);
+      int reverse = fb_compare_versions (&cases[i].b, &cases[i].a);
+      g_assert_cmpint ((order > 0) - (order < 0), ==, cases[i].order);
+      g_assert_cmpint ((reverse > 0) - (reverse < 0), ==, -cases[i].order);
+    }
+}
+
+/* Guards against time that moves although a test paused it. */
+static void
+test_manual_clock (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (5);
+
+  g_assert_cmpint (fb_read_clock (clock), ==, 5);
+  fb_advance_clock (clock, FB_SECOND);
+  g_assert_cmpint (fb_read_clock (clock), ==, 5 + FB_SECOND);
+  fb_destroy_clock (clock);
+}
+
+static void
+append_counter (const char *name, const char *labels, uint64_t value, void *user)
+{
+  g_string_append_printf (user, "%s{%s}=%" G_GUINT64_FORMAT ";", name, labels, value);
+}
+
+/* Guards against two counters that share a value, or one name that gets two. */
+static void
+test_counters (void)
+{
+  fb_counters_t *counters = fb_create_counters ();
+  GString *text = g_string_new ("");
+
+  fb_add_counter (fb_find_counter (counters, "b", ""), 2);
+  fb_add_counter (fb_find_counter (counters, "a", "x=\"1\""), 1);
+  fb_add_counter (fb_find_counter (counters, "b", ""), 3);
+  fb_visit_counters (counters, append_counter, text);
+  g_assert_cmpstr (text->str, ==, "a{x=\"1\"}=1;b{}=5;");
+  g_string_free (text, TRUE);
+  fb_destroy_counters (counters);
+}
+
+static void
+append_line (fb_str_t line, void *user)
+{
+  g_string_append_len (user, line.data, (gssize)line.len);
+}
+
+/* Guards against log lines that a value with quotes, newlines or control bytes breaks in two.
+ */
+static void
+test_log_quoting (void)
+{
+  static const struct
+  {
+    fb_log_format_t format;
+    const char *line;
+  } cases[] = {
+    { FB_LOG_LOGFMT,
+      "ms=7 level=info service=test msg=\"a b\" key=\"x\\u000ay\\\"\" n=-3 plain=ok\n" },
+    { FB_LOG_JSON, "{\"ms\":7,\"level\":\"info\",\"service\":\"test\",\"msg\":\"a b\","
+                   "\"key\":\"x\\u000ay\\\"\",\"n\":-3,\"plain\":\"ok\"}\n" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (7 * FB_MILLISECOND);
+      GString *text = g_string_new ("");
+      fb_log_t *log = fb_create_log (clock, cases[i].format, FB_LOG_INFO, append_line, text);
+
+      FB_LOG (log, FB_LOG_INFO, "test", "a b", FB_TEXT ("key", "x\ny\""), FB_NUMBER ("n", -3),
+              FB_TEXT ("plain", "ok"));
+      FB_LOG (log, FB_LOG_DEBUG, "test", "hidden", FB_NUMBER ("n", 1));
+      g_assert_cmpstr (text->str, ==, cases[i].line);
+      fb_destroy_log (log);
+      g_string_free (text, TRUE);
+      fb_destroy_clock (clock);
+    }
+}
+
+/* Guards against a repeated message that floods the log or is dropped without a trace. */
+static void
+test_log_repeats (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (0);
+  GString *text = g_string_new ("");
+  fb_log_t *log = fb_create_log (clock, FB_LOG_LOGFMT, FB_LOG_INFO, append_line, text);
+  size_t lines = 0;
+
+  for (int i = 0; i < 25; i++)
+    FB_LOG (log, FB_LOG_INFO, "test", "again", FB_NUMBER ("i", i));
+  for (const char *at = text->str; (at = strchr (at, '\n')); at++)
+    lines++;
+  g_assert_cmpuint (lines, ==, 10);
+  fb_advance_clock (clock, 10 * FB_SECOND);
+  g_string_truncate (text, 0);
+  FB_LOG (log, FB_LOG_INFO, "test", "again", FB_NUMBER ("i", 25));
+  g_assert_nonnull (strstr (text->str, "dropped=15"));
+  fb_destroy_log (log);
+  g_string_free (text, TRUE);
+  fb_destroy_clock (clock);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/base/parse-number", test_parse_number);
+  g_test_add_func ("/base/name-limit", test_name_limit);
+  g_test_add_func ("/base/version-order", test_version_order);
+  g_test_add_func ("/base/manual-clock", test_manual_clock);
+  g_test_add_func ("/base/counters", test_counters);
+  g_test_add_func ("/base/log-quoting", test_log_quoting);
+  g_test_add_func ("/base/log-repeats", test_log_repeats);
+  return g_test_run ();
+}
--- /dev/null
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -0,0 +1,57 @@
+/* Choice of the instance that a call goes to, from what this node observes itself. */
+#ifndef FOXTAILRUN_CALL_PICKER_H
+#define FOXTAILRUN_CALL_PICKER_H
+
+#include <foxtailrun/base/clock.h>
+#include <foxtailrun/member/table.h>
+
+/* How an instance is chosen; FR_PICK_TWO is the product's, the others are baselines. */
+typedef enum
+{
+  FR_PICK_TWO,
+  FR_PICK_LEAST,
+  FR_PICK_ROUND_ROBIN,
+  FR_PICK_RENDEZVOUS
+} fr_pick_policy_t;
+
+/* What an attempt showed about an instance. */
+typedef enum
+{
+  FR_RESULT_GOOD,    /* answered */
+  FR_RESULT_REFUSED, /* refused by admission; not a fault of the instance */
+  FR_RESULT_FAILED,  /* error, cut answer, silence */
+  FR_RESULT_LOST     /* cancelled; says nothing */
+} fr_result_t;
+
+typedef struct fr_picker fr_picker_t;
+
+/* Creates a picker for a node with name SELF in ZONE; CLOCK is borrowed, SEED starts the random
+ * numbers. */
+fr_picker_t *fr_create_picker (fr_pick_policy_t policy, const fb_name_t *self,
+                               const fb_name_t *zone, uint32_t seed, const fb_clock_t *clock);
+
+/* Frees the picker; NULL is allowed. */
+void fr_destroy_picker (fr_picker_t *picker);
+
+/* Takes one member's current description: adds, updates or, when it is leaving or dead, removes
+ * the instance. Call it from the membership's changed hook, and for this node itself. */
+void fr_update_instance (fr_picker_t *picker, const fw_member_t *member);
+
+/* Picks an instance of SERVICE, leaving out the EXCLUDED_COUNT names in EXCLUDED, and counts a
+ * call in flight on it. Returns false when none is left. */
+bool fr_pick_backend (fr_picker_t *picker, fb_str_t service, fb_str_t key,
+                      const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
+
+/* Counts a call in flight on an instance that was not picked, such as the owner of a ticket. */
+void fr_begin_attempt (fr_picker_t *picker, const fb_name_t *instance);
+
+/* Ends a call in flight: RESULT, LATENCY in ns and LOAD per 1,000 slots as the answer carried
+ * it. */
+void fr_report_result (fr_picker_t *picker, const fb_name_t *instance, fr_result_t result,
+                       fb_time_t latency, uint32_t load);
+
+/* Returns the number of instances of SERVICE that may be picked, and of those ejected. */
+size_t fr_count_instances (const fr_picker_t *picker, fb_str_t service);
+size_t fr_count_ejected (const fr_picker_t *picker, fb_str_t service);
+
+#endif
--- /dev/null
+++ b/packages/call/include/foxtailrun/call/retry.h
@@ -0,0 +1,47 @@
+/* Limits on repeated and refused work at the entry node: retry budget and adaptive throttle. */
+#ifndef FOXTAILRUN_CALL_RETRY_H
+#define FOXTAILRUN_CALL_RETRY_H
+
+#include <foxtailrun/base/clock.h>
+#include <foxtailrun/base/string.h>
+#include <foxtailrun/wire/call.h>
+
+/* Retries allowed for each first attempt, over a sliding window. */
+#define FR_RETRY_RATIO 0.1
+
+typedef struct fr_retry_budget fr_retry_budget_t;
+
+/* Creates a budget per service; CLOCK is borrowed. */
+fr_retry_budget_t *fr_create_retry_budget (const fb_clock_t *clock);
+
+/* Frees the budget; NULL is allowed. */
+void fr_destroy_retry_budget (fr_retry_budget_t *budget);
+
+/* Counts a first attempt to SERVICE, which earns FR_RETRY_RATIO of a retry. */
+void fr_earn_retry (fr_retry_budget_t *budget, fb_str_t service);
+
+/* Takes one retry from the budget of SERVICE; returns false when there is none. */
+bool fr_take_retry (fr_retry_budget_t *budget, fb_str_t service);
+
+/* Returns whether an attempt that ended with OUTCOME may be made again: only when it provably
+ * did not run, or the route is repeatable and no answer came. HAS_TICKET forbids any other
+ * node. */
+bool fr_may_retry (fw_outcome_t outcome, bool repeatable, bool has_ticket);
+
+typedef struct fr_throttle fr_throttle_t;
+
+/* Creates an adaptive throttle per service and rank; CLOCK is borrowed, SEED starts the random
+ * numbers. */
+fr_throttle_t *fr_create_throttle (uint32_t seed, const fb_clock_t *clock);
+
+/* Frees the throttle; NULL is allowed. */
+void fr_destroy_throttle (fr_throttle_t *throttle);
+
+/* Returns whether a call may be sent; false means refuse it here as not run. */
+bool fr_admit_upstream (fr_throttle_t *throttle, fb_str_t service, uint32_t rank);
+
+/* Counts how a sent call ended: ACCEPTED is false when admission refused it. */
+void fr_report_upstream (fr_throttle_t *throttle, fb_str_t service, uint32_t rank,
+                         bool accepted);
+
+#endif
--- /dev/null
+++ b/packages/config/include/foxtailrun/config/problem.h
@@ -0,0 +1,38 @@
+/* Problems found in a configuration document or a settings file. */
+#ifndef FOXTAILRUN_CONFIG_PROBLEM_H
+#define FOXTAILRUN_CONFIG_PROBLEM_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+/* One problem; strings are owned by the list. */
+typedef struct
+{
+  uint32_t line;       /* from 1; 0 when the file as a whole is meant */
+  const char *key;     /* such as "route[2].service" */
+  const char *found;   /* what stands there */
+  const char *allowed; /* what may stand there */
+} fc_problem_t;
+
+typedef struct fc_problems fc_problems_t;
+
+/* Creates an empty list; destroy with fc_destroy_problems. */
+fc_problems_t *fc_create_problems (void);
+
+/* Frees the list; NULL is allowed. */
+void fc_destroy_problems (fc_problems_t *problems);
+
+/* Adds a problem; the strings are copied. */
+void fc_add_problem (fc_problems_t *problems, uint32_t line, const char *key, const char *found,
+                     const char *allowed);
+
+/* Returns the number of problems. */
+size_t fc_count_problems (const fc_problems_t *problems);
+
+/* Returns problem INDEX in order of line, owned by the list. */
+const fc_problem_t *fc_get_problem (const fc_problems_t *problems, size_t index);
+
+/* Returns "FILE:LINE: KEY: found FOUND, allowed: ALLOWED" for one problem; free with g_free. */
+char *fc_format_problem (const fc_problem_t *problem, const char *file);
+
+#endif
--- /dev/null
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -0,0 +1,51 @@
+/* Settings of one node: its addresses, zone, backend server and platform. */
+#ifndef FOXTAILRUN_CONFIG_SETTINGS_H
+#define FOXTAILRUN_CONFIG_SETTINGS_H
+
+#include "problem.h"
+#include <foxtailrun/base/log.h>
+#include <foxtailrun/base/status.h>
+#include <foxtailrun/base/string.h>
+
+#define FC_SEEDS_MAX 32
+
+typedef struct
+{
+  fb_name_t address; /* numeric IP */
+  uint16_t port;     /* 0 when not set */
+} fc_endpoint_t;
+
+/* TOML tables and keys: [node] id, zone, region, service; [listen] address, caller_port,
+ * call_port, control_port, admin_port; [backend] address, port; [platform] address, port;
+ * [seeds] nodes =
+ * ["IP:PORT"]; [admin] key; [log] level, format. */
+typedef struct
+{
+  fb_name_t id;
+  fb_name_t zone;
+  fb_name_t region;
+  fb_name_t service; /* empty: no backend server beside this node */
+  fb_name_t address;
+  uint16_t caller_port;
+  uint16_t call_port;
+  uint16_t control_port;
+  uint16_t admin_port;
+  fc_endpoint_t backend;
+  fc_endpoint_t platform;
+  fc_endpoint_t seeds[FC_SEEDS_MAX];
+  size_t seed_count;
+  fb_name_t admin_key; /* empty: calls that change something are refused */
+  fb_log_level_t log_level;
+  fb_log_format_t log_format;
+} fc_settings_t;
+
+/* Checks the settings in DOCUMENT; FB_INVALID with every problem added to PROBLEMS. */
+fb_status_t fc_check_settings (fb_bytes_t document, fc_settings_t *settings,
+                               fc_problems_t *problems);
+
+/* Reads file PATH of at most MAX bytes into *DATA, which the caller frees with g_free;
+ * FB_NOT_FOUND, FB_IO or FB_TOO_LARGE with one problem added. */
+fb_status_t fc_read_file (const char *path, size_t max, uint8_t **data, size_t *length,
+                          fc_problems_t *problems);
+
+#endif
--- /dev/null
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -0,0 +1,101 @@
+/* The checked, immutable form of a configuration document. */
+#ifndef FOXTAILRUN_CONFIG_SNAPSHOT_H
+#define FOXTAILRUN_CONFIG_SNAPSHOT_H
+
+#include "problem.h"
+#include <foxtailrun/base/string.h>
+
+#define FC_DOCUMENT_MAX (1024 * 1024)
+#define FC_SERVICES_MAX 1000
+#define FC_ROUTES_MAX 4000
+#define FC_RANKS_MAX 16
+
+typedef struct
+{
+  fb_name_t name;
+  uint32_t order;     /* 0 is the most urgent */
+  uint32_t target_ms; /* latency target */
+  double worth;       /* relative worth of one call answered within its target */
+  double share;       /* guaranteed part of slot time, 0 to 1 */
+} fc_rank_t;
+
+typedef struct
+{
+  fb_name_t name;
+  uint32_t slots;             /* calls that an instance runs at once */
+  uint32_t connections;       /* connections that an instance accepts */
+  const uint32_t *depends_on; /* indexes of services */
+  size_t depends_count;
+} fc_service_t;
+
+typedef struct
+{
+  fb_name_t name;
+  fb_str_t path;    /* prefix, starts with "/" */
+  fb_str_t methods; /* methods joined by commas, such as "GET,POST"; empty for all */
+  uint32_t service; /* index */
+  uint32_t rank;    /* index */
+  uint32_t timeout_ms;
+  uint32_t retries; /* most further attempts */
+  bool repeatable;  /* false: runs at most once and needs a ticket */
+} fc_route_t;
+
+typedef struct
+{
+  fb_name_t name;
+  double weight; /* part within a rank, relative to the default of 1 */
+} fc_customer_t;
+
+typedef struct
+{
+  uint32_t service; /* index */
+  uint32_t rank;    /* index */
+  uint32_t target_ms;
+  double ratio; /* part of calls answered within the target, 0 to 1 */
+} fc_objective_t;
+
+typedef struct fc_snapshot fc_snapshot_t;
+
+/* Checks DOCUMENT as a whole. Returns a snapshot with one reference, or NULL with every problem
+ * found added to PROBLEMS. The only way to build a snapshot, so that each one is closed under
+ * references. */
+fc_snapshot_t *fc_check_document (fb_bytes_t document, fc_problems_t *problems);
+
+/* Adds a reference and returns SNAPSHOT. */
+fc_snapshot_t *fc_retain_snapshot (fc_snapshot_t *snapshot);
+
+/* Drops a reference; NULL is allowed. */
+void fc_release_snapshot (fc_snapshot_t *snapshot);
+
+/* Returns the publisher's version number. */
+uint64_t fc_get_number (const fc_snapshot_t *snapshot);
+
+/* Returns the document that was checked; owned by the snapshot. */
+fb_bytes_t fc_get_document (const fc_snapshot_t *snapshot);
+
+size_t fc_count_ranks (const fc_snapshot_t *snapshot);
+size_t fc_count_services (const fc_snapshot_t *snapshot);
+size_t fc_count_routes (const fc_snapshot_t *snapshot);
+size_t fc_count_customers (const fc_snapshot_t *snapshot);
+size_t fc_count_objectives (const fc_snapshot_t *snapshot);
+
+/* Each returns element INDEX, owned by the snapshot; ranks come in order of urgency. */
+const fc_rank_t *fc_get_rank (const fc_snapshot_t *snapshot, size_t index);
+const fc_service_t *fc_get_service (const fc_snapshot_t *snapshot, size_t index);
+const fc_route_t *fc_get_route (const fc_snapshot_t *snapshot, size_t index);
+const fc_customer_t *fc_get_customer (const fc_snapshot_t *snapshot, size_t index);
+const fc_objective_t *fc_get_objective (const fc_snapshot_t *snapshot, size_t index);
+
+/* Returns the rank or service called NAME, or NULL; INDEX may be NULL. */
+const fc_rank_t *fc_find_rank (const fc_snapshot_t *snapshot, fb_str_t name, uint32_t *index);
+const fc_service_t *fc_find_service (const fc_snapshot_t *snapshot, fb_str_t name,
+                                     uint32_t *index);
+
+/* Returns the route with the longest path prefix of PATH (a query after "?" is ignored) that
+ * allows METHOD, or NULL. A prefix matches whole path segments. */
+const fc_route_t *fc_find_route (const fc_snapshot_t *snapshot, fb_str_t method, fb_str_t path);
+
+/* Returns the weight of customer NAME, 1 when it is not listed. */
+double fc_weigh_customer (const fc_snapshot_t *snapshot, fb_str_t name);
+
+#endif
--- /dev/null
+++ b/packages/wire/include/foxtailrun/wire/control.h
@@ -0,0 +1,49 @@
+/* Control messages between nodes over ZeroMQ: documents, summaries and member lists. */
+#ifndef FOXTAILRUN_WIRE_CONTROL_H
+#define FOXTAILRUN_WIRE_CONTROL_H
+
+#include "member.h"
+#include <foxtailrun/base/status.h>
+#include <foxtailrun/base/version.h>
+
+/* Largest document in bytes, the platform's limit on a value. */
+#define FW_DOCUMENT_MAX (1024 * 1024)
+
+/* Members in one MEMBERS page. */
+#define FW_PAGE_MAX 256
+
+typedef enum
+{
+  FW_SUMMARY_ASK = 1, /* which version do you hold? */
+  FW_SUMMARY = 2,     /* version, ready */
+  FW_FETCH = 3,       /* send your document; base is the digest held, zero for none */
+  FW_DOCUMENT = 4,    /* version, base, payload: zstd frame */
+  FW_MEMBERS_ASK = 5, /* page */
+  FW_MEMBERS = 6      /* page, page_count, members */
+} fw_control_kind_t;
+
+typedef struct
+{
+  fw_control_kind_t kind;
+  uint64_t request; /* chosen by the asker, repeated in the answer */
+  fb_name_t sender;
+  fb_version_t version;
+  bool ready;       /* SUMMARY: the sender takes calls */
+  fb_digest_t base; /* FETCH, DOCUMENT: the document the difference starts from */
+  uint32_t page;
+  uint32_t page_count;
+  fb_bytes_t payload; /* DOCUMENT: borrowed from the encoded bytes after decoding */
+  size_t member_count;
+  fw_member_t *members; /* MEMBERS: owned after decoding, see fw_clear_control */
+} fw_control_t;
+
+/* Encodes MESSAGE into a new buffer that the caller frees with g_free. */
+uint8_t *fw_encode_control (const fw_control_t *message, size_t *length);
+
+/* Decodes BYTES, which must outlive MESSAGE; FB_INVALID on anything malformed. */
+fb_status_t fw_decode_control (fb_bytes_t bytes, fw_control_t *message);
+
+/* Frees what decoding allocated in MESSAGE. */
+void fw_clear_control (fw_control_t *message);
+
+#endif
--- /dev/null
+++ b/packages/wire/include/foxtailrun/wire/member.h
@@ -0,0 +1,37 @@
+/* Description of one node as it travels between nodes. */
+#ifndef FOXTAILRUN_WIRE_MEMBER_H
+#define FOXTAILRUN_WIRE_MEMBER_H
+
+#include <foxtailrun/base/string.h>
+
+/* Within one incarnation a later state in this list overrides an earlier one. */
+typedef enum
+{
+  FW_ALIVE,
+  FW_SUSPECT,
+  FW_LEAVING,
+  FW_DEAD
+} fw_member_state_t;
+
+/* One node: who it is, where it listens and which service its backend server belongs to. */
+typedef struct
+{
+  fb_name_t id;
+  uint64_t incarnation; /* raised by the node itself only; at first its start time in ms */
+  fw_member_state_t state;
+  fb_name_t address;     /* numeric IP address */
+  uint16_t control_port; /* UDP gossip and TCP control */
+  uint16_t call_port;    /* TCP calls from other nodes */
+  uint16_t admin_port;   /* HTTP administration */
+  fb_name_t zone;
+  fb_name_t region;
+  fb_name_t service; /* empty when no backend server is attached */
+} fw_member_t;
+
+/* Returns the lower-case name of STATE. */
+const char *fw_describe_state (fw_member_state_t state);
+
+/* Returns whether update NEWER overrides OLDER about the same node. */
+bool fw_is_override (const fw_member_t *newer, const fw_member_t *older);
+
+#endif
--- /dev/null
+++ b/packages/wire/source/wire-call.c
@@ -0,0 +1,121 @@
+#include "wire-pack.h"
+#include "wire-read.h"
+#include <foxtailrun/wire/call.h>
+#include <glib.h>
+#include <string.h>
+
+#define CALL_FORMAT 1
+#define CALL_FIELDS 17
+
+/* Longest path, header value, ticket or reason in bytes. */
+#define TEXT_MAX (16 * 1024)
+
+uint8_t *
+fw_encode_call (const fw_call_t *message, size_t *length)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  uint8_t *copy;
+
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, CALL_FIELDS);
+  msgpack_pack_uint64 (&packer, CALL_FORMAT);
+  msgpack_pack_uint64 (&packer, (uint64_t)message->kind);
+  msgpack_pack_uint64 (&packer, message->id);
+  msgpack_pack_uint64 (&packer, message->remaining_us);
+  fw_pack_str (&packer, message->service);
+  fw_pack_str (&packer, message->rank);
+  fw_pack_str (&packer, message->customer);
+  fw_pack_str (&packer, message->method);
+  fw_pack_str (&packer, message->path);
+  fw_pack_str (&packer, message->ticket);
+  fw_pack_str (&packer, message->request_id);
+  msgpack_pack_uint64 (&packer, (uint64_t)message->outcome);
+  msgpack_pack_uint64 (&packer, message->status);
+  fw_pack_str (&packer, message->reason);
+  msgpack_pack_uint64 (&packer, message->load);
+  msgpack_pack_uint64 (&packer, message->service_us);
+  msgpack_pack_array (&packer, 2 * message->header_count);
+  for (size_t i = 0; i < message->header_count; i++)
+    {
+      fw_pack_str (&packer, message->headers[i].name);
+      fw_pack_str (&packer, message->headers[i].value);
+    }
+  copy = g_memdup2 (buffer.data, buffer.size);
+  *length = buffer.size;
+  msgpack_sbuffer_destroy (&buffer);
+  return copy;
+}
+
+static bool
+read_call (const msgpack_object *object, fw_call_t *message)
+{
+  fw_reader_t reader = fw_start_reader (object);
+  fw_reader_t headers;
+
+  if (fw_read_u64 (&reader, CALL_FORMAT) != CALL_FORMAT)
+    return false;
+  message->kind = (fw_call_kind_t)fw_read_u64 (&reader, FW_CANCEL);
+  message->id = fw_read_u64 (&reader, UINT64_MAX);
+  message->remaining_us = fw_read_u64 (&reader, UINT64_MAX);
+  message->service = fw_read_str (&reader, FB_NAME_MAX);
+  message->rank = fw_read_str (&reader, FB_NAME_MAX);
+  message->customer = fw_read_str (&reader, FB_NAME_MAX);
+  message->method = fw_read_str (&reader, FB_NAME_MAX);
+  message->path = fw_read_str (&reader, TEXT_MAX);
+  message->ticket = fw_read_str (&reader, TEXT_MAX);
+  message->request_id = fw_read_str (&reader, TEXT_MAX);
+  message->outcome = (fw_outcome_t)fw_read_u64 (&reader, FW_FAILED);
+  message->status = (uint32_t)fw_read_u64 (&reader, 999);
+  message->reason = fw_read_str (&reader, TEXT_MAX);
+  message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
+  message->service_us = fw_read_u64 (&reader, UINT64_MAX);
+  headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
+  if (!fw_finish_reader (&reader) || message->kind < FW_CALL || headers.count % 2 != 0)
+    return false;
+  message->header_count = headers.count / 2;
+  for (size_t i = 0; i < message->header_count; i++)
+    {
+      message->headers[i].name = fw_read_str (&headers, TEXT_MAX);
+      message->headers[i].value = fw_read_str (&headers, TEXT_MAX);
+    }
+  return fw_finish_reader (&headers);
+}
+
+fb_status_t
+fw_decode_call (fb_bytes_t header, fb_bytes_t body, fw_call_t *message)
+{
+  msgpack_unpacked unpacked;
+  size_t offset = 0;
+  bool good;
+
+  memset (message, 0, sizeof *message);
+  msgpack_unpacked_init (&unpacked);
+  good = msgpack_unpack_next (&unpacked, (const char *)header.data, header.len, &offset)
+             == MSGPACK_UNPACK_SUCCESS
+         && offset == header.len && read_call (&unpacked.data, message);
+  msgpack_unpacked_destroy (&unpacked);
+  if (!good
+      || body.len > (message->kind == FW_ANSWER ? FW_ANSWER_BODY_MAX : FW_REQUEST_BODY_MAX))
+    return FB_INVALID;
+  message->body = body;
+  return FB_OK;
+}
+
+const char *
+fw_describe_outcome (fw_outcome_t outcome)
+{
+  switch (outcome)
+    {
+    case FW_ANSWERED:
+      return "answered";
+    case FW_NOT_RUN:
+      return "not-run";
+    case FW_UNKNOWN:
+      return "unknown";
+    case FW_FAILED:
+      return "failed";
+    }
+  return "none";
+}
--- /dev/null
+++ b/packages/wire/tests/test-wire.c
@@ -0,0 +1,267 @@
+/* Round trips and malformed input of the three message codecs. */
+#include <foxtailrun/wire/call.h>
+#include <foxtailrun/wire/control.h>
+#include <foxtailrun/wire/datagram.h>
+#include <glib.h>
+#include <string.h>
+
+static fw_member_t
+make_member (int number)
+{
+  char id[32];
+  fw_member_t member = { 0 };
+
+  g_snprintf (id, sizeof id, "node-%04d", number);
+  member.id = fb_make_name (id);
+  member.incarnation = 1000 + (uint64_t)number;
+  member.state = (fw_member_state_t)(number % 4);
+  member.address = fb_make_name ("127.0.0.1");
+  member.control_port = 7001;
+  member.call_port = 7002;
+  member.admin_port = 7003;
+  member.zone = fb_make_name ("zone-a");
+  member.region = fb_make_name ("gh-south");
+  member.service = fb_make_name ("storefront");
+  return member;
+}
+
+static void
+assert_same_member (const fw_member_t *a, const fw_member_t *b)
+{
+  g_assert_cmpstr (a->id.data, ==, b->id.data);
+  g_assert_cmpuint (a->incarnation, ==, b->incarnation);
+  g_assert_cmpuint (a->state, ==, b->state);
+  g_assert_cmpstr (a->address.data, ==, b->address.data);
+  g_assert_cmpuint (a->control_port, ==, b->control_port);
+  g_assert_cmpuint (a->call_port, ==, b->call_port);
+  g_assert_cmpuint (a->admin_port, ==, b->admin_port);
+  g_assert_cmpstr (a->zone.data, ==, b->zone.data);
+  g_assert_cmpstr (a->region.data, ==, b->region.data);
+  g_assert_cmpstr (a->service.data, ==, b->service.data);
+}
+
+/* Guards against fields that change on the way and datagrams over the size limit. */
+static void
+test_datagram_round_trip (void)
+{
+  fw_datagram_t *sent = g_new0 (fw_datagram_t, 1);
+  fw_datagram_t *got = g_new0 (fw_datagram_t, 1);
+  uint8_t buffer[FW_DATAGRAM_MAX];
+  size_t length;
+  size_t fitted;
+
+  sent->kind = FW_PING_REQ;
+  sent->sequence = 42;
+  sent->sender = make_member (1);
+  sent->version = (fb_version_t){ 7, 8, { { 9 } } };
+  sent->members_digest = 99;
+  sent->target = fb_make_name ("node-0002");
+  sent->update_count = FW_UPDATES_MAX;
+  for (int i = 0; i < FW_UPDATES_MAX; i++)
+    sent->updates[i] = make_member (i);
+  g_assert_cmpint (fw_encode_datagram (sent, buffer, &length, &fitted), ==, FB_OK);
+  g_assert_cmpuint (length, <=, FW_DATAGRAM_MAX);
+  g_assert_cmpuint (fitted, >, 5);
+  g_assert_cmpuint (fitted, <, FW_UPDATES_MAX);
+  g_assert_cmpint (fw_decode_datagram ((fb_bytes_t){ buffer, length }, got), ==, FB_OK);
+  g_assert_cmpint (got->kind, ==, FW_PING_REQ);
+  g_assert_cmpuint (got->sequence, ==, 42);
+  g_assert_cmpint (fb_compare_versions (&got->version, &sent->version), ==, 0);
+  g_assert_cmpuint (got->members_digest, ==, 99);
+  g_assert_cmpstr (got->target.data, ==, "node-0002");
+  assert_same_member (&got->sender, &sent->sender);
+  g_assert_cmpuint (got->update_count, ==, fitted);
+  for (size_t i = 0; i < fitted; i++)
+    assert_same_member (&got->updates[i], &sent->updates[i]);
+  g_free (sent);
+  g_free (got);
+}
+
+static fw_control_t
+make_control (fw_member_t *members)
+{
+  return (fw_control_t){ .kind = FW_DOCUMENT,
+                         .request = 3,
+                         .sender = fb_make_name ("node-0001"),
+                         .version = { 4, 5, { { 6 } } },
+                         .ready = true,
+                         .base = { { 1, 2, 3 } },
+                         .page = 1,
+                         .page_count = 2,
+                         .payload = { (const uint8_t *)"payload", 7 },
+                         .member_count = 2,
+                         .members = members };
+}
+
+/* Guards against control messages whose payload or member list changes on the way. */
+static void
+test_control_round_trip (void)
+{
+  fw_member_t members[2] = { make_member (1), make_member (2) };
+  fw_control_t sent = make_control (members);
+  fw_control_t got;
+  size_t length;
+  uint8_t *bytes = fw_encode_control (&sent, &length);
+
+  g_assert_cmpint (fw_decode_control ((fb_bytes_t){ bytes, length }, &got), ==, FB_OK);
+  g_assert_cmpint (got.kind, ==, FW_DOCUMENT);
+  g_assert_cmpuint (got.request, ==, 3);
+  g_assert_true (got.ready);
+  g_assert_cmpmem (got.payload.data, got.payload.len, "payload", 7);
+  g_assert_cmpmem (got.base.bytes, FB_DIGEST_LEN, sent.base.bytes, FB_DIGEST_LEN);
+  g_assert_cmpuint (got.page_count, ==, 2);
+  g_assert_cmpuint (got.member_count, ==, 2);
+  assert_same_member (&got.members[1], &members[1]);
+  fw_clear_control (&got);
+  g_free (bytes);
+}
+
+static fw_call_t
+make_call (void)
+{
+  return (fw_call_t){ .kind = FW_CALL,
+                      .id = UINT64_MAX,
+                      .remaining_us = 250000,
+                      .service = FB_LITERAL ("storefront"),
+                      .rank = FB_LITERAL ("urgent"),
+                      .customer = FB_LITERAL ("shop-1"),
+                      .method = FB_LITERAL ("POST"),
+                      .path = FB_LITERAL ("/pay?x=1"),
+                      .ticket = FB_LITERAL ("ftr1-n-1-1-1"),
+                      .request_id = FB_LITERAL ("r-1"),
+                      .reason = FB_LITERAL (""),
+                      .header_count = 1,
+                      .headers
+                      = { { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") } } };
+}
+
+/* Guards against calls whose request changes on the way. */
+static void
+test_call_round_trip (void)
+{
+  fw_call_t sent = make_call ();
+  fw_call_t got;
+  size_t length;
+  uint8_t *bytes = fw_encode_call (&sent, &length);
+  fb_bytes_t body = { (const uint8_t *)"body", 4 };
+
+  g_assert_cmpint (fw_decode_call ((fb_bytes_t){ bytes, length }, body, &got), ==, FB_OK);
+  g_assert_cmpuint (got.id, ==, UINT64_MAX);
+  g_assert_cmpuint (got.remaining_us, ==, 250000);
+  g_assert_true (fb_equal_str (got.path, sent.path));
+  g_assert_true (fb_equal_str (got.ticket, sent.ticket));
+  g_assert_cmpuint (got.header_count, ==, 1);
+  g_assert_true (fb_equal_str (got.headers[0].value, sent.headers[0].value));
+  g_assert_cmpmem (got.body.data, got.body.len, "body", 4);
+  body.len = FW_REQUEST_BODY_MAX + 1;
+  g_assert_cmpint (fw_decode_call ((fb_bytes_t){ bytes, length }, body, &got), ==, FB_INVALID);
+  g_free (bytes);
+}
+
+static fb_status_t
+decode_any (int codec, fb_bytes_t bytes)
+{
+  fw_datagram_t datagram;
+  fw_control_t control;
+  fw_call_t call;
+  fb_status_t status;
+
+  if (codec == 0)
+    return fw_decode_datagram (bytes, &datagram);
+  if (codec == 2)
+    return fw_decode_call (bytes, (fb_bytes_t){ NULL, 0 }, &call);
+  status = fw_decode_control (bytes, &control);
+  if (status == FB_OK)
+    fw_clear_control (&control);
+  return status;
+}
+
+static uint8_t *
+encode_any (int codec, size_t *length)
+{
+  fw_member_t members[2] = { make_member (1), make_member (2) };
+  fw_datagram_t datagram = { .kind = FW_PING, .sender = members[0] };
+  fw_control_t control = make_control (members);
+  fw_call_t call = make_call ();
+  uint8_t *buffer;
+  size_t fitted;
+
+  if (codec == 1)
+    return fw_encode_control (&control, length);
+  if (codec == 2)
+    return fw_encode_call (&call, length);
+  buffer = g_malloc (FW_DATAGRAM_MAX);
+  g_assert_cmpint (fw_encode_datagram (&datagram, buffer, length, &fitted), ==, FB_OK);
+  return buffer;
+}
+
+/* Guards against decoders that accept a cut message, or read past the end of a changed one. */
+static void
+test_malformed (void)
+{
+  GRand *random = g_rand_new_with_seed (1);
+
+  for (int codec = 0; codec < 3; codec++)
+    {
+      size_t length;
+      uint8_t *good = encode_any (codec, &length);
+
+      g_assert_cmpint (decode_any (codec, (fb_bytes_t){ good, length }), ==, FB_OK);
+      for (size_t cut = 0; cut < length; cut++)
+        {
+          uint8_t *copy = g_memdup2 (good, cut);
+          g_assert_cmpint (decode_any (codec, (fb_bytes_t){ copy, cut }), ==, FB_INVALID);
+          g_free (copy);
+        }
+      for (int round = 0; round < 20000; round++)
+        {
+          uint8_t *copy = g_memdup2 (good, length);
+          int changes = g_rand_int_range (random, 1, 5);
+          for (int i = 0; i < changes; i++)
+            copy[g_rand_int_range (random, 0, (gint32)length)] = (uint8_t)g_rand_int (random);
+          decode_any (codec, (fb_bytes_t){ copy, length });
+          g_free (copy);
+        }
+      g_free (good);
+    }
+  g_rand_free (random);
+}
+
+/* Guards against an older description of a member that overrides a newer one. */
+static void
+test_override (void)
+{
+  static const struct
+  {
+    uint64_t newer_incarnation;
+    fw_member_state_t newer_state;
+    uint64_t older_incarnation;
+    fw_member_state_t older_state;
+    bool overrides;
+  } cases[] = {
+    { 2, FW_ALIVE, 1, FW_DEAD, true },    { 1, FW_DEAD, 2, FW_ALIVE, false },
+    { 1, FW_SUSPECT, 1, FW_ALIVE, true }, { 1, FW_LEAVING, 1, FW_SUSPECT, true },
+    { 1, FW_DEAD, 1, FW_LEAVING, true },  { 1, FW_ALIVE, 1, FW_ALIVE, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_member_t newer
+          = { .incarnation = cases[i].newer_incarnation, .state = cases[i].newer_state };
+      fw_member_t older
+          = { .incarnation = cases[i].older_incarnation, .state = cases[i].older_state };
+      g_assert_cmpint (fw_is_override (&newer, &older), ==, cases[i].overrides);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wire/datagram-round-trip", test_datagram_round_trip);
+  g_test_add_func ("/wire/control-round-trip", test_control_round_trip);
+  g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
+  g_test_add_func ("/wire/malformed", test_malformed);
+  g_test_add_func ("/wire/override", test_override);
+  return g_test_run ();
+}
