--- /dev/null
+++ b/packages/http/source/http-server.c
@@ -0,0 +1,312 @@
+#include <foxtailrun/http/server.h>
+#include <glib.h>
+#include <h2o.h>
+#include <h2o/http1.h>
+#include <h2o/http2.h>
+
+/* Time for a request to arrive whole, in ms; a slower sender is disconnected. */
+#define REQUEST_TIMEOUT_MS 10000
+
+#define LISTEN_BACKLOG 1024
+
+struct fh_server
+{
+  fk_kernel_t *kernel;
+  h2o_globalconf_t config;
+  h2o_context_t context;
+  h2o_accept_ctx_t accept;
+  uv_tcp_t listener;
+  bool listening;
+  fh_handler_fn_t handler;
+  void *user;
+  size_t requests;
+  size_t connections;
+};
+
+/* Lives in the request's pool and tells when the pool goes away. */
+typedef struct
+{
+  fh_request_t *request; /* NULL once answered */
+} guard_t;
+
+struct fh_request
+{
+  fh_server_t *server;
+  h2o_req_t *req; /* NULL once the connection is gone */
+  guard_t *guard;
+  fh_cancelled_fn_t cancelled;
+  void *cancel_user;
+  size_t header_count;
+  fh_header_t headers[FH_HEADERS_MAX];
+};
+
+typedef struct
+{
+  h2o_handler_t super;
+  fh_server_t *server;
+} handler_t;
+
+static void
+dispose_guard (void *data)
+{
+  guard_t *guard = data;
+  fh_request_t *request = guard->request;
+
+  if (!request)
+    return;
+  request->req = NULL;
+  request->header_count = 0;
+  if (request->cancelled)
+    request->cancelled (request, request->cancel_user);
+}
+
+static int
+handle_request (h2o_handler_t *super, h2o_req_t *req)
+{
+  fh_server_t *server = ((handler_t *)super)->server;
+  fh_request_t *request;
+  guard_t *guard;
+
+  if (req->headers.size > FH_HEADERS_MAX)
+    {
+      h2o_send_error_generic (req, 431, "Request Header Fields Too Large", "too many headers\n",
+                              0);
+      return 0;
+    }
+  request = g_new0 (fh_request_t, 1);
+  request->server = server;
+  request->req = req;
+  for (size_t i = 0; i < req->headers.size; i++)
+    {
+      const h2o_header_t *header = &req->headers.entries[i];
+      request->headers[i] = (fh_header_t){ { header->name->base, header->name->len },
+                                           { header->value.base, header->value.len } };
+    }
+  request->header_count = req->headers.size;
+  guard = h2o_mem_alloc_shared (&req->pool, sizeof *guard, dispose_guard);
+  guard->request = request;
+  request->guard = guard;
+  server->requests++;
+  server->handler (request, server->user);
+  return 0;
+}
+
+/* Adds HEADER to the response in memory of the request. */
+static void
+add_header (h2o_req_t *req, const fh_header_t *header)
+{
+  h2o_iovec_t name;
+  h2o_iovec_t value;
+
+  if (fh_is_hop_header (header->name) || fb_equal_str (header->name, FB_LITERAL ("server"))
+      || fb_equal_str (header->name, FB_LITERAL ("date")))
+    return;
+  name = h2o_strdup (&req->pool, header->name.data, header->name.len);
+  value = h2o_strdup (&req->pool, header->value.data, header->value.len);
+  h2o_add_header_by_str (&req->pool, &req->res.headers, name.base, name.len, 1, NULL,
+                         value.base, value.len);
+}
+
+static const char *
+describe_code (uint32_t status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 404:
+      return "Not Found";
+    case 428:
+      return "Precondition Required";
+    case 429:
+      return "Too Many Requests";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+    }
+}
+
+/* The handle comes first: h2o takes over its data pointer, so that the server is found by the address. */
+typedef struct
+{
+  uv_tcp_t handle;
+  fh_server_t *server;
+} connection_t;
+
+static void
+close_connection (uv_handle_t *handle)
+{
+  connection_t *connection = (connection_t *)handle;
+
+  connection->server->connections--;
+  g_free (connection);
+}
+
+static void
+accept_connection (uv_stream_t *listener, int status)
+{
+  fh_server_t *server = listener->data;
+  connection_t *connection;
+
+  if (status != 0)
+    return;
+  connection = g_new0 (connection_t, 1);
+  uv_tcp_init (listener->loop, &connection->handle);
+  connection->server = server;
+  server->connections++;
+  if (uv_accept (listener, (uv_stream_t *)connection) != 0)
+    {
+      uv_close ((uv_handle_t *)connection, close_connection);
+      return;
+    }
+  uv_tcp_nodelay (&connection->handle, 1);
+  h2o_accept (&server->accept,
+              h2o_uv_socket_create ((uv_stream_t *)connection, close_connection));
+}
+
+static int
+start_listener (fh_server_t *server, const fb_name_t *address, uint16_t port)
+{
+  struct sockaddr_storage bound;
+  int error = UV_EINVAL;
+
+  uv_tcp_init (fk_get_loop (server->kernel), &server->listener);
+  server->listener.data = server;
+  server->listening = true;
+  if (uv_ip4_addr (address->data, port, (struct sockaddr_in *)&bound) == 0
+      || uv_ip6_addr (address->data, port, (struct sockaddr_in6 *)&bound) == 0)
+    error = uv_tcp_bind (&server->listener, (struct sockaddr *)&bound, 0);
+  if (error == 0)
+    error = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG, accept_connection);
+  return error;
+}
+
+fh_server_t *
+fh_create_server (fk_kernel_t *kernel, const fb_name_t *address, uint16_t port, size_t body_max,
+                  fh_handler_fn_t handler, void *user)
+{
+  fh_server_t *server = g_new0 (fh_server_t, 1);
+  h2o_hostconf_t *host;
+  handler_t *entry;
+  int error;
+
+  server->kernel = kernel;
+  server->handler = handler;
+  server->user = user;
+  h2o_config_init (&server->config);
+  server->config.max_request_entity_size = body_max;
+  server->config.http1.req_timeout = REQUEST_TIMEOUT_MS;
+  server->config.server_name = h2o_iovec_init (H2O_STRLIT ("foxtailrun"));
+  host = h2o_config_register_host (&server->config, h2o_iovec_init (H2O_STRLIT ("default")),
+                                   65535);
+  entry = (handler_t *)h2o_create_handler (h2o_config_register_path (host, "/", 0),
+                                           sizeof *entry);
+  entry->super.on_req = handle_request;
+  entry->server = server;
+  h2o_context_init (&server->context, fk_get_loop (kernel), &server->config);
+  server->accept.ctx = &server->context;
+  server->accept.hosts = server->config.hosts;
+  error = start_listener (server, address, port);
+  if (error == 0)
+    return server;
+  FB_LOG (fk_get_log (kernel), FB_LOG_ERROR, "http", "cannot listen",
+          FB_TEXT ("address", address->data), FB_NUMBER ("port", port),
+          FB_TEXT ("error", uv_strerror (error)));
+  fh_stop_accepting (server);
+  return NULL;
+}
+
+void
+fh_stop_accepting (fh_server_t *server)
+{
+  if (!server->listening)
+    return;
+  server->listening = false;
+  uv_close ((uv_handle_t *)&server->listener, NULL);
+  h2o_context_request_shutdown (&server->context);
+}
+
+size_t
+fh_count_requests (const fh_server_t *server)
+{
+  return server->requests;
+}
+
+size_t
+fh_count_connections (const fh_server_t *server)
+{
+  return server->connections;
+}
+
+void
+fh_destroy_server (fh_server_t *server)
+{
+  g_free (server);
+}
+
+fb_str_t
+fh_get_method (const fh_request_t *request)
+{
+  if (!request->req)
+    return (fb_str_t){ "", 0 };
+  return (fb_str_t){ request->req->method.base, request->req->method.len };
+}
+
+fb_str_t
+fh_get_path (const fh_request_t *request)
+{
+  if (!request->req)
+    return (fb_str_t){ "", 0 };
+  return (fb_str_t){ request->req->path.base, request->req->path.len };
+}
+
+fb_bytes_t
+fh_get_body (const fh_request_t *request)
+{
+  if (!request->req)
+    return (fb_bytes_t){ NULL, 0 };
+  return (fb_bytes_t){ (const uint8_t *)request->req->entity.base, request->req->entity.len };
+}
+
+size_t
+fh_get_headers (const fh_request_t *request, const fh_header_t **headers)
+{
+  *headers = request->headers;
+  return request->header_count;
+}
+
+void
+fh_watch_cancel (fh_request_t *request, fh_cancelled_fn_t cancelled, void *user)
+{
+  request->cancelled = cancelled;
+  request->cancel_user = user;
+}
+
+void
+fh_respond (fh_request_t *request, uint32_t status, const fh_header_t *headers, size_t count,
+            fb_bytes_t body)
+{
+  h2o_req_t *req = request->req;
+
+  request->server->requests--;
+  if (req)
+    {
+      request->guard->request = NULL;
+      req->res.status = (int)status;
+      req->res.reason = describe_code (status);
+      req->res.content_length = body.len;
+      for (size_t i = 0; i < count; i++)
+        add_header (req, &headers[i]);
+      /* After the listener has closed, each response ends its connection so that the process
+       * can stop. */
+      if (!request->server->listening)
+        req->http1_is_persistent = 0;
+      h2o_send_inline (req, (const char *)body.data, body.len);
+    }
+  g_free (request);
+}
--- /dev/null
+++ b/packages/kernel/include/foxtailrun/kernel/kernel.h
@@ -0,0 +1,66 @@
+/* The micro-kernel: one event loop on one thread, and services that find each other by name. */
+#ifndef FOXTAILRUN_KERNEL_KERNEL_H
+#define FOXTAILRUN_KERNEL_KERNEL_H
+
+#include <foxtailrun/base/clock.h>
+#include <foxtailrun/base/counter.h>
+#include <foxtailrun/base/log.h>
+#include <uv.h>
+
+typedef struct fk_kernel fk_kernel_t;
+typedef struct fk_timer fk_timer_t;
+
+/* Callbacks of a service; each may be NULL. DATA is what was registered. */
+typedef struct
+{
+  fb_status_t (*start) (fk_kernel_t *kernel, void *data);
+  void (*stop) (void *data); /* release handles on the loop; called in reverse order of start */
+  void (*destroy) (void *data); /* free DATA after the loop has ended */
+} fk_service_t;
+
+/* Creates a kernel with its own loop, clock, counters and LOG, which it takes over and may be
+ * NULL. */
+fk_kernel_t *fk_create_kernel (fb_log_t *log);
+
+/* Stops and destroys all services, closes the loop and frees the kernel; NULL is allowed. */
+void fk_destroy_kernel (fk_kernel_t *kernel);
+
+/* Registers DATA as service NAME, which must be unused; the kernel takes DATA over. VTABLE is
+ * borrowed and must outlive the kernel. */
+void fk_register_service (fk_kernel_t *kernel, const char *name, const fk_service_t *vtable,
+                          void *data);
+
+/* Returns the data of service NAME, or NULL. */
+void *fk_find_service (fk_kernel_t *kernel, const char *name);
+
+/* Starts all services in order of registration; the first failure ends it and is returned. */
+fb_status_t fk_start_services (fk_kernel_t *kernel);
+
+/* Runs the loop until fk_quit. */
+void fk_run (fk_kernel_t *kernel);
+
+/* Makes fk_run return. */
+void fk_quit (fk_kernel_t *kernel);
+
+uv_loop_t *fk_get_loop (fk_kernel_t *kernel);
+const fb_clock_t *fk_get_clock (fk_kernel_t *kernel);
+fb_counters_t *fk_get_counters (fk_kernel_t *kernel);
+fb_log_t *fk_get_log (fk_kernel_t *kernel);
+
+typedef void (*fk_callback_fn_t) (void *user);
+
+/* Calls CALLBACK each PERIOD ns, rounded up to a millisecond; destroy with fk_destroy_timer. */
+fk_timer_t *fk_create_timer (fk_kernel_t *kernel, fb_time_t period, fk_callback_fn_t callback,
+                             void *user);
+
+/* Calls CALLBACK once after DELAY ns; destroy with fk_destroy_timer. */
+fk_timer_t *fk_create_timeout (fk_kernel_t *kernel, fb_time_t delay, fk_callback_fn_t callback,
+                               void *user);
+
+/* Stops and frees the timer; NULL is allowed. */
+void fk_destroy_timer (fk_timer_t *timer);
+
+/* Calls CALLBACK when the process receives SIGTERM or SIGINT. */
+void fk_watch_signals (fk_kernel_t *kernel, fk_callback_fn_t callback, void *user);
+
+#endif
--- /dev/null
+++ b/packages/kernel/source/kernel.c
@@ -0,0 +1,189 @@
+#include <foxtailrun/base/invariant.h>
+#include <foxtailrun/kernel/kernel.h>
+#include <glib.h>
+#include <signal.h>
+
+typedef struct
+{
+  char *name;
+  const fk_service_t *vtable;
+  void *data;
+  bool started;
+} service_t;
+
+struct fk_kernel
+{
+  uv_loop_t loop;
+  fb_clock_t *clock;
+  fb_counters_t *counters;
+  fb_log_t *log;
+  GPtrArray *services;
+  uv_signal_t signals[2];
+  fk_callback_fn_t on_signal;
+  void *signal_user;
+};
+
+static fb_time_t
+read_loop_clock (void *user)
+{
+  return (fb_time_t)uv_hrtime ();
+}
+
+static void
+close_handle (uv_handle_t *handle, void *user)
+{
+  if (!uv_is_closing (handle))
+    uv_close (handle, NULL);
+}
+
+static void
+receive_signal (uv_signal_t *handle, int number)
+{
+  fk_kernel_t *kernel = handle->data;
+
+  kernel->on_signal (kernel->signal_user);
+}
+
+fk_kernel_t *
+fk_create_kernel (fb_log_t *log)
+{
+  fk_kernel_t *kernel = g_new0 (fk_kernel_t, 1);
+
+  FB_INVARIANT (uv_loop_init (&kernel->loop) == 0);
+  kernel->clock = fb_create_clock (read_loop_clock, NULL);
+  kernel->counters = fb_create_counters ();
+  kernel->log = log;
+  kernel->services = g_ptr_array_new ();
+  /* A peer that closes its end must not stop the process; writes report the error instead. */
+  signal (SIGPIPE, SIG_IGN);
+  return kernel;
+}
+
+void
+fk_destroy_kernel (fk_kernel_t *kernel)
+{
+  if (!kernel)
+    return;
+  for (guint i = kernel->services->len; i-- > 0;)
+    {
+      service_t *service = g_ptr_array_index (kernel->services, i);
+      if (service->started && service->vtable->stop)
+        service->vtable->stop (service->data);
+    }
+  uv_walk (&kernel->loop, close_handle, NULL);
+  while (uv_run (&kernel->loop, UV_RUN_DEFAULT) != 0)
+    uv_walk (&kernel->loop, close_handle, NULL);
+  FB_INVARIANT (uv_loop_close (&kernel->loop) == 0);
+  for (guint i = kernel->services->len; i-- > 0;)
+    {
+      service_t *service = g_ptr_array_index (kernel->services, i);
+      if (service->vtable->destroy)
+        service->vtable->destroy (service->data);
+      g_free (service->name);
+      g_free (service);
+    }
+  g_ptr_array_free (kernel->services, TRUE);
+  fb_destroy_log (kernel->log);
+  fb_destroy_counters (kernel->counters);
+  fb_destroy_clock (kernel->clock);
+  g_free (kernel);
+}
+
+void
+fk_register_service (fk_kernel_t *kernel, const char *name, const fk_service_t *vtable,
+                     void *data)
+{
+  service_t *service;
+
+  FB_INVARIANT (fk_find_service (kernel, name) == NULL);
+  service = g_new0 (service_t, 1);
+  service->name = g_strdup (name);
+  service->vtable = vtable;
+  service->data = data;
+  g_ptr_array_add (kernel->services, service);
+}
+
+void *
+fk_find_service (fk_kernel_t *kernel, const char *name)
+{
+  for (guint i = 0; i < kernel->services->len; i++)
+    {
+      service_t *service = g_ptr_array_index (kernel->services, i);
+      if (g_str_equal (service->name, name))
+        return service->data;
+    }
+  return NULL;
+}
+
+fb_status_t
+fk_start_services (fk_kernel_t *kernel)
+{
+  for (guint i = 0; i < kernel->services->len; i++)
+    {
+      service_t *service = g_ptr_array_index (kernel->services, i);
+      fb_status_t status = FB_OK;
+
+      service->started = true;
+      if (service->vtable->start)
+        status = service->vtable->start (kernel, service->data);
+      if (status != FB_OK)
+        {
+          FB_LOG (kernel->log, FB_LOG_ERROR, "kernel", "service did not start",
+                  FB_TEXT ("name", service->name),
+                  FB_TEXT ("status", fb_describe_status (status)));
+          return status;
+        }
+    }
+  return FB_OK;
+}
+
+void
+fk_run (fk_kernel_t *kernel)
+{
+  uv_run (&kernel->loop, UV_RUN_DEFAULT);
+}
+
+void
+fk_quit (fk_kernel_t *kernel)
+{
+  uv_stop (&kernel->loop);
+}
+
+uv_loop_t *
+fk_get_loop (fk_kernel_t *kernel)
+{
+  return &kernel->loop;
+}
+
+const fb_clock_t *
+fk_get_clock (fk_kernel_t *kernel)
+{
+  return kernel->clock;
+}
+
+fb_counters_t *
+fk_get_counters (fk_kernel_t *kernel)
+{
+  return kernel->counters;
+}
+
+fb_log_t *
+fk_get_log (fk_kernel_t *kernel)
+{
+  return kernel->log;
+}
+
+void
+fk_watch_signals (fk_kernel_t *kernel, fk_callback_fn_t callback, void *user)
+{
+  static const int numbers[] = { SIGTERM, SIGINT };
+
+  kernel->on_signal = callback;
+  kernel->signal_user = user;
+  for (size_t i = 0; i < G_N_ELEMENTS (numbers); i++)
+    {
+      uv_signal_init (&kernel->loop, &kernel->signals[i]);
+      kernel->signals[i].data = kernel;
+      uv_signal_start (&kernel->signals[i], receive_signal, numbers[i]);
+    }
+}
--- /dev/null
+++ b/packages/node/source/node-backend.c
@@ -0,0 +1,599 @@
+#include "node-services.h"
+#include <foxtailrun/base/invariant.h>
+#include <foxtailrun/call/admission.h>
+#include <foxtailrun/call/once.h>
+#include <foxtailrun/http/client.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+#define TICK_PERIOD (5 * FB_MILLISECOND)
+
+/* Bound on waiting for the backend server without any data; frees the slot of a silent
+ * connection when no deadline does, as for calls that run at most once. */
+#define BACKEND_IO_TIMEOUT (30 * FB_SECOND)
+
+#define IDLE_CONNECTIONS_MAX 32
+
+/* Bounds of the records of calls that run at most once. */
+#define ONCE_RECORDS_MAX 20000
+#define ONCE_BYTES_MAX (8 * 1024 * 1024)
+
+typedef enum
+{
+  CALL_WAITING,
+  CALL_RUNNING,
+  CALL_JOINED /* waits for the answer of a running call with the same ticket */
+} call_state_t;
+
+/* One call at the node beside the backend server. */
+typedef struct
+{
+  fn_backend_t *backend;
+  uint64_t handle;
+  call_state_t state;
+  uint8_t *header;
+  uint8_t *body;
+  fw_call_t call; /* refers to HEADER and BODY */
+  fb_time_t deadline;
+  fb_time_t started;
+  bool has_ticket;
+  fr_ticket_t ticket;
+  fh_exchange_t *exchange;
+  fn_answered_fn_t answered; /* NULL once cancelled */
+  void *user;
+} served_t;
+
+struct fn_backend
+{
+  fk_kernel_t *kernel;
+  fr_admission_t *admission;
+  fr_once_t *once;
+  fh_client_t *client;
+  fk_timer_t *tick;
+  GHashTable *calls; /* served_t by handle */
+  uint64_t last_handle;
+  uint64_t rules_number;
+  bool draining;
+  bool closed;
+  fb_counter_t *started;
+  fb_counter_t *refused;
+  fb_counter_t *replayed;
+  fb_counter_t *unknown;
+};
+
+static void
+free_served (void *data)
+{
+  served_t *served = data;
+
+  g_free (served->header);
+  g_free (served->body);
+  g_free (served);
+}
+
+/* Answers a call and forgets it. */
+static void
+answer_call (served_t *served, fw_call_t *answer)
+{
+  fn_backend_t *backend = served->backend;
+
+  answer->kind = FW_ANSWER;
+  answer->load = fr_get_load (backend->admission);
+  if (served->answered)
+    served->answered (answer, served->user);
+  g_hash_table_remove (backend->calls, &served->handle);
+}
+
+static void
+answer_outcome (served_t *served, fw_outcome_t outcome, uint32_t status, const char *reason)
+{
+  fw_call_t answer = { .outcome = outcome, .status = status, .reason = fb_wrap_text (reason) };
+
+  if (outcome == FW_NOT_RUN)
+    fb_add_counter (served->backend->refused, 1);
+  else if (outcome == FW_UNKNOWN)
+    fb_add_counter (served->backend->unknown, 1);
+  answer_call (served, &answer);
+}
+
+/* Packs an answer for the records of at-most-once calls: the length of the header part, it, and
+ * the body. */
+static GByteArray *
+pack_answer (const fw_call_t *answer)
+{
+  size_t length;
+  uint8_t *header = fw_encode_call (answer, &length);
+  uint32_t prefix = (uint32_t)length;
+  GByteArray *packed = g_byte_array_new ();
+
+  g_byte_array_append (packed, (const guint8 *)&prefix, sizeof prefix);
+  g_byte_array_append (packed, header, (guint)length);
+  g_byte_array_append (packed, answer->body.data, (guint)answer->body.len);
+  g_free (header);
+  return packed;
+}
+
+static bool
+unpack_answer (fb_bytes_t packed, fw_call_t *answer)
+{
+  uint32_t prefix;
+
+  if (packed.len < sizeof prefix)
+    return false;
+  memcpy (&prefix, packed.data, sizeof prefix);
+  if (prefix > packed.len - sizeof prefix)
+    return false;
+  return fw_decode_call ((fb_bytes_t){ packed.data + sizeof prefix, prefix },
+                         (fb_bytes_t){ packed.data + sizeof prefix + prefix,
+                                       packed.len - sizeof prefix - prefix },
+                         answer)
+         == FB_OK;
+}
+
+/* Answers every call that waits for the same ticket as ENDED. */
+static void
+answer_joined (served_t *ended, const fw_call_t *answer)
+{
+  GPtrArray *joined = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, ended->backend->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      served_t *other = value;
+      if (other->state == CALL_JOINED && other->ticket.serial == ended->ticket.serial)
+        g_ptr_array_add (joined, other);
+    }
+  for (guint i = 0; i < joined->len; i++)
+    {
+      fw_call_t copy = *answer;
+      answer_call (g_ptr_array_index (joined, i), &copy);
+    }
+  g_ptr_array_free (joined, TRUE);
+}
+
+/* Records the end of a call that runs at most once. */
+static void
+record_end (served_t *served, const fw_call_t *answer)
+{
+  fr_once_t *once = served->backend->once;
+  GByteArray *packed;
+
+  if (answer->outcome == FW_NOT_RUN)
+    {
+      fr_abandon_once (once, &served->ticket);
+      return;
+    }
+  if (answer->outcome != FW_ANSWERED)
+    {
+      fr_end_once (once, &served->ticket, (fb_bytes_t){ NULL, 0 });
+      return;
+    }
+  packed = pack_answer (answer);
+  fr_end_once (once, &served->ticket, (fb_bytes_t){ packed->data, packed->len });
+  g_byte_array_free (packed, TRUE);
+}
+
+static void
+end_running (served_t *served, fw_call_t *answer)
+{
+  fn_backend_t *backend = served->backend;
+
+  served->exchange = NULL;
+  answer->kind = FW_ANSWER;
+  answer->service_us
+      = (uint64_t)(fb_read_clock (fk_get_clock (backend->kernel)) - served->started)
+        / (uint64_t)FB_MICROSECOND;
+  if (answer->outcome == FW_UNKNOWN)
+    fb_add_counter (backend->unknown, 1);
+  if (served->has_ticket)
+    {
+      record_end (served, answer);
+      answer_joined (served, answer);
+    }
+  fr_finish_call (backend->admission, served->handle);
+  answer_call (served, answer);
+}
+
+static void
+set_answer_headers (fw_call_t *answer, const fh_response_t *response)
+{
+  for (size_t i = 0; i < response->header_count; i++)
+    {
+      if (!fh_is_hop_header (response->headers[i].name))
+        answer->headers[answer->header_count++]
+            = (fw_header_t){ response->headers[i].name, response->headers[i].value };
+    }
+}
+
+static void
+end_exchange (const fh_response_t *response, void *user)
+{
+  served_t *served = user;
+  fw_call_t answer = { .status = 502, .reason = fb_wrap_text (response->error) };
+
+  if (response->result == FH_ANSWERED)
+    {
+      answer.outcome = FW_ANSWERED;
+      answer.status = response->status;
+      answer.body = response->body;
+      set_answer_headers (&answer, response);
+    }
+  else if (response->result == FH_NOT_SENT)
+    {
+      answer.outcome = FW_NOT_RUN;
+      answer.status = 503;
+    }
+  else
+    answer.outcome = served->has_ticket ? FW_UNKNOWN : FW_FAILED;
+  end_running (served, &answer);
+}
+
+static void
+send_to_backend (served_t *served)
+{
+  fn_backend_t *backend = served->backend;
+  fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
+  fh_header_t headers[FH_HEADERS_MAX + 1];
+  fh_outgoing_t outgoing = { .method = served->call.method,
+                             .path = served->call.path,
+                             .headers = headers,
+                             .body = served->call.body,
+                             .fresh = served->has_ticket };
+  char remaining[24];
+
+  for (size_t i = 0; i < served->call.header_count; i++)
+    headers[i] = (fh_header_t){ served->call.headers[i].name, served->call.headers[i].value };
+  snprintf (remaining, sizeof remaining, "%" PRId64, (served->deadline - now) / FB_MILLISECOND);
+  headers[served->call.header_count]
+      = (fh_header_t){ FB_LITERAL ("foxtailrun-timeout-ms"), fb_wrap_text (remaining) };
+  outgoing.header_count = served->call.header_count + 1;
+  served->started = now;
+  served->state = CALL_RUNNING;
+  fb_add_counter (backend->started, 1);
+  served->exchange = fh_send_request (backend->client, &outgoing, end_exchange, served);
+}
+
+static uint64_t
+digest_request (const fw_call_t *call)
+{
+  uint64_t digest = fb_hash_str (call->method, 0);
+
+  digest = fb_hash_str (call->path, digest);
+  return fb_hash_str ((fb_str_t){ (const char *)call->body.data, call->body.len }, digest);
+}
+
+/* Starts a call with a ticket unless the ticket was used before. */
+static void
+start_once (served_t *served)
+{
+  fn_backend_t *backend = served->backend;
+  fb_bytes_t recorded = { NULL, 0 };
+  fr_once_state_t state = fr_begin_once (backend->once, &served->ticket,
+                                         digest_request (&served->call), &recorded);
+  fw_call_t answer = { 0 };
+
+  if (state == FR_ONCE_RUN)
+    {
+      send_to_backend (served);
+      return;
+    }
+  fr_finish_call (backend->admission, served->handle);
+  switch (state)
+    {
+    case FR_ONCE_RUNNING:
+      served->state = CALL_JOINED;
+      return;
+    case FR_ONCE_ANSWERED:
+      fb_add_counter (backend->replayed, 1);
+      if (unpack_answer (recorded, &answer))
+        answer_call (served, &answer);
+      else
+        answer_outcome (served, FW_UNKNOWN, 504, "recorded answer is not readable");
+      return;
+    case FR_ONCE_INVALID:
+      answer_outcome (served, FW_UNKNOWN, 422, "ticket was not issued for this request");
+      return;
+    default:
+      answer_outcome (served, FW_UNKNOWN, 504, "ticket may have run, its answer is not held");
+      return;
+    }
+}
+
+static void
+start_call (void *call, void *user)
+{
+  served_t *served = call;
+
+  if (served->has_ticket)
+    start_once (served);
+  else
+    send_to_backend (served);
+}
+
+static void
+refuse_call (void *call, fr_refusal_t refusal, void *user)
+{
+  served_t *served = call;
+  uint32_t status = refusal == FR_REFUSED_FULL ? 429 : 503;
+
+  answer_outcome (served, FW_NOT_RUN, status, fr_describe_refusal (refusal));
+}
+
+/* Takes over the ranks and slots of the snapshot in force when they changed. */
+static void
+update_rules (fn_backend_t *backend, fc_snapshot_t *snapshot)
+{
+  fr_rank_rule_t rules[FC_RANKS_MAX];
+  const fc_settings_t *settings = fn_get_settings (backend->kernel);
+  const fc_service_t *service
+      = fc_find_service (snapshot, fb_get_name (&settings->service), NULL);
+  size_t count = fc_count_ranks (snapshot);
+
+  if (!service || backend->rules_number == fc_get_number (snapshot))
+    return;
+  backend->rules_number = fc_get_number (snapshot);
+  for (size_t i = 0; i < count; i++)
+    {
+      const fc_rank_t *rank = fc_get_rank (snapshot, i);
+      rules[i] = (fr_rank_rule_t){ .share = rank->share,
+                                   .target = rank->target_ms * FB_MILLISECOND };
+    }
+  fr_set_rules (backend->admission, service->slots, rules, count);
+}
+
+/* Cancels running calls whose deadline has passed; those with a ticket go on, so that their
+ * answer can be recorded. */
+static void
+tick_backend (void *user)
+{
+  fn_backend_t *backend = user;
+  fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
+  GPtrArray *late = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  fr_tick_admission (backend->admission);
+  g_hash_table_iter_init (&iter, backend->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      served_t *served = value;
+      if (served->state == CALL_RUNNING && !served->has_ticket && now >= served->deadline)
+        g_ptr_array_add (late, served);
+    }
+  for (guint i = 0; i < late->len; i++)
+    {
+      served_t *served = g_ptr_array_index (late, i);
+      fw_call_t answer = { .outcome = FW_FAILED,
+                           .status = 504,
+                           .reason = FB_LITERAL ("deadline passed at the backend server") };
+      fh_cancel_exchange (served->exchange);
+      end_running (served, &answer);
+    }
+  g_ptr_array_free (late, TRUE);
+}
+
+/* Returns why CALL cannot be taken, or NULL. */
+static const char *
+find_obstacle (fn_backend_t *backend, const fw_call_t *call)
+{
+  fn_distribution_t *distribution = fk_find_service (backend->kernel, FN_DISTRIBUTION);
+  const fc_settings_t *settings = fn_get_settings (backend->kernel);
+  fc_snapshot_t *snapshot;
+
+  if (!fn_check_ready (distribution))
+    return "node is not ready";
+  snapshot = fn_get_snapshot (distribution);
+  if (!backend->client || !snapshot
+      || !fb_equal_str (call->service, fb_get_name (&settings->service))
+      || !fc_find_service (snapshot, call->service, NULL))
+    return "service is not served here";
+  if (backend->closed || (backend->draining && call->ticket.len == 0))
+    return "draining";
+  return NULL;
+}
+
+static bool
+needs_ticket (fn_backend_t *backend, const fw_call_t *call)
+{
+  fc_snapshot_t *snapshot
+      = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
+  const fc_route_t *route = fc_find_route (snapshot, call->method, call->path);
+
+  return route && !route->repeatable;
+}
+
+static served_t *
+copy_call (fn_backend_t *backend, const fw_call_t *call)
+{
+  served_t *served = g_new0 (served_t, 1);
+  size_t length;
+
+  served->backend = backend;
+  served->handle = ++backend->last_handle;
+  served->header = fw_encode_call (call, &length);
+  served->body = g_memdup2 (call->body.data, call->body.len);
+  FB_INVARIANT (fw_decode_call ((fb_bytes_t){ served->header, length },
+                                (fb_bytes_t){ served->body, call->body.len }, &served->call)
+                == FB_OK);
+  served->deadline = fb_read_clock (fk_get_clock (backend->kernel))
+                     + (fb_time_t)MIN (call->remaining_us, 3600000000U) * FB_MICROSECOND;
+  return served;
+}
+
+/* Queues a copy of CALL for a slot. */
+static uint64_t
+offer_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered, void *user)
+{
+  fc_snapshot_t *snapshot
+      = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
+  served_t *served = copy_call (backend, call);
+  uint64_t handle = served->handle;
+  uint32_t rank = (uint32_t)fc_count_ranks (snapshot) - 1;
+
+  served->answered = answered;
+  served->user = user;
+  served->has_ticket = call->ticket.len > 0;
+  if (served->has_ticket && fr_parse_ticket (call->ticket, &served->ticket) != FB_OK)
+    {
+      g_hash_table_insert (backend->calls, &served->handle, served);
+      answer_outcome (served, FW_NOT_RUN, 422, "malformed ticket");
+      return 0;
+    }
+  fc_find_rank (snapshot, call->rank, &rank);
+  g_hash_table_insert (backend->calls, &served->handle, served);
+  fr_offer_call (backend->admission, handle, served, rank, served->call.customer,
+                 fc_weigh_customer (snapshot, call->customer), served->deadline);
+  return g_hash_table_contains (backend->calls, &handle) ? handle : 0;
+}
+
+static fb_status_t
+start_backend (fk_kernel_t *kernel, void *data)
+{
+  fn_backend_t *backend = data;
+  const fc_settings_t *settings = fn_get_settings (kernel);
+
+  if (settings->service.len > 0)
+    backend->client
+        = fh_create_client (kernel, &settings->backend.address, settings->backend.port,
+                            IDLE_CONNECTIONS_MAX, FW_ANSWER_BODY_MAX, BACKEND_IO_TIMEOUT);
+  backend->tick = fk_create_timer (kernel, TICK_PERIOD, tick_backend, backend);
+  return FB_OK;
+}
+
+static void
+stop_backend (void *data)
+{
+  fn_backend_t *backend = data;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, backend->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      served_t *served = value;
+      if (served->exchange)
+        fh_cancel_exchange (served->exchange);
+      served->exchange = NULL;
+    }
+  fk_destroy_timer (backend->tick);
+  fh_destroy_client (backend->client);
+  backend->client = NULL;
+}
+
+static void
+destroy_backend (void *data)
+{
+  fn_backend_t *backend = data;
+
+  fr_destroy_admission (backend->admission);
+  fr_destroy_once (backend->once);
+  g_hash_table_destroy (backend->calls);
+  g_free (backend);
+}
+
+void
+fn_register_backend (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable = { start_backend, stop_backend, destroy_backend };
+  static const fr_rank_rule_t rule = { .share = 0, .target = FB_SECOND };
+  fn_backend_t *backend = g_new0 (fn_backend_t, 1);
+  fb_counters_t *counters = fk_get_counters (kernel);
+  fr_admission_hooks_t hooks = { start_call, refuse_call, backend };
+  uint8_t secret[32];
+
+  randombytes_buf (secret, sizeof secret);
+  backend->kernel = kernel;
+  backend->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_served);
+  backend->admission = fr_create_admission (FR_POLICY_SHARES, 1, &rule, 1,
+                                            fk_get_clock (kernel), counters, &hooks);
+  backend->once = fr_create_once (&fn_get_settings (kernel)->id, fn_get_start_id (kernel),
+                                  secret, ONCE_RECORDS_MAX, ONCE_BYTES_MAX);
+  backend->started = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"started\"");
+  backend->refused = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"refused\"");
+  backend->replayed
+      = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"replayed\"");
+  backend->unknown = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"unknown\"");
+  fk_register_service (kernel, FN_BACKEND, &vtable, backend);
+}
+
+uint64_t
+fn_serve_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered,
+               void *user)
+{
+  const char *obstacle = find_obstacle (backend, call);
+  fw_call_t answer = { 0 };
+  char ticket[FR_TICKET_MAX];
+
+  if (obstacle)
+    {
+      fn_refuse_call (backend, &answer, 503, obstacle);
+      answered (&answer, user);
+      return 0;
+    }
+  update_rules (backend, fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION)));
+  if (fb_equal_str (call->ticket, FB_LITERAL ("new"))
+      || (call->ticket.len == 0 && needs_ticket (backend, call)))
+    {
+      fr_issue_ticket (backend->once, ticket);
+      fn_refuse_call (backend, &answer, 428, "repeat the request with the ticket");
+      answer.header_count = 1;
+      answer.headers[0]
+          = (fw_header_t){ FB_LITERAL ("foxtailrun-ticket"), fb_wrap_text (ticket) };
+      answered (&answer, user);
+      return 0;
+    }
+  return offer_call (backend, call, answered, user);
+}
+
+void
+fn_cancel_call (fn_backend_t *backend, uint64_t handle)
+{
+  served_t *served = g_hash_table_lookup (backend->calls, &handle);
+  fw_call_t answer = { .outcome = FW_FAILED };
+
+  if (!served)
+    return;
+  served->answered = NULL;
+  if (served->state == CALL_RUNNING && !served->has_ticket)
+    {
+      fh_cancel_exchange (served->exchange);
+      end_running (served, &answer);
+    }
+  else if (served->state == CALL_WAITING)
+    fr_cancel_call (backend->admission, handle);
+}
+
+size_t
+fn_count_backend_calls (fn_backend_t *backend)
+{
+  return g_hash_table_size (backend->calls);
+}
+
+uint32_t
+fn_get_backend_load (fn_backend_t *backend)
+{
+  return fr_get_load (backend->admission);
+}
+
+void
+fn_drain_backend (fn_backend_t *backend, bool final)
+{
+  backend->draining = true;
+  backend->closed = backend->closed || final;
+}
+
+void
+fn_refuse_call (fn_backend_t *backend, fw_call_t *answer, uint32_t status, const char *reason)
+{
+  fb_add_counter (backend->refused, 1);
+  *answer = (fw_call_t){ .kind = FW_ANSWER,
+                         .outcome = FW_NOT_RUN,
+                         .status = status,
+                         .reason = fb_wrap_text (reason),
+                         .load = fr_get_load (backend->admission) };
+}
--- /dev/null
+++ b/packages/node/source/node-distribution.c
@@ -0,0 +1,229 @@
+#include "node-services.h"
+#include <foxtailrun/transport/bus.h>
+#include <foxtailrun/wire/control.h>
+#include <glib.h>
+#include <sodium.h>
+
+#define TICK_PERIOD (100 * FB_MILLISECOND)
+
+/* A tick this late is made up for before a call is judged, so that a pause is noticed first. */
+#define TICK_OVERDUE (1 * FB_SECOND)
+
+struct fn_distribution
+{
+  fk_kernel_t *kernel;
+  fd_node_t *node;
+  ft_bus_t *bus;
+  fk_timer_t *tick;
+  fb_time_t last_tick;
+  char *refusal;
+};
+
+static void
+send_control (const fw_member_t *to, const fw_control_t *message, void *user)
+{
+  fn_distribution_t *distribution = user;
+  size_t length;
+  uint8_t *bytes = fw_encode_control (message, &length);
+
+  ft_send (distribution->bus, &to->address, to->control_port, 0, (fb_bytes_t){ bytes, length },
+           (fb_bytes_t){ NULL, 0 });
+  g_free (bytes);
+}
+
+static void
+read_source (uint64_t index, void *user)
+{
+  fn_distribution_t *distribution = user;
+
+  fn_read_source (fk_find_service (distribution->kernel, FN_SOURCE), index);
+}
+
+static void
+apply_snapshot (fc_snapshot_t *snapshot, const fb_version_t *version, void *user)
+{
+  fn_distribution_t *distribution = user;
+  fn_membership_t *membership = fk_find_service (distribution->kernel, FN_MEMBERSHIP);
+  char text[FB_VERSION_TEXT_MAX];
+
+  fb_format_version (version, text, sizeof text);
+  fm_set_version (fn_get_members (membership), version);
+  FB_LOG (fk_get_log (distribution->kernel), FB_LOG_INFO, FN_DISTRIBUTION,
+          "configuration in force", FB_TEXT ("version", text),
+          FB_NUMBER ("routes", fc_count_routes (snapshot)));
+}
+
+static void
+report_ready (bool ready, void *user)
+{
+  fn_distribution_t *distribution = user;
+
+  FB_LOG (fk_get_log (distribution->kernel), FB_LOG_INFO, FN_DISTRIBUTION,
+          ready ? "ready for calls" : "not ready for calls", FB_NUMBER ("ready", ready));
+}
+
+static void
+report_refusal (const fb_version_t *version, const fc_problems_t *problems, void *user)
+{
+  fn_distribution_t *distribution = user;
+  char text[FB_VERSION_TEXT_MAX];
+  char *problem = NULL;
+
+  fb_format_version (version, text, sizeof text);
+  if (problems && fc_count_problems (problems) > 0)
+    problem = fc_format_problem (fc_get_problem (problems, 0), text);
+  g_free (distribution->refusal);
+  distribution->refusal = problem ? problem : g_strdup (text);
+  FB_LOG (fk_get_log (distribution->kernel), FB_LOG_WARNING, FN_DISTRIBUTION,
+          "configuration refused", FB_TEXT ("version", text),
+          FB_TEXT ("problem", distribution->refusal));
+}
+
+static void
+receive_control (fn_distribution_t *distribution, fb_bytes_t header)
+{
+  fw_control_t message;
+
+  if (fw_decode_control (header, &message) != FB_OK)
+    {
+      FB_LOG (fk_get_log (distribution->kernel), FB_LOG_WARNING, FN_DISTRIBUTION,
+              "dropped a malformed control message", FB_NUMBER ("bytes", header.len));
+      return;
+    }
+  fd_handle_message (distribution->node, &message);
+  fw_clear_control (&message);
+}
+
+static void
+receive_request (const ft_requester_t *from, fb_bytes_t header, fb_bytes_t body, void *user)
+{
+  receive_control (user, header);
+}
+
+static void
+receive_answer (const fb_name_t *address, uint16_t port, fb_bytes_t header, fb_bytes_t body,
+                void *user)
+{
+  receive_control (user, header);
+}
+
+/* Control messages that get lost are asked for again by the distribution's own timers. */
+static void
+ignore_not_sent (uint64_t tag, void *user)
+{
+}
+
+static void
+ignore_disconnect (const fb_name_t *address, uint16_t port, void *user)
+{
+}
+
+static void
+tick_distribution (void *user)
+{
+  fn_distribution_t *distribution = user;
+
+  distribution->last_tick = fb_read_clock (fk_get_clock (distribution->kernel));
+  fd_tick (distribution->node);
+}
+
+static fb_status_t
+start_distribution (fk_kernel_t *kernel, void *data)
+{
+  fn_distribution_t *distribution = data;
+  const fc_settings_t *settings = fn_get_settings (kernel);
+  ft_bus_hooks_t hooks
+      = { receive_request, receive_answer, ignore_not_sent, ignore_disconnect, distribution };
+
+  distribution->bus
+      = ft_create_bus (kernel, "control", &settings->address, settings->control_port, &hooks);
+  if (!distribution->bus)
+    return FB_IO;
+  distribution->tick = fk_create_timer (kernel, TICK_PERIOD, tick_distribution, distribution);
+  tick_distribution (distribution);
+  return FB_OK;
+}
+
+static void
+stop_distribution (void *data)
+{
+  fn_distribution_t *distribution = data;
+
+  fk_destroy_timer (distribution->tick);
+  ft_destroy_bus (distribution->bus);
+  distribution->bus = NULL;
+}
+
+static void
+destroy_distribution (void *data)
+{
+  fn_distribution_t *distribution = data;
+
+  fd_destroy_node (distribution->node);
+  g_free (distribution->refusal);
+  g_free (distribution);
+}
+
+void
+fn_register_distribution (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable
+      = { start_distribution, stop_distribution, destroy_distribution };
+  fn_distribution_t *distribution = g_new0 (fn_distribution_t, 1);
+  fd_hooks_t hooks = { send_control, read_source,    apply_snapshot,
+                       report_ready, report_refusal, distribution };
+
+  distribution->kernel = kernel;
+  distribution->node = fd_create_node (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP)),
+                                       randombytes_random (), fk_get_clock (kernel),
+                                       fk_get_counters (kernel), fk_get_log (kernel), &hooks);
+  fk_register_service (kernel, FN_DISTRIBUTION, &vtable, distribution);
+}
+
+fc_snapshot_t *
+fn_get_snapshot (fn_distribution_t *distribution)
+{
+  return fd_get_snapshot (distribution->node);
+}
+
+const fb_version_t *
+fn_get_version (fn_distribution_t *distribution)
+{
+  return fd_get_version (distribution->node);
+}
+
+bool
+fn_check_ready (fn_distribution_t *distribution)
+{
+  fb_time_t now = fb_read_clock (fk_get_clock (distribution->kernel));
+
+  if (now - distribution->last_tick > TICK_OVERDUE)
+    tick_distribution (distribution);
+  return fd_is_ready (distribution->node);
+}
+
+bool
+fn_check_reader (fn_distribution_t *distribution)
+{
+  return fd_is_reader (distribution->node);
+}
+
+const char *
+fn_get_refusal (fn_distribution_t *distribution)
+{
+  return distribution->refusal;
+}
+
+void
+fn_end_source_read (fn_distribution_t *distribution, fb_status_t status, uint64_t index,
+                    fb_bytes_t document)
+{
+  fd_handle_source_value (distribution->node, status, index, document);
+}
+
+void
+fn_hear_version (fn_distribution_t *distribution, const fw_member_t *sender,
+                 const fb_version_t *version)
+{
+  fd_handle_summary (distribution->node, sender, version);
+}
--- /dev/null
+++ b/packages/node/source/node-drain.c
@@ -0,0 +1,99 @@
+#include "node-services.h"
+#include <foxtailrun/node/node.h>
+#include <glib.h>
+
+#define CHECK_PERIOD (20 * FB_MILLISECOND)
+
+/* Bound on the whole drain. Longer than the longest timeout of a route, after which every call
+ * has ended. */
+#define DRAIN_LIMIT (120 * FB_SECOND)
+
+typedef struct
+{
+  fk_kernel_t *kernel;
+  fk_timer_t *timer;
+  fb_time_t began; /* 0 while serving */
+  bool closed;
+} drain_t;
+
+static size_t
+count_open_calls (fk_kernel_t *kernel)
+{
+  return fn_count_entry_calls (fk_find_service (kernel, FN_ENTRY))
+         + fn_count_backend_calls (fk_find_service (kernel, FN_BACKEND));
+}
+
+static void
+check_drain (void *user)
+{
+  drain_t *drain = user;
+  fb_time_t elapsed = fb_read_clock (fk_get_clock (drain->kernel)) - drain->began;
+
+  if (elapsed < FN_DRAIN_GRACE)
+    return;
+  if (!drain->closed)
+    {
+      drain->closed = true;
+      fn_close_entry (fk_find_service (drain->kernel, FN_ENTRY));
+      fn_drain_backend (fk_find_service (drain->kernel, FN_BACKEND), true);
+      return;
+    }
+  if (count_open_calls (drain->kernel) > 0 && elapsed < DRAIN_LIMIT)
+    return;
+  FB_LOG (fk_get_log (drain->kernel), FB_LOG_INFO, FN_DRAIN, "drained",
+          FB_NUMBER ("ms_taken", elapsed / FB_MILLISECOND),
+          FB_NUMBER ("calls_cut", count_open_calls (drain->kernel)));
+  fk_quit (drain->kernel);
+}
+
+static void
+stop_drain (void *data)
+{
+  drain_t *drain = data;
+
+  fk_destroy_timer (drain->timer);
+}
+
+static void
+receive_signal (void *user)
+{
+  fn_begin_drain (user);
+}
+
+static fb_status_t
+start_drain (fk_kernel_t *kernel, void *data)
+{
+  fk_watch_signals (kernel, receive_signal, kernel);
+  return FB_OK;
+}
+
+void
+fn_register_drain (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable = { start_drain, stop_drain, g_free };
+  drain_t *drain = g_new0 (drain_t, 1);
+
+  drain->kernel = kernel;
+  fk_register_service (kernel, FN_DRAIN, &vtable, drain);
+}
+
+void
+fn_begin_drain (fk_kernel_t *kernel)
+{
+  drain_t *drain = fk_find_service (kernel, FN_DRAIN);
+
+  if (drain->began != 0)
+    return;
+  drain->began = fb_read_clock (fk_get_clock (kernel));
+  FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_DRAIN, "draining",
+          FB_NUMBER ("open_calls", count_open_calls (kernel)));
+  fm_announce_leaving (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP)));
+  fn_drain_backend (fk_find_service (kernel, FN_BACKEND), false);
+  drain->timer = fk_create_timer (kernel, CHECK_PERIOD, check_drain, drain);
+}
+
+bool
+fn_is_draining (fk_kernel_t *kernel)
+{
+  return ((drain_t *)fk_find_service (kernel, FN_DRAIN))->began != 0;
+}
--- /dev/null
+++ b/packages/node/source/node-entry-attempt.c
@@ -0,0 +1,307 @@
+#include "node-entry.h"
+#include <foxtailrun/call/once.h>
+
+/* Marks a call whose route needs a ticket that the caller did not bring: the node asked issues
+ * one. */
+#define TICKET_WANTED FB_LITERAL ("new")
+
+static fn_backend_t *
+find_backend (fn_entry_t *entry)
+{
+  return fk_find_service (entry->kernel, FN_BACKEND);
+}
+
+static fb_time_t
+read_time (fn_entry_t *entry)
+{
+  return fb_read_clock (fk_get_clock (entry->kernel));
+}
+
+static bool
+is_self (fn_entry_t *entry, const fb_name_t *id)
+{
+  return fb_equal_name (id, &fn_get_settings (entry->kernel)->id);
+}
+
+static const fw_member_t *
+find_member (fn_entry_t *entry, const fb_name_t *id)
+{
+  return fm_find_member (fn_get_members (fk_find_service (entry->kernel, FN_MEMBERSHIP)), id);
+}
+
+/* Closes the open attempt's books; returns the name of the instance tried. */
+static const fb_name_t *
+close_attempt (fn_entry_call_t *call)
+{
+  g_hash_table_remove (call->entry->attempts, &call->attempt);
+  call->attempt = 0;
+  call->local_handle = 0;
+  return &call->tried[call->attempt_count - 1];
+}
+
+static fr_result_t
+judge_answer (const fw_call_t *answer)
+{
+  if (answer->outcome == FW_NOT_RUN)
+    return answer->status == 428 ? FR_RESULT_GOOD : FR_RESULT_REFUSED;
+  if (answer->outcome == FW_ANSWERED && answer->status < 500)
+    return FR_RESULT_GOOD;
+  return FR_RESULT_FAILED;
+}
+
+/* Returns whether another attempt follows ANSWER. A drain must not cost a call, so that its
+ * refusals are retried beyond the route's limit and the budget. */
+static bool
+may_try_again (fn_entry_call_t *call, const fw_call_t *answer)
+{
+  const fc_route_t *route = call->route;
+  bool draining
+      = answer->outcome == FW_NOT_RUN && fb_equal_str (answer->reason, FB_LITERAL ("draining"));
+  uint32_t limit = 1 + route->retries + (draining ? FN_DRAIN_RETRIES : 0);
+  fw_outcome_t outcome = answer->outcome;
+
+  if (outcome == FW_ANSWERED && answer->status >= 502 && answer->status <= 504)
+    outcome = FW_FAILED;
+  if (outcome == FW_ANSWERED || answer->status == 428 || answer->status == 422)
+    return false;
+  if (call->attempt_count >= limit || call->attempt_count >= FN_ATTEMPTS_MAX
+      || read_time (call->entry) >= call->deadline)
+    return false;
+  if (!fr_may_retry (outcome, route->repeatable, call->ticket.len > 0))
+    return false;
+  return draining
+         || fr_take_retry (
+             call->entry->budget,
+             fb_get_name (&fc_get_service (call->snapshot, route->service)->name));
+}
+
+static void
+end_attempt (fn_entry_call_t *call, const fw_call_t *answer)
+{
+  fn_entry_t *entry = call->entry;
+  const fb_name_t *tried = close_attempt (call);
+  const fc_service_t *service = fc_get_service (call->snapshot, call->route->service);
+  bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
+
+  fr_report_result (entry->picker, tried, judge_answer (answer),
+                    read_time (entry) - call->attempt_start, answer->load);
+  fr_report_upstream (entry->throttle, fb_get_name (&service->name), call->route->rank,
+                      accepted);
+  if (may_try_again (call, answer))
+    {
+      fb_add_counter (entry->retries, 1);
+      fn_start_attempt (call);
+      return;
+    }
+  fn_finish_entry_call (call, answer);
+}
+
+/* Ends the open attempt with an outcome seen from here. A ticket may have been used before, so
+ * that only its own node can say that it was not run. */
+static void
+fail_attempt (fn_entry_call_t *call, fw_outcome_t outcome, uint32_t status, const char *reason)
+{
+  fw_call_t answer = {
+    .kind = FW_ANSWER, .outcome = outcome, .status = status, .reason = fb_wrap_text (reason)
+  };
+
+  if (call->ticket.len > 0)
+    {
+      answer.outcome = FW_UNKNOWN;
+      answer.status = 504;
+    }
+  end_attempt (call, &answer);
+}
+
+static void
+answer_local (const fw_call_t *answer, void *user)
+{
+  end_attempt (user, answer);
+}
+
+static void
+copy_headers (fw_call_t *message, fh_request_t *request)
+{
+  const fh_header_t *headers;
+  size_t count = fh_get_headers (request, &headers);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      if (!fh_is_hop_header (headers[i].name)
+          && !fb_has_prefix (headers[i].name, FB_LITERAL ("foxtailrun-")))
+        message->headers[message->header_count++]
+            = (fw_header_t){ headers[i].name, headers[i].value };
+    }
+}
+
+static void
+fill_message (fn_entry_call_t *call, fw_call_t *message)
+{
+  const fc_route_t *route = call->route;
+
+  *message = (fw_call_t){
+    .kind = FW_CALL,
+    .id = call->attempt,
+    .remaining_us = (uint64_t)((call->deadline - call->attempt_start) / FB_MICROSECOND),
+    .service = fb_get_name (&fc_get_service (call->snapshot, route->service)->name),
+    .rank = fb_get_name (&fc_get_rank (call->snapshot, route->rank)->name),
+    .customer = call->customer,
+    .method = fh_get_method (call->request),
+    .path = fh_get_path (call->request),
+    .ticket = call->ticket,
+    .request_id = fb_wrap_text (call->request_id),
+    .body = fh_get_body (call->request),
+  };
+  if (message->ticket.len == 0 && !route->repeatable)
+    message->ticket = TICKET_WANTED;
+  copy_headers (message, call->request);
+}
+
+static void
+send_attempt (fn_entry_call_t *call, const fw_member_t *node)
+{
+  fn_entry_t *entry = call->entry;
+  fw_call_t message;
+  uint64_t attempt = ++entry->next_id;
+  uint64_t handle;
+
+  call->attempt = attempt;
+  call->attempt_start = read_time (entry);
+  call->is_local = is_self (entry, &node->id);
+  g_hash_table_insert (entry->attempts, &call->attempt, call);
+  fill_message (call, &message);
+  if (!call->is_local)
+    {
+      fn_send_call (fk_find_service (entry->kernel, FN_CALLS), node, &message);
+      return;
+    }
+  handle = fn_serve_call (find_backend (entry), &message, answer_local, call);
+  /* The call may have ended, and its memory be gone, unless the handle says that it waits. */
+  if (handle != 0)
+    call->local_handle = handle;
+}
+
+/* Sends the attempt to the node that issued the ticket: only that one may run it. */
+static void
+start_ticket_attempt (fn_entry_call_t *call)
+{
+  fn_entry_t *entry = call->entry;
+  fr_ticket_t ticket;
+  const fw_member_t *node;
+
+  if (fr_parse_ticket (call->ticket, &ticket) != FB_OK)
+    {
+      fn_finish_with (call, FW_NOT_RUN, 422, "malformed ticket");
+      return;
+    }
+  node = find_member (entry, &ticket.node);
+  if (!node || node->state == FW_DEAD)
+    {
+      fn_finish_with (call, FW_UNKNOWN, 504, "the node that issued the ticket is gone");
+      return;
+    }
+  call->tried[call->attempt_count++] = ticket.node;
+  fr_begin_attempt (entry->picker, &ticket.node);
+  send_attempt (call, node);
+}
+
+void
+fn_start_attempt (fn_entry_call_t *call)
+{
+  fn_entry_t *entry = call->entry;
+  fb_str_t service = fb_get_name (&fc_get_service (call->snapshot, call->route->service)->name);
+  fb_name_t picked;
+  const fw_member_t *node;
+
+  if (call->ticket.len > 0)
+    {
+      start_ticket_attempt (call);
+      return;
+    }
+  if (!fr_pick_backend (entry->picker, service, fb_wrap_text (call->request_id), call->tried,
+                        call->attempt_count, &picked))
+    {
+      fn_finish_with (call, FW_NOT_RUN, 503, "no instance of the service is available");
+      return;
+    }
+  call->tried[call->attempt_count++] = picked;
+  node = find_member (entry, &picked);
+  if (!node)
+    {
+      fr_report_result (entry->picker, &picked, FR_RESULT_LOST, 0, 0);
+      fn_finish_with (call, FW_NOT_RUN, 503, "the chosen instance has left");
+      return;
+    }
+  send_attempt (call, node);
+}
+
+void
+fn_abandon_attempt (fn_entry_call_t *call)
+{
+  fn_entry_t *entry = call->entry;
+  uint64_t attempt = call->attempt;
+  uint64_t handle = call->local_handle;
+  const fb_name_t *tried;
+  const fw_member_t *node;
+
+  if (attempt == 0)
+    return;
+  tried = close_attempt (call);
+  fr_report_result (entry->picker, tried, FR_RESULT_LOST, 0, 0);
+  if (call->is_local)
+    {
+      fn_cancel_call (find_backend (entry), handle);
+      return;
+    }
+  node = find_member (entry, tried);
+  if (node && node->state != FW_DEAD)
+    fn_send_cancel (fk_find_service (entry->kernel, FN_CALLS), node, attempt);
+}
+
+void
+fn_end_attempt (fn_entry_t *entry, const fw_call_t *answer)
+{
+  fn_entry_call_t *call = g_hash_table_lookup (entry->attempts, &answer->id);
+
+  if (!call)
+    {
+      fb_add_counter (entry->unmatched, 1);
+      return;
+    }
+  end_attempt (call, answer);
+}
+
+void
+fn_fail_unsent (fn_entry_t *entry, uint64_t id)
+{
+  fn_entry_call_t *call = g_hash_table_lookup (entry->attempts, &id);
+
+  if (call)
+    fail_attempt (call, FW_NOT_RUN, 503, "no connection to the node");
+}
+
+void
+fn_fail_peer (fn_entry_t *entry, const fb_name_t *address, uint16_t port)
+{
+  GArray *lost = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, entry->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      fn_entry_call_t *call = value;
+      const fw_member_t *node = find_member (entry, &call->tried[call->attempt_count - 1]);
+      if (!call->is_local && node && node->call_port == port
+          && fb_equal_name (&node->address, address))
+        g_array_append_val (lost, call->attempt);
+    }
+  for (guint i = 0; i < lost->len; i++)
+    {
+      fn_entry_call_t *call
+          = g_hash_table_lookup (entry->attempts, &g_array_index (lost, uint64_t, i));
+      if (call)
+        fail_attempt (call, FW_UNKNOWN, 504, "connection to the node was lost");
+    }
+  g_array_free (lost, TRUE);
+}
--- /dev/null
+++ b/packages/node/source/node-entry.c
@@ -0,0 +1,310 @@
+#include "node-entry.h"
+#include <inttypes.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Longest request id that a caller may set, in bytes. */
+#define REQUEST_ID_MAX 63
+
+static const fb_str_t default_customer = { "default", 7 };
+
+static fb_str_t
+find_request_header (fh_request_t *request, fb_str_t name)
+{
+  const fh_header_t *headers;
+  size_t count = fh_get_headers (request, &headers);
+
+  return fh_find_header (headers, count, name);
+}
+
+static void
+respond (fn_entry_t *entry, fh_request_t *request, const fw_call_t *answer,
+         const char *request_id)
+{
+  fh_header_t headers[FH_HEADERS_MAX + 3];
+  size_t count = 0;
+  GString *text = NULL;
+  fb_bytes_t body = answer->body;
+
+  for (size_t i = 0; i < answer->header_count; i++)
+    headers[count++] = (fh_header_t){ answer->headers[i].name, answer->headers[i].value };
+  headers[count++] = (fh_header_t){ FB_LITERAL ("foxtailrun-outcome"),
+                                    fb_wrap_text (fw_describe_outcome (answer->outcome)) };
+  headers[count++]
+      = (fh_header_t){ FB_LITERAL ("foxtailrun-request-id"), fb_wrap_text (request_id) };
+  if (answer->outcome != FW_ANSWERED)
+    {
+      text = g_string_new_len (answer->reason.data, (gssize)answer->reason.len);
+      g_string_append_c (text, '\n');
+      headers[count++]
+          = (fh_header_t){ FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") };
+      body = (fb_bytes_t){ (const uint8_t *)text->str, text->len };
+    }
+  fb_add_counter (entry->outcomes[answer->outcome], 1);
+  fh_respond (request, answer->status, headers, count, body);
+  if (text)
+    g_string_free (text, TRUE);
+}
+
+static void
+refuse_request (fn_entry_t *entry, fh_request_t *request, uint32_t status, const char *reason,
+                const char *request_id)
+{
+  fw_call_t answer
+      = { .outcome = FW_NOT_RUN, .status = status, .reason = fb_wrap_text (reason) };
+
+  respond (entry, request, &answer, request_id);
+}
+
+void
+fn_finish_entry_call (fn_entry_call_t *call, const fw_call_t *answer)
+{
+  fn_entry_t *entry = call->entry;
+
+  respond (entry, call->request, answer, call->request_id);
+  fk_destroy_timer (call->timer);
+  fc_release_snapshot (call->snapshot);
+  entry->calls--;
+  g_free (call);
+}
+
+void
+fn_finish_with (fn_entry_call_t *call, fw_outcome_t outcome, uint32_t status,
+                const char *reason)
+{
+  fw_call_t answer = { .outcome = outcome, .status = status, .reason = fb_wrap_text (reason) };
+
+  fn_finish_entry_call (call, &answer);
+}
+
+/* The caller's deadline has passed: an open attempt may still run. */
+static void
+expire_call (void *user)
+{
+  fn_entry_call_t *call = user;
+  bool open = call->attempt != 0;
+
+  fn_abandon_attempt (call);
+  fn_finish_with (call, open ? FW_UNKNOWN : FW_NOT_RUN, open ? 504 : 503, "deadline passed");
+}
+
+static void
+cancel_call (fh_request_t *request, void *user)
+{
+  fn_entry_call_t *call = user;
+
+  fn_abandon_attempt (call);
+  fn_finish_with (call, FW_UNKNOWN, 499, "caller went away");
+}
+
+/* Writes the caller's request id, or a new one, into TEXT. */
+static void
+set_request_id (fn_entry_t *entry, fh_request_t *request, char text[REQUEST_ID_MAX + 1])
+{
+  fb_str_t given = find_request_header (request, FB_LITERAL ("foxtailrun-request-id"));
+
+  if (given.len > 0 && given.len <= REQUEST_ID_MAX)
+    {
+      memcpy (text, given.data, given.len);
+      text[given.len] = '\0';
+      return;
+    }
+  snprintf (text, REQUEST_ID_MAX + 1, "%016" PRIx64, ++entry->next_id);
+}
+
+/* Returns the time allowed for the call in ns: the route's, or less when the caller says so. */
+static fb_time_t
+read_timeout (fh_request_t *request, const fc_route_t *route)
+{
+  uint64_t milliseconds = route->timeout_ms;
+  uint64_t asked;
+
+  if (fb_parse_u64 (find_request_header (request, FB_LITERAL ("foxtailrun-timeout-ms")), &asked)
+      && asked < milliseconds)
+    milliseconds = asked;
+  return (fb_time_t)milliseconds * FB_MILLISECOND;
+}
+
+/* Returns why a request is malformed, or NULL. Control bytes could otherwise split the header
+ * lines that are written to the backend server. */
+static const char *
+find_fault (fh_request_t *request)
+{
+  const fh_header_t *headers;
+  size_t count = fh_get_headers (request, &headers);
+  fb_str_t path = fh_get_path (request);
+
+  for (size_t i = 0; i < path.len; i++)
+    {
+      if ((unsigned char)path.data[i] <= ' ')
+        return "path holds a control byte or a space";
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      if (memchr (headers[i].value.data, '\n', headers[i].value.len)
+          || memchr (headers[i].value.data, '\r', headers[i].value.len)
+          || memchr (headers[i].name.data, '\n', headers[i].name.len))
+        return "header holds a line break";
+    }
+  if (find_request_header (request, FB_LITERAL ("foxtailrun-customer")).len > FB_NAME_MAX)
+    return "customer name is too long";
+  return NULL;
+}
+
+static fn_entry_call_t *
+create_call (fn_entry_t *entry, fh_request_t *request, fc_snapshot_t *snapshot,
+             const fc_route_t *route, const char *request_id)
+{
+  fn_entry_call_t *call = g_new0 (fn_entry_call_t, 1);
+  fb_time_t timeout = read_timeout (request, route);
+
+  call->entry = entry;
+  call->request = request;
+  call->snapshot = fc_retain_snapshot (snapshot);
+  call->route = route;
+  call->customer = find_request_header (request, FB_LITERAL ("foxtailrun-customer"));
+  if (call->customer.len == 0)
+    call->customer = default_customer;
+  call->ticket = find_request_header (request, FB_LITERAL ("foxtailrun-ticket"));
+  g_strlcpy (call->request_id, request_id, sizeof call->request_id);
+  call->deadline = fb_read_clock (fk_get_clock (entry->kernel)) + timeout;
+  call->timer = fk_create_timeout (entry->kernel, timeout, expire_call, call);
+  entry->calls++;
+  return call;
+}
+
+static void
+handle_request (fh_request_t *request, void *user)
+{
+  fn_entry_t *entry = user;
+  fn_distribution_t *distribution = fk_find_service (entry->kernel, FN_DISTRIBUTION);
+  fc_snapshot_t *snapshot = fn_get_snapshot (distribution);
+  const char *fault = find_fault (request);
+  const fc_route_t *route;
+  fb_str_t service;
+  char request_id[REQUEST_ID_MAX + 1];
+  fn_entry_call_t *call;
+
+  set_request_id (entry, request, request_id);
+  if (fault)
+    {
+      refuse_request (entry, request, 400, fault, request_id);
+      return;
+    }
+  if (!fn_check_ready (distribution) || !snapshot)
+    {
+      refuse_request (entry, request, 503, "node is not ready", request_id);
+      return;
+    }
+  route = fc_find_route (snapshot, fh_get_method (request), fh_get_path (request));
+  if (!route)
+    {
+      refuse_request (entry, request, 404, "no route for this path and method", request_id);
+      return;
+    }
+  service = fb_get_name (&fc_get_service (snapshot, route->service)->name);
+  if (!fr_admit_upstream (entry->throttle, service, route->rank))
+    {
+      fb_add_counter (entry->throttled, 1);
+      refuse_request (entry, request, 429, "service is overloaded for this rank", request_id);
+      return;
+    }
+  call = create_call (entry, request, snapshot, route, request_id);
+  fh_watch_cancel (request, cancel_call, call);
+  fr_earn_retry (entry->budget, service);
+  fn_start_attempt (call);
+}
+
+static void
+update_instance (const fw_member_t *member, void *user)
+{
+  fr_update_instance (((fn_entry_t *)user)->picker, member);
+}
+
+static fb_status_t
+start_entry (fk_kernel_t *kernel, void *data)
+{
+  fn_entry_t *entry = data;
+  const fc_settings_t *settings = fn_get_settings (kernel);
+
+  update_instance (fm_get_self (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP))),
+                   entry);
+  entry->server = fh_create_server (kernel, &settings->address, settings->caller_port,
+                                    FW_REQUEST_BODY_MAX, handle_request, entry);
+  return entry->server ? FB_OK : FB_IO;
+}
+
+static void
+stop_entry (void *data)
+{
+  fn_close_entry (data);
+}
+
+static void
+destroy_entry (void *data)
+{
+  fn_entry_t *entry = data;
+
+  fh_destroy_server (entry->server);
+  fr_destroy_picker (entry->picker);
+  fr_destroy_retry_budget (entry->budget);
+  fr_destroy_throttle (entry->throttle);
+  g_hash_table_destroy (entry->attempts);
+  g_free (entry);
+}
+
+static void
+find_entry_counters (fn_entry_t *entry, fb_counters_t *counters)
+{
+  static const fw_outcome_t outcomes[] = { FW_ANSWERED, FW_NOT_RUN, FW_UNKNOWN, FW_FAILED };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
+    {
+      char *labels = g_strdup_printf ("outcome=\"%s\"", fw_describe_outcome (outcomes[i]));
+      entry->outcomes[outcomes[i]]
+          = fb_find_counter (counters, "foxtailrun_entry_calls", labels);
+      g_free (labels);
+    }
+  entry->retries = fb_find_counter (counters, "foxtailrun_entry_retries", "");
+  entry->throttled = fb_find_counter (counters, "foxtailrun_entry_throttled", "");
+  entry->unmatched = fb_find_counter (counters, "foxtailrun_entry_unmatched_answers", "");
+}
+
+void
+fn_register_entry (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable = { start_entry, stop_entry, destroy_entry };
+  const fc_settings_t *settings = fn_get_settings (kernel);
+  fn_entry_t *entry = g_new0 (fn_entry_t, 1);
+
+  entry->kernel = kernel;
+  entry->picker = fr_create_picker (FR_PICK_TWO, &settings->id, &settings->zone,
+                                    randombytes_random (), fk_get_clock (kernel));
+  entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
+  entry->throttle = fr_create_throttle (randombytes_random (), fk_get_clock (kernel));
+  entry->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
+  entry->next_id = (uint64_t)randombytes_random () << 24;
+  find_entry_counters (entry, fk_get_counters (kernel));
+  fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), update_instance, entry);
+  fk_register_service (kernel, FN_ENTRY, &vtable, entry);
+}
+
+void
+fn_close_entry (fn_entry_t *entry)
+{
+  if (entry->server)
+    fh_stop_accepting (entry->server);
+}
+
+size_t
+fn_count_entry_calls (fn_entry_t *entry)
+{
+  return entry->calls;
+}
+
+size_t
+fn_count_instances (fn_entry_t *entry, fb_str_t service)
+{
+  return fr_count_instances (entry->picker, service);
+}
--- /dev/null
+++ b/packages/node/source/node-entry.h
@@ -0,0 +1,66 @@
+/* State of callers' calls at the entry node, shared by the files of the entry service. */
+#ifndef FOXTAILRUN_NODE_ENTRY_H
+#define FOXTAILRUN_NODE_ENTRY_H
+
+#include "node-services.h"
+#include <foxtailrun/call/picker.h>
+#include <foxtailrun/call/retry.h>
+#include <foxtailrun/http/server.h>
+#include <glib.h>
+
+/* Most attempts of one call, the first included. */
+#define FN_ATTEMPTS_MAX 6
+
+/* Attempts that a draining node may cause beyond the route's retries. */
+#define FN_DRAIN_RETRIES 2
+
+struct fn_entry
+{
+  fk_kernel_t *kernel;
+  fh_server_t *server;
+  fr_picker_t *picker;
+  fr_retry_budget_t *budget;
+  fr_throttle_t *throttle;
+  GHashTable *attempts; /* fn_entry_call_t by id of the open attempt */
+  size_t calls;
+  uint64_t next_id; /* random start, so that ids of an earlier process do not match */
+  fb_counter_t *outcomes[5];
+  fb_counter_t *retries;
+  fb_counter_t *throttled;
+  fb_counter_t *unmatched;
+};
+
+/* One call of a caller. */
+typedef struct
+{
+  fn_entry_t *entry;
+  fh_request_t *request;
+  fc_snapshot_t *snapshot; /* held until the call ends */
+  const fc_route_t *route;
+  fb_str_t customer;
+  fb_str_t ticket;
+  char request_id[64];
+  fb_time_t deadline;
+  fk_timer_t *timer;
+  uint32_t attempt_count;
+  fb_name_t tried[FN_ATTEMPTS_MAX];
+  uint64_t attempt; /* id of the open attempt, 0 when none */
+  fb_time_t attempt_start;
+  uint64_t local_handle; /* of an open attempt at this node's own backend server */
+  bool is_local;
+} fn_entry_call_t;
+
+/* Starts the next attempt of CALL, or ends it when none is possible. */
+void fn_start_attempt (fn_entry_call_t *call);
+
+/* Gives up the open attempt of CALL, if any: nobody waits for its answer. */
+void fn_abandon_attempt (fn_entry_call_t *call);
+
+/* Answers the caller from ANSWER and frees CALL. */
+void fn_finish_entry_call (fn_entry_call_t *call, const fw_call_t *answer);
+
+/* Answers the caller with an outcome made here and frees CALL. */
+void fn_finish_with (fn_entry_call_t *call, fw_outcome_t outcome, uint32_t status,
+                     const char *reason);
+
+#endif
--- /dev/null
+++ b/packages/node/source/node-services.h
@@ -0,0 +1,151 @@
+/* Names of the node's services and what they offer each other. */
+#ifndef FOXTAILRUN_NODE_SERVICES_H
+#define FOXTAILRUN_NODE_SERVICES_H
+
+#include <foxtailrun/config/settings.h>
+#include <foxtailrun/config/snapshot.h>
+#include <foxtailrun/dist/node.h>
+#include <foxtailrun/kernel/kernel.h>
+#include <foxtailrun/member/table.h>
+#include <foxtailrun/wire/call.h>
+
+#define FN_SETTINGS "settings"
+#define FN_MEMBERSHIP "membership"
+#define FN_DISTRIBUTION "distribution"
+#define FN_SOURCE "source"
+#define FN_BACKEND "backend"
+#define FN_CALLS "calls"
+#define FN_ENTRY "entry"
+#define FN_ADMIN "admin"
+#define FN_DRAIN "drain"
+
+/* Time after the start of a drain in which callers are still served and tickets are still
+ * honoured. */
+#define FN_DRAIN_GRACE (3 * FB_SECOND)
+
+/* Returns the settings of the node on KERNEL. */
+const fc_settings_t *fn_get_settings (fk_kernel_t *kernel);
+
+/* Returns the random number drawn when this process started; tickets carry it. */
+uint64_t fn_get_start_id (fk_kernel_t *kernel);
+
+void fn_register_settings (fk_kernel_t *kernel, const fc_settings_t *settings);
+
+/* membership: gossip over UDP. */
+typedef struct fn_membership fn_membership_t;
+typedef void (*fn_member_changed_fn_t) (const fw_member_t *member, void *user);
+
+void fn_register_membership (fk_kernel_t *kernel);
+
+/* Returns the member table, owned by the service. */
+fm_table_t *fn_get_members (fn_membership_t *membership);
+
+/* Calls CHANGED for each later change of a member; only before the services start. */
+void fn_watch_members (fn_membership_t *membership, fn_member_changed_fn_t changed, void *user);
+
+/* distribution: the configuration in force. */
+typedef struct fn_distribution fn_distribution_t;
+
+void fn_register_distribution (fk_kernel_t *kernel);
+
+/* Returns the snapshot in force or NULL; retain it to keep it. */
+fc_snapshot_t *fn_get_snapshot (fn_distribution_t *distribution);
+
+/* Returns the version in force. */
+const fb_version_t *fn_get_version (fn_distribution_t *distribution);
+
+/* Returns whether calls may be taken; notices a pause of the process first. */
+bool fn_check_ready (fn_distribution_t *distribution);
+
+/* Returns whether this node reads the source. */
+bool fn_check_reader (fn_distribution_t *distribution);
+
+/* Returns the last refused version and its first problem as text, or NULL. */
+const char *fn_get_refusal (fn_distribution_t *distribution);
+
+/* Ends a source read; see fd_handle_source_value. */
+void fn_end_source_read (fn_distribution_t *distribution, fb_status_t status, uint64_t index,
+                         fb_bytes_t document);
+
+/* A summary heard by the membership. */
+void fn_hear_version (fn_distribution_t *distribution, const fw_member_t *sender,
+                      const fb_version_t *version);
+
+/* source: reads of the platform's configuration service and host list. */
+typedef struct fn_source fn_source_t;
+
+void fn_register_source (fk_kernel_t *kernel);
+
+/* Starts a read; see fd_hooks_t. */
+void fn_read_source (fn_source_t *source, uint64_t index);
+
+/* backend: calls at the node beside the backend server. */
+typedef struct fn_backend fn_backend_t;
+
+/* Receives the one answer to a call; ANSWER is borrowed and its id is not set. */
+typedef void (*fn_answered_fn_t) (const fw_call_t *answer, void *user);
+
+void fn_register_backend (fk_kernel_t *kernel);
+
+/* Takes CALL, copying it, and calls ANSWERED with USER once, now or later. Returns a handle for
+ * fn_cancel_call, 0 when it is already answered. */
+uint64_t fn_serve_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered,
+                        void *user);
+
+/* Gives up a call: it is not answered any more. */
+void fn_cancel_call (fn_backend_t *backend, uint64_t handle);
+
+/* Returns calls not yet answered, and the load per 1,000 slots. */
+size_t fn_count_backend_calls (fn_backend_t *backend);
+uint32_t fn_get_backend_load (fn_backend_t *backend);
+
+/* From now on refuses calls without a ticket; with FINAL, all. */
+void fn_drain_backend (fn_backend_t *backend, bool final);
+
+/* Sets ANSWER to a refusal that is provably not run, with STATUS, REASON and this node's load.
+ */
+void fn_refuse_call (fn_backend_t *backend, fw_call_t *answer, uint32_t status,
+                     const char *reason);
+
+/* calls: the bus between the entry nodes and the nodes beside backend servers. */
+typedef struct fn_calls fn_calls_t;
+
+void fn_register_calls (fk_kernel_t *kernel);
+
+/* Sends CALL to NODE; its id comes back with the answer, or by the entry's not-sent and
+ * disconnect functions below. */
+void fn_send_call (fn_calls_t *calls, const fw_member_t *node, const fw_call_t *call);
+
+/* Tells NODE that nobody waits for call ID any more. */
+void fn_send_cancel (fn_calls_t *calls, const fw_member_t *node, uint64_t id);
+
+/* entry: calls from callers, routed to a node beside a backend server. */
+typedef struct fn_entry fn_entry_t;
+
+void fn_register_entry (fk_kernel_t *kernel);
+
+/* Stops taking callers' connections. */
+void fn_close_entry (fn_entry_t *entry);
+
+/* Returns calls of callers not yet answered. */
+size_t fn_count_entry_calls (fn_entry_t *entry);
+
+/* An answer came for attempt ANSWER->id; unknown ids are counted and dropped. */
+void fn_end_attempt (fn_entry_t *entry, const fw_call_t *answer);
+
+/* Attempt ID provably never left this node. */
+void fn_fail_unsent (fn_entry_t *entry, uint64_t id);
+
+/* The connection to a node was lost: its open attempts have an unknown outcome. */
+void fn_fail_peer (fn_entry_t *entry, const fb_name_t *address, uint16_t port);
+
+/* Describes instance state of SERVICE for the administration. */
+size_t fn_count_instances (fn_entry_t *entry, fb_str_t service);
+
+void fn_register_admin (fk_kernel_t *kernel);
+void fn_register_drain (fk_kernel_t *kernel);
+
+/* Returns whether a drain has begun. */
+bool fn_is_draining (fk_kernel_t *kernel);
+
+#endif
--- /dev/null
+++ b/packages/node/source/node-source.c
@@ -0,0 +1,195 @@
+#include "node-services.h"
+#include <foxtailrun/http/client.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+
+/* The configuration service speaks Consul's KV and health protocols. */
+#define DOCUMENT_PATH "/v1/kv/foxtailrun/config?raw=true"
+#define HOSTS_PATH "/v1/health/service/foxtailrun"
+
+/* Longest wait of a watch, in s, and the time after which a silent connection to the source is
+ * given up: the wait, the sixteenth that Consul may add, and time to answer. */
+#define WAIT_S 30
+#define IO_TIMEOUT (35 * FB_SECOND)
+
+/* Period in which readers read the host list. */
+#define HOSTS_PERIOD (30 * FB_SECOND)
+
+/* Upper bound of the random delay before a starting node reads the host list. */
+#define HOSTS_START_DELAY_MS 2000
+
+/* Largest host list: 3,000 hosts of some 500 bytes. */
+#define HOSTS_MAX (4 * 1024 * 1024)
+
+struct fn_source
+{
+  fk_kernel_t *kernel;
+  fh_client_t *client;
+  fh_exchange_t *document_read;
+  fh_exchange_t *hosts_read;
+  fk_timer_t *hosts_start;
+  fk_timer_t *hosts_period;
+  fb_counter_t *calls;
+};
+
+static uint64_t
+parse_index (const fh_response_t *response)
+{
+  uint64_t index = 0;
+
+  fb_parse_u64 (
+      fh_find_header (response->headers, response->header_count, FB_LITERAL ("x-consul-index")),
+      &index);
+  return index;
+}
+
+static void
+end_document_read (const fh_response_t *response, void *user)
+{
+  fn_source_t *source = user;
+  fn_distribution_t *distribution = fk_find_service (source->kernel, FN_DISTRIBUTION);
+  fb_status_t status = FB_UNAVAILABLE;
+
+  source->document_read = NULL;
+  if (response->result == FH_ANSWERED && response->status == 200)
+    status = FB_OK;
+  else if (response->result == FH_ANSWERED && response->status == 404)
+    status = FB_NOT_FOUND;
+  fn_end_source_read (distribution, status, status == FB_OK ? parse_index (response) : 0,
+                      response->body);
+}
+
+static const char *
+get_text (json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  return text ? text : "";
+}
+
+/* Probes the hosts of the list that are not known as members. */
+static void
+probe_hosts (fn_source_t *source, json_t *list)
+{
+  fm_table_t *members = fn_get_members (fk_find_service (source->kernel, FN_MEMBERSHIP));
+  size_t i;
+  json_t *item;
+
+  json_array_foreach (list, i, item)
+  {
+    json_t *service = json_object_get (item, "Service");
+    fb_name_t id = fb_make_name (get_text (service, "ID"));
+    fb_name_t address = fb_make_name (get_text (service, "Address"));
+    json_int_t port = json_integer_value (json_object_get (service, "Port"));
+    const fw_member_t *known = fm_find_member (members, &id);
+
+    if (address.len == 0 || port <= 0 || port > UINT16_MAX)
+      continue;
+    if (!known || known->state == FW_DEAD)
+      fm_probe_address (members, &address, (uint16_t)port);
+  }
+}
+
+static void
+end_hosts_read (const fh_response_t *response, void *user)
+{
+  fn_source_t *source = user;
+  json_t *list = NULL;
+
+  source->hosts_read = NULL;
+  if (response->result == FH_ANSWERED && response->status == 200)
+    list = json_loadb ((const char *)response->body.data, response->body.len, 0, NULL);
+  if (json_is_array (list))
+    probe_hosts (source, list);
+  else
+    FB_LOG (fk_get_log (source->kernel), FB_LOG_WARNING, FN_SOURCE, "host list not read",
+            FB_NUMBER ("status", response->status));
+  json_decref (list);
+}
+
+static fh_exchange_t *
+send_get (fn_source_t *source, const char *path, fh_done_fn_t done)
+{
+  fh_outgoing_t outgoing = { .method = FB_LITERAL ("GET"), .path = fb_wrap_text (path) };
+
+  fb_add_counter (source->calls, 1);
+  return fh_send_request (source->client, &outgoing, done, source);
+}
+
+static void
+read_hosts (void *user)
+{
+  fn_source_t *source = user;
+
+  if (!source->hosts_read)
+    source->hosts_read = send_get (source, HOSTS_PATH, end_hosts_read);
+}
+
+static void
+read_hosts_as_reader (void *user)
+{
+  fn_source_t *source = user;
+
+  if (fn_check_reader (fk_find_service (source->kernel, FN_DISTRIBUTION)))
+    read_hosts (source);
+}
+
+static fb_status_t
+start_source (fk_kernel_t *kernel, void *data)
+{
+  fn_source_t *source = data;
+  const fc_settings_t *settings = fn_get_settings (kernel);
+
+  if (settings->platform.port == 0)
+    return FB_OK;
+  source->client = fh_create_client (kernel, &settings->platform.address,
+                                     settings->platform.port, 2, HOSTS_MAX, IO_TIMEOUT);
+  source->hosts_start = fk_create_timeout (
+      kernel, g_random_int_range (0, HOSTS_START_DELAY_MS) * FB_MILLISECOND, read_hosts,
+      source);
+  source->hosts_period = fk_create_timer (kernel, HOSTS_PERIOD, read_hosts_as_reader, source);
+  return FB_OK;
+}
+
+static void
+stop_source (void *data)
+{
+  fn_source_t *source = data;
+
+  if (!source->client)
+    return;
+  if (source->document_read)
+    fh_cancel_exchange (source->document_read);
+  if (source->hosts_read)
+    fh_cancel_exchange (source->hosts_read);
+  fk_destroy_timer (source->hosts_start);
+  fk_destroy_timer (source->hosts_period);
+  fh_destroy_client (source->client);
+}
+
+void
+fn_register_source (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable = { start_source, stop_source, g_free };
+  fn_source_t *source = g_new0 (fn_source_t, 1);
+
+  source->kernel = kernel;
+  source->calls = fb_find_counter (fk_get_counters (kernel), "foxtailrun_source_calls", "");
+  fk_register_service (kernel, FN_SOURCE, &vtable, source);
+}
+
+void
+fn_read_source (fn_source_t *source, uint64_t index)
+{
+  char path[128];
+
+  if (!source->client || source->document_read)
+    return;
+  if (index == 0)
+    g_strlcpy (path, DOCUMENT_PATH, sizeof path);
+  else
+    snprintf (path, sizeof path, DOCUMENT_PATH "&index=%" G_GUINT64_FORMAT "&wait=%ds", index,
+              WAIT_S);
+  source->document_read = send_get (source, path, end_document_read);
+}
--- /dev/null
+++ b/packages/node/source/node.c
@@ -0,0 +1,47 @@
+#include "node-services.h"
+#include <foxtailrun/node/node.h>
+#include <glib.h>
+#include <sodium.h>
+
+typedef struct
+{
+  fc_settings_t settings;
+  uint64_t start_id;
+} settings_service_t;
+
+const fc_settings_t *
+fn_get_settings (fk_kernel_t *kernel)
+{
+  return &((settings_service_t *)fk_find_service (kernel, FN_SETTINGS))->settings;
+}
+
+uint64_t
+fn_get_start_id (fk_kernel_t *kernel)
+{
+  return ((settings_service_t *)fk_find_service (kernel, FN_SETTINGS))->start_id;
+}
+
+void
+fn_register_settings (fk_kernel_t *kernel, const fc_settings_t *settings)
+{
+  static const fk_service_t vtable = { .destroy = g_free };
+  settings_service_t *service = g_new0 (settings_service_t, 1);
+
+  service->settings = *settings;
+  randombytes_buf (&service->start_id, sizeof service->start_id);
+  fk_register_service (kernel, FN_SETTINGS, &vtable, service);
+}
+
+void
+fn_register_node (fk_kernel_t *kernel, const fc_settings_t *settings)
+{
+  fn_register_settings (kernel, settings);
+  fn_register_membership (kernel);
+  fn_register_source (kernel);
+  fn_register_distribution (kernel);
+  fn_register_backend (kernel);
+  fn_register_calls (kernel);
+  fn_register_entry (kernel);
+  fn_register_admin (kernel);
+  fn_register_drain (kernel);
+}
--- /dev/null
+++ b/packages/transport/source/transport-bus.c
@@ -0,0 +1,355 @@
+#include "transport-socket.h"
+#include <foxtailrun/transport/bus.h>
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+#include <zmq.h>
+
+/* Messages that wait in one direction before a sender is refused. */
+#define HIGH_WATER_MARK 10000
+
+/* Time for answers still to be written when the bus closes, in ms. */
+#define LINGER_MS 1000
+
+/* Connections without traffic for this long are closed, to bound descriptors and memory. */
+#define IDLE_LIMIT (60 * FB_SECOND)
+
+#define SWEEP_PERIOD (50 * FB_MILLISECOND)
+
+typedef struct
+{
+  uint64_t tag;
+  fb_time_t expires;
+  GBytes *header;
+  GBytes *body;
+} pending_t;
+
+typedef struct
+{
+  ft_bus_t *bus;
+  fb_name_t address;
+  uint16_t port;
+  ft_socket_t *dealer;
+  ft_socket_t *monitor;
+  GQueue pending; /* messages that wait for the connection */
+  fb_time_t last_used;
+} peer_t;
+
+struct ft_bus
+{
+  fk_kernel_t *kernel;
+  char *name;
+  void *context;
+  ft_bus_hooks_t hooks;
+  ft_socket_t *router;
+  GHashTable *peers; /* "address:port" to peer_t */
+  fk_timer_t *sweep;
+  uint64_t sent;
+  uint64_t received;
+  uint64_t monitor_count;
+};
+
+static void
+free_pending (pending_t *pending)
+{
+  g_bytes_unref (pending->header);
+  g_bytes_unref (pending->body);
+  g_free (pending);
+}
+
+static bool
+write_frames (ft_bus_t *bus, peer_t *peer, fb_bytes_t header, fb_bytes_t body)
+{
+  if (!ft_write_socket (peer->dealer, header, true))
+    return false;
+  /* The second frame belongs to a message already accepted, so that it cannot be refused. */
+  ft_write_socket (peer->dealer, body, false);
+  bus->sent += header.len + body.len;
+  return true;
+}
+
+static fb_bytes_t
+view_bytes (GBytes *bytes)
+{
+  gsize len;
+  const uint8_t *data = g_bytes_get_data (bytes, &len);
+
+  return (fb_bytes_t){ data, len };
+}
+
+static void
+flush_pending (peer_t *peer)
+{
+  while (!g_queue_is_empty (&peer->pending))
+    {
+      pending_t *pending = g_queue_peek_head (&peer->pending);
+      if (!write_frames (peer->bus, peer, view_bytes (pending->header),
+                         view_bytes (pending->body)))
+        return;
+      free_pending (g_queue_pop_head (&peer->pending));
+    }
+}
+
+static void
+receive_answer (ft_frames_t *frames, void *user)
+{
+  peer_t *peer = user;
+  ft_bus_t *bus = peer->bus;
+
+  peer->last_used = fb_read_clock (fk_get_clock (bus->kernel));
+  flush_pending (peer);
+  if (frames->count != 2)
+    return;
+  bus->received += frames->frame[0].len + frames->frame[1].len;
+  bus->hooks.answered (&peer->address, peer->port, frames->frame[0], frames->frame[1],
+                       bus->hooks.user);
+}
+
+static void
+receive_event (ft_frames_t *frames, void *user)
+{
+  peer_t *peer = user;
+  uint16_t event = 0;
+
+  if (frames->count < 1 || frames->frame[0].len < sizeof event)
+    return;
+  memcpy (&event, frames->frame[0].data, sizeof event);
+  if (event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED)
+    flush_pending (peer);
+  else if (event == ZMQ_EVENT_DISCONNECTED)
+    peer->bus->hooks.disconnected (&peer->address, peer->port, peer->bus->hooks.user);
+}
+
+static void
+receive_request (ft_frames_t *frames, void *user)
+{
+  ft_bus_t *bus = user;
+  ft_requester_t from;
+
+  if (frames->count != 3 || frames->frame[0].len > sizeof from.data)
+    return;
+  from.len = (uint8_t)frames->frame[0].len;
+  memcpy (from.data, frames->frame[0].data, from.len);
+  bus->received += frames->frame[1].len + frames->frame[2].len;
+  bus->hooks.requested (&from, frames->frame[1], frames->frame[2], bus->hooks.user);
+}
+
+static void
+destroy_peer (void *data)
+{
+  peer_t *peer = data;
+  GQueue pending = peer->pending;
+  ft_bus_t *bus = peer->bus;
+
+  ft_destroy_socket (peer->monitor);
+  ft_destroy_socket (peer->dealer);
+  g_free (peer);
+  while (!g_queue_is_empty (&pending))
+    {
+      pending_t *next = g_queue_pop_head (&pending);
+      bus->hooks.not_sent (next->tag, bus->hooks.user);
+      free_pending (next);
+    }
+}
+
+static void
+set_heartbeat (void *socket)
+{
+  int interval = FT_SILENCE_MS / 3;
+  int silence = FT_SILENCE_MS;
+  int high = HIGH_WATER_MARK;
+
+  zmq_setsockopt (socket, ZMQ_HEARTBEAT_IVL, &interval, sizeof interval);
+  zmq_setsockopt (socket, ZMQ_HEARTBEAT_TIMEOUT, &silence, sizeof silence);
+  zmq_setsockopt (socket, ZMQ_HEARTBEAT_TTL, &silence, sizeof silence);
+  zmq_setsockopt (socket, ZMQ_HANDSHAKE_IVL, &silence, sizeof silence);
+  zmq_setsockopt (socket, ZMQ_SNDHWM, &high, sizeof high);
+  zmq_setsockopt (socket, ZMQ_RCVHWM, &high, sizeof high);
+}
+
+/* Opens the DEALER and its monitor. IMMEDIATE keeps messages out of connections that are not
+ * established, so that a message refused here provably never left. */
+static void
+open_peer_sockets (ft_bus_t *bus, peer_t *peer)
+{
+  char endpoint[96];
+  int one = 1;
+  int reconnect = 100;
+  int reconnect_max = 1000;
+  int linger = 0;
+  void *dealer = zmq_socket (bus->context, ZMQ_DEALER);
+  void *monitor = zmq_socket (bus->context, ZMQ_PAIR);
+
+  set_heartbeat (dealer);
+  zmq_setsockopt (dealer, ZMQ_IMMEDIATE, &one, sizeof one);
+  zmq_setsockopt (dealer, ZMQ_RECONNECT_IVL, &reconnect, sizeof reconnect);
+  zmq_setsockopt (dealer, ZMQ_RECONNECT_IVL_MAX, &reconnect_max, sizeof reconnect_max);
+  zmq_setsockopt (dealer, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_setsockopt (monitor, ZMQ_LINGER, &linger, sizeof linger);
+  snprintf (endpoint, sizeof endpoint, "inproc://monitor-%s-%" G_GUINT64_FORMAT, bus->name,
+            bus->monitor_count++);
+  zmq_socket_monitor (dealer, endpoint, ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
+  zmq_connect (monitor, endpoint);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", peer->address.data, peer->port);
+  zmq_connect (dealer, endpoint);
+  peer->dealer = ft_create_socket (bus->kernel, dealer, receive_answer, peer);
+  peer->monitor = ft_create_socket (bus->kernel, monitor, receive_event, peer);
+}
+
+static char *
+format_peer_key (const fb_name_t *address, uint16_t port)
+{
+  return g_strdup_printf ("%s:%u", address->data, port);
+}
+
+static peer_t *
+find_peer (ft_bus_t *bus, const fb_name_t *address, uint16_t port)
+{
+  char *key = format_peer_key (address, port);
+  peer_t *peer = g_hash_table_lookup (bus->peers, key);
+
+  if (peer)
+    {
+      g_free (key);
+      return peer;
+    }
+  peer = g_new0 (peer_t, 1);
+  peer->bus = bus;
+  peer->address = *address;
+  peer->port = port;
+  g_queue_init (&peer->pending);
+  open_peer_sockets (bus, peer);
+  g_hash_table_insert (bus->peers, key, peer);
+  return peer;
+}
+
+/* Reports messages whose wait for a connection is over and closes idle connections. */
+static void
+sweep_peers (void *user)
+{
+  ft_bus_t *bus = user;
+  fb_time_t now = fb_read_clock (fk_get_clock (bus->kernel));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, bus->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+      flush_pending (peer);
+      if (g_queue_is_empty (&peer->pending) && now - peer->last_used > IDLE_LIMIT)
+        g_hash_table_iter_remove (&iter);
+    }
+  for (bool found = true; found;)
+    {
+      found = false;
+      g_hash_table_iter_init (&iter, bus->peers);
+      while (!found && g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          peer_t *peer = value;
+          pending_t *oldest = g_queue_peek_head (&peer->pending);
+          if (!oldest || oldest->expires > now)
+            continue;
+          g_queue_pop_head (&peer->pending);
+          /* The hook may add or remove peers, so that the visit starts again after it. */
+          bus->hooks.not_sent (oldest->tag, bus->hooks.user);
+          free_pending (oldest);
+          found = true;
+        }
+    }
+}
+
+ft_bus_t *
+ft_create_bus (fk_kernel_t *kernel, const char *name, const fb_name_t *address, uint16_t port,
+               const ft_bus_hooks_t *hooks)
+{
+  char endpoint[96];
+  int linger = LINGER_MS;
+  ft_bus_t *bus = g_new0 (ft_bus_t, 1);
+  void *router;
+
+  bus->kernel = kernel;
+  bus->name = g_strdup (name);
+  bus->hooks = *hooks;
+  bus->context = zmq_ctx_new ();
+  bus->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_peer);
+  router = zmq_socket (bus->context, ZMQ_ROUTER);
+  set_heartbeat (router);
+  zmq_setsockopt (router, ZMQ_LINGER, &linger, sizeof linger);
+  snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", address->data, port);
+  if (zmq_bind (router, endpoint) != 0)
+    {
+      FB_LOG (fk_get_log (kernel), FB_LOG_ERROR, "transport", "cannot bind TCP socket",
+              FB_TEXT ("endpoint", endpoint), FB_TEXT ("error", zmq_strerror (zmq_errno ())));
+      zmq_close (router);
+      ft_destroy_bus (bus);
+      return NULL;
+    }
+  bus->router = ft_create_socket (kernel, router, receive_request, bus);
+  bus->sweep = fk_create_timer (kernel, SWEEP_PERIOD, sweep_peers, bus);
+  return bus;
+}
+
+void
+ft_destroy_bus (ft_bus_t *bus)
+{
+  if (!bus)
+    return;
+  fk_destroy_timer (bus->sweep);
+  g_hash_table_destroy (bus->peers);
+  ft_destroy_socket (bus->router);
+  zmq_ctx_term (bus->context);
+  g_free (bus->name);
+  g_free (bus);
+}
+
+void
+ft_send (ft_bus_t *bus, const fb_name_t *address, uint16_t port, uint64_t tag,
+         fb_bytes_t header, fb_bytes_t body)
+{
+  fb_time_t now = fb_read_clock (fk_get_clock (bus->kernel));
+  peer_t *peer = find_peer (bus, address, port);
+  pending_t *pending;
+
+  peer->last_used = now;
+  if (g_queue_is_empty (&peer->pending) && write_frames (bus, peer, header, body))
+    return;
+  pending = g_new0 (pending_t, 1);
+  pending->tag = tag;
+  pending->expires = now + FT_CONNECT_TIMEOUT;
+  pending->header = g_bytes_new (header.data, header.len);
+  pending->body = g_bytes_new (body.data, body.len);
+  g_queue_push_tail (&peer->pending, pending);
+}
+
+void
+ft_answer (ft_bus_t *bus, const ft_requester_t *to, fb_bytes_t header, fb_bytes_t body)
+{
+  if (!ft_write_socket (bus->router, (fb_bytes_t){ to->data, to->len }, true))
+    return;
+  ft_write_socket (bus->router, header, true);
+  ft_write_socket (bus->router, body, false);
+  bus->sent += header.len + body.len;
+}
+
+void
+ft_connect (ft_bus_t *bus, const fb_name_t *address, uint16_t port)
+{
+  find_peer (bus, address, port)->last_used = fb_read_clock (fk_get_clock (bus->kernel));
+}
+
+void
+ft_disconnect (ft_bus_t *bus, const fb_name_t *address, uint16_t port)
+{
+  char *key = format_peer_key (address, port);
+
+  g_hash_table_remove (bus->peers, key);
+  g_free (key);
+}
+
+void
+ft_get_traffic (const ft_bus_t *bus, uint64_t *sent, uint64_t *received)
+{
+  *sent = bus->sent;
+  *received = bus->received;
+}
--- /dev/null
+++ b/standins/standin-backend.c
@@ -0,0 +1,181 @@
+/* Stand-in for a backend server: answers each request after a service time and counts what it
+ * ran.
+ *
+ * Usage: standin-backend ADDRESS PORT NAME SLOTS SERVICE_MS
+ * The answer echoes the request: "name=NAME path=PATH body=BODY runs=N", N counting the runs of
+ * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503. Over
+ * SLOTS requests at once it answers 503 and counts an overrun. GET /standin/runs gives one line
+ * "PATH COUNT" for each path run, GET /standin/overruns the number of overruns. */
+#include <foxtailrun/http/server.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+typedef struct
+{
+  fk_kernel_t *kernel;
+  const char *name;
+  uint32_t slots;
+  uint32_t in_use;
+  uint64_t overruns;
+  fb_time_t service_time;
+  GHashTable *runs; /* path to count */
+} backend_t;
+
+typedef struct
+{
+  backend_t *backend;
+  fh_request_t *request; /* NULL once answered or cancelled */
+  char *path;
+  char *body;
+  uint64_t run;
+  fk_timer_t *timer;
+} job_t;
+
+static void
+respond_text (fh_request_t *request, uint32_t status, const char *text)
+{
+  static const fh_header_t type = { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") };
+
+  fh_respond (request, status, &type, 1, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+}
+
+static void
+finish_job (void *user)
+{
+  job_t *job = user;
+  char *text;
+
+  job->backend->in_use--;
+  if (job->request)
+    {
+      text = g_strdup_printf ("name=%s path=%s body=%s runs=%" G_GUINT64_FORMAT "\n",
+                              job->backend->name, job->path, job->body, job->run);
+      respond_text (job->request, 200, text);
+      g_free (text);
+    }
+  fk_destroy_timer (job->timer);
+  g_free (job->path);
+  g_free (job->body);
+  g_free (job);
+}
+
+/* A cancelled run goes on to its end, as work that has begun does. */
+static void
+forget_request (fh_request_t *request, void *user)
+{
+  job_t *job = user;
+
+  job->request = NULL;
+  respond_text (request, 500, "cancelled\n");
+}
+
+static uint64_t
+count_run (backend_t *backend, const char *path)
+{
+  uint64_t count = GPOINTER_TO_SIZE (g_hash_table_lookup (backend->runs, path)) + 1;
+
+  g_hash_table_insert (backend->runs, g_strdup (path), GSIZE_TO_POINTER (count));
+  return count;
+}
+
+static void
+report_runs (backend_t *backend, fh_request_t *request)
+{
+  GString *text = g_string_new ("");
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, backend->runs);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_string_append_printf (text, "%s %zu\n", (const char *)key, GPOINTER_TO_SIZE (value));
+  respond_text (request, 200, text->str);
+  g_string_free (text, TRUE);
+}
+
+static fb_time_t
+read_service_time (backend_t *backend, const char *path)
+{
+  const char *at = strstr (path, "sleep=");
+
+  return at ? (fb_time_t)g_ascii_strtoull (at + strlen ("sleep="), NULL, 10) * FB_MILLISECOND
+            : backend->service_time;
+}
+
+static void
+start_job (backend_t *backend, fh_request_t *request, char *path)
+{
+  job_t *job = g_new0 (job_t, 1);
+  fb_bytes_t body = fh_get_body (request);
+
+  backend->in_use++;
+  job->backend = backend;
+  job->request = request;
+  job->path = path;
+  job->body = g_strndup ((const char *)body.data, body.len);
+  job->run = count_run (backend, path);
+  fh_watch_cancel (request, forget_request, job);
+  job->timer
+      = fk_create_timeout (backend->kernel, read_service_time (backend, path), finish_job, job);
+}
+
+static void
+handle_request (fh_request_t *request, void *user)
+{
+  backend_t *backend = user;
+  char *path = fb_copy_text (fh_get_path (request));
+  char text[32];
+
+  if (strcmp (path, "/standin/runs") == 0)
+    report_runs (backend, request);
+  else if (strcmp (path, "/standin/overruns") == 0)
+    {
+      snprintf (text, sizeof text, "%" G_GUINT64_FORMAT "\n", backend->overruns);
+      respond_text (request, 200, text);
+    }
+  else if (strstr (path, "shed=1"))
+    respond_text (request, 503, "shed\n");
+  else if (backend->in_use >= backend->slots)
+    {
+      backend->overruns++;
+      respond_text (request, 503, "no slot\n");
+    }
+  else
+    {
+      start_job (backend, request, g_steal_pointer (&path));
+    }
+  g_free (path);
+}
+
+static void
+quit (void *user)
+{
+  fk_quit (user);
+}
+
+int
+main (int argc, char **argv)
+{
+  backend_t backend = { 0 };
+  fb_name_t address;
+
+  if (argc != 6)
+    {
+      fprintf (stderr, "usage: standin-backend ADDRESS PORT NAME SLOTS SERVICE_MS\n");
+      return 2;
+    }
+  address = fb_make_name (argv[1]);
+  backend.kernel = fk_create_kernel (NULL);
+  backend.name = argv[3];
+  backend.slots = (uint32_t)atoi (argv[4]);
+  backend.service_time = atoi (argv[5]) * FB_MILLISECOND;
+  backend.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  if (!fh_create_server (backend.kernel, &address, (uint16_t)atoi (argv[2]), 1024 * 1024,
+                         handle_request, &backend))
+    return 1;
+  fk_watch_signals (backend.kernel, quit, backend.kernel);
+  fk_run (backend.kernel);
+  return 0;
+}
