Add the membership table

The daemon and the distribution package need the whole of member/table.h.

The table runs SWIM with suspicion, incarnations, refutation, indirect pings and local health over hooks for sending. Entries are indexed by id, in order, by service and by probe order; the members digest is kept by XOR, so that a datagram costs no pass over the members. The hook "diverged" is new: it asks for a peer's member list when digests differ for longer than updates take to spread.

--- a/packages/member/include/foxtailrun/member/table.h
+++ b/packages/member/include/foxtailrun/member/table.h
@@ -24,10 +24,15 @@
 {
   /* Sends one datagram; DATAGRAM is borrowed. */
   void (*send) (const fb_name_t *address, uint16_t port, fb_bytes_t datagram, void *user);
-  /* A member appeared or changed; PREVIOUS is NULL for a new one. */
+  /* A member, or this node itself, appeared or changed; PREVIOUS is NULL for a new one. Must
+   * not change the table, except by fm_set_version. May be NULL. */
   void (*changed) (const fw_member_t *member, const fw_member_t *previous, void *user);
-  /* SENDER has VERSION in force; called for each datagram received. */
+  /* SENDER has VERSION in force; called last for each datagram received. May be NULL. */
   void (*heard) (const fw_member_t *sender, const fb_version_t *version, void *user);
+  /* The member list differs from PEER's for longer than updates take to spread: PEER should be
+   * asked for its list, whose pages go to fm_merge_members. Called at most every 10 s; must not
+   * change the table. May be NULL. */
+  void (*diverged) (const fw_member_t *peer, void *user);
   void *user;
 } fm_hooks_t;
 
@@ -54,7 +59,9 @@
 /* Pings an address that may belong to a member not yet known. */
 void fm_probe_address (fm_table_t *table, const fb_name_t *address, uint16_t port);
 
-/* Takes COUNT member descriptions from a peer's list or the host list. */
+/* Takes COUNT member descriptions from a peer's list or the host list. A description with
+ * incarnation 0, as the host list gives, is only a hint: its address is pinged when the id is
+ * unknown. */
 void fm_merge_members (fm_table_t *table, const fw_member_t *members, size_t count);
 
 /* Sets the version that outgoing datagrams carry. */
--- /dev/null
+++ b/packages/member/source/member-datagram.c
@@ -0,0 +1,139 @@
+/* Handling of received datagrams. */
+#include "member-table.h"
+
+/* A member list that differs for longer than updates take to spread is fetched from a peer. */
+#define DIVERGENCE_DELAY (5 * FB_SECOND)
+
+/* Least time between two such fetches, and the longest time without one while no peer agrees.
+ */
+#define DIVERGENCE_PERIOD (10 * FB_SECOND)
+#define DIVERGENCE_MAX (60 * FB_SECOND)
+
+/* Returns whether the member list differs from its peers' for too long, given a datagram with
+ * another DIGEST. Only a difference that stands while the own list stands still counts: an
+ * update under way makes digests differ for a second or two. */
+static bool
+is_diverged (fm_table_t *table, uint64_t digest, fb_time_t now)
+{
+  fb_time_t unmatched = now - table->matched_at;
+
+  if (table->foreign_since == 0 || now - table->foreign_since > DIVERGENCE_MAX)
+    {
+      table->foreign_digest = digest;
+      table->foreign_since = now;
+    }
+  if (now < table->next_diverged)
+    return false;
+  if (unmatched >= DIVERGENCE_MAX)
+    return true;
+  return now - table->digest_changed >= DIVERGENCE_DELAY
+         && (unmatched >= DIVERGENCE_DELAY
+             || (digest == table->foreign_digest
+                 && now - table->foreign_since >= DIVERGENCE_DELAY));
+}
+
+/* Compares digests; returns whether they differ. */
+static bool
+compare_lists (fm_table_t *table, const fw_datagram_t *datagram)
+{
+  fb_time_t now = fb_read_clock (table->clock);
+
+  if (datagram->members_digest == table->digest)
+    {
+      table->matched_at = now;
+      return false;
+    }
+  if (is_diverged (table, datagram->members_digest, now))
+    {
+      table->next_diverged = now + DIVERGENCE_PERIOD;
+      table->foreign_since = 0;
+      fb_add_counter (table->counters.divergences, 1);
+      if (table->hooks.diverged)
+        table->hooks.diverged (&datagram->sender, table->hooks.user);
+    }
+  return true;
+}
+
+/* Sends corrections to the sender of a datagram that has no reply of its own; one in each
+ * gossip period, so that a sender with much to correct costs no more than that. */
+static void
+send_correction (fm_table_t *table, const fw_datagram_t *datagram, const fm_told_t *told)
+{
+  fb_time_t now = fb_read_clock (table->clock);
+
+  if (now < table->next_correction)
+    return;
+  table->next_correction = now + table->options.gossip_period;
+  fm_send_datagram (table, FW_GOSSIP, 0, &datagram->sender.address,
+                    datagram->sender.control_port, NULL, told);
+}
+
+static void
+reply_to_datagram (fm_table_t *table, const fw_datagram_t *datagram, const fm_told_t *told)
+{
+  switch (datagram->kind)
+    {
+    case FW_PING:
+      fm_send_datagram (table, FW_ACK, datagram->sequence, &datagram->sender.address,
+                        datagram->sender.control_port, NULL, told);
+      break;
+    case FW_ACK:
+      fm_handle_ack (table, datagram);
+      if (told->count > 0 || told->repair)
+        send_correction (table, datagram, told);
+      break;
+    case FW_PING_REQ:
+      fm_handle_ping_req (table, datagram);
+      break;
+    case FW_GOSSIP:
+      if (told->count > 0)
+        send_correction (table, datagram, told);
+      break;
+    }
+}
+
+static void
+take_sender (fm_table_t *table, const fw_member_t *sender, fm_told_t *told)
+{
+  fm_entry_t *entry;
+
+  fm_apply_update (table, sender, FM_FROM_SUBJECT, NULL);
+  entry = fm_find_entry (table, &sender->id);
+  if (!entry)
+    return;
+  if (fw_is_override (&entry->member, sender))
+    fm_add_told (told, entry);
+  else if (entry->member.state == FW_LEAVING)
+    fm_set_deadline (table, entry, 0);
+}
+
+fb_status_t
+fm_handle_datagram (fm_table_t *table, fb_bytes_t bytes)
+{
+  fw_datagram_t datagram;
+  fm_told_t told = { 0 };
+
+  fb_add_counter (table->counters.received, 1);
+  fb_add_counter (table->counters.received_bytes, bytes.len);
+  /* A node describes itself as alive or leaving, never otherwise. */
+  if (fw_decode_datagram (bytes, &datagram) != FB_OK
+      || (datagram.sender.state != FW_ALIVE && datagram.sender.state != FW_LEAVING)
+      || datagram.sender.address.len == 0 || datagram.sender.control_port == 0)
+    {
+      fb_add_counter (table->counters.malformed, 1);
+      return FB_INVALID;
+    }
+  if (fb_equal_name (&datagram.sender.id, &table->self->member.id))
+    {
+      fm_apply_update (table, &datagram.sender, FM_FROM_GOSSIP, NULL);
+      return FB_OK;
+    }
+  take_sender (table, &datagram.sender, &told);
+  for (size_t i = 0; i < datagram.update_count; i++)
+    fm_apply_update (table, &datagram.updates[i], FM_FROM_GOSSIP, &told);
+  told.repair = compare_lists (table, &datagram);
+  reply_to_datagram (table, &datagram, &told);
+  if (table->hooks.heard)
+    table->hooks.heard (&datagram.sender, &datagram.version, table->hooks.user);
+  return FB_OK;
+}
--- /dev/null
+++ b/packages/member/source/member-table.c
@@ -0,0 +1,287 @@
+/* The table: creation, ticks, announcements and reads. */
+#include "member-table.h"
+#include <foxtailrun/base/invariant.h>
+
+/* A tick this late means that the process was paused. */
+#define PAUSE_MIN (2 * FB_SECOND)
+
+/* Members that a new version is announced to at once. */
+#define ANNOUNCE_ZONE 2
+#define ANNOUNCE_TOTAL 4
+
+static void
+open_counters (fm_table_t *table, fb_counters_t *counters)
+{
+  static const char *const states[]
+      = { "state=\"alive\"", "state=\"suspect\"", "state=\"leaving\"", "state=\"dead\"" };
+  fm_counters_t *own = &table->counters;
+
+  own->received = fb_find_counter (counters, "member_datagrams_received_total", "");
+  own->received_bytes = fb_find_counter (counters, "member_received_bytes_total", "");
+  own->sent = fb_find_counter (counters, "member_datagrams_sent_total", "");
+  own->sent_bytes = fb_find_counter (counters, "member_sent_bytes_total", "");
+  own->malformed = fb_find_counter (counters, "member_malformed_total", "");
+  own->refused = fb_find_counter (counters, "member_refused_updates_total", "");
+  own->probes_failed = fb_find_counter (counters, "member_failed_probes_total", "");
+  own->suspicions = fb_find_counter (counters, "member_suspicions_total", "");
+  own->deaths = fb_find_counter (counters, "member_deaths_total", "");
+  own->refutations = fb_find_counter (counters, "member_refutations_total", "");
+  own->pauses = fb_find_counter (counters, "member_pauses_total", "");
+  own->divergences = fb_find_counter (counters, "member_divergences_total", "");
+  own->health = fb_find_counter (counters, "member_health", "");
+  for (size_t i = 0; i <= FW_DEAD; i++)
+    own->states[i] = fb_find_counter (counters, "members", states[i]);
+}
+
+/* After a pause of GAP the timers ran without a chance to hear anyone: probes and suspicions
+ * start anew, and the dead are remembered for as much longer. */
+static void
+resume_after_pause (fm_table_t *table, fb_time_t now, fb_time_t gap)
+{
+  fb_add_counter (table->counters.pauses, 1);
+  fm_reset_probes (table, now);
+  for (guint i = 0; i < table->timed->len; i++)
+    {
+      fm_entry_t *entry = g_ptr_array_index (table->timed, i);
+      entry->deadline = entry->member.state == FW_DEAD ? entry->deadline + gap
+                                                       : now + fm_get_suspicion (table);
+    }
+}
+
+/* Sends the version to up to LIMIT members chosen by zone and region, from a random place on.
+ */
+typedef enum
+{
+  SAME_ZONE,
+  OTHER_ZONE,
+  OTHER_REGION,
+  ANYWHERE
+} placement_t;
+
+static bool
+is_placed (const fw_member_t *self, const fw_member_t *member, placement_t placement)
+{
+  bool region = fb_equal_name (&self->region, &member->region);
+  bool zone = region && fb_equal_name (&self->zone, &member->zone);
+
+  switch (placement)
+    {
+    case SAME_ZONE:
+      return zone;
+    case OTHER_ZONE:
+      return region && !zone;
+    case OTHER_REGION:
+      return !region;
+    case ANYWHERE:
+      return true;
+    }
+  return false;
+}
+
+static size_t
+announce_to (fm_table_t *table, placement_t placement, size_t limit, const fm_entry_t **chosen,
+             size_t count)
+{
+  guint members = table->order->len;
+  guint start = (guint)g_rand_int_range (table->random, 0, (gint32)members);
+  size_t first = count;
+
+  for (guint i = 0; i < members && count - first < limit; i++)
+    {
+      const fm_entry_t *entry = g_ptr_array_index (table->order, (start + i) % members);
+      bool taken = !is_placed (&table->self->member, &entry->member, placement);
+      for (size_t j = 0; j < count; j++)
+        taken = taken || chosen[j] == entry;
+      if (taken)
+        continue;
+      chosen[count++] = entry;
+      fm_send_gossip (table, entry, NULL);
+    }
+  return count;
+}
+
+fm_options_t
+fm_get_defaults (void)
+{
+  return (fm_options_t){
+    .probe_period = FB_SECOND,
+    .ack_timeout = 300 * FB_MILLISECOND,
+    .suspect_timeout = 4 * FB_SECOND,
+    .gossip_period = 100 * FB_MILLISECOND,
+    .dead_retention = 60 * FB_SECOND,
+    .indirect_probes = 3,
+    .gossip_fanout = 3,
+    .health_max = 4,
+  };
+}
+
+fm_table_t *
+fm_create_table (const fw_member_t *self, const fm_options_t *options, uint32_t seed,
+                 const fb_clock_t *clock, fb_counters_t *counters, const fm_hooks_t *hooks)
+{
+  fm_table_t *table = g_new0 (fm_table_t, 1);
+  fb_time_t now = fb_read_clock (clock);
+
+  FB_INVARIANT (self->id.len > 0 && self->state == FW_ALIVE);
+  FB_INVARIANT (self->incarnation <= FM_INCARNATION_MAX);
+  FB_INVARIANT (hooks->send);
+  table->options = options ? *options : fm_get_defaults ();
+  table->hooks = *hooks;
+  table->clock = clock;
+  table->random = g_rand_new_with_seed (seed);
+  table->sequence = g_rand_int (table->random);
+  table->matched_at = now;
+  /* Nodes that start together probe at different times. */
+  table->next_probe
+      = now + (fb_time_t)(g_rand_double (table->random) * table->options.probe_period);
+  table->next_dead_probe = table->next_probe;
+  open_counters (table, counters);
+  fm_open_index (table);
+  fm_queue_entry (table, fm_insert_entry (table, self));
+  return table;
+}
+
+void
+fm_destroy_table (fm_table_t *table)
+{
+  if (!table)
+    return;
+  fm_close_index (table);
+  g_rand_free (table->random);
+  g_free (table);
+}
+
+void
+fm_tick (fm_table_t *table)
+{
+  fb_time_t now = fb_read_clock (table->clock);
+  fb_time_t gap = table->last_tick ? now - table->last_tick : 0;
+
+  table->last_tick = now;
+  if (gap > PAUSE_MIN)
+    resume_after_pause (table, now, gap);
+  fm_run_probes (table, now);
+  if (now < table->next_gossip)
+    return;
+  table->next_gossip = now + table->options.gossip_period;
+  fm_run_deadlines (table, now);
+  fm_run_gossip (table);
+}
+
+void
+fm_probe_address (fm_table_t *table, const fb_name_t *address, uint16_t port)
+{
+  const fw_member_t *self = &table->self->member;
+
+  if (fb_equal_name (address, &self->address) && port == self->control_port)
+    return;
+  fm_send_datagram (table, FW_PING, ++table->sequence, address, port, NULL, NULL);
+}
+
+void
+fm_merge_members (fm_table_t *table, const fw_member_t *members, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const fw_member_t *member = &members[i];
+      if (member->incarnation > 0)
+        fm_apply_update (table, member, FM_FROM_LIST, NULL);
+      else if (!fm_find_entry (table, &member->id) && member->address.len > 0)
+        fm_probe_address (table, &member->address, member->control_port);
+    }
+}
+
+void
+fm_set_version (fm_table_t *table, const fb_version_t *version)
+{
+  table->version = *version;
+}
+
+void
+fm_announce_version (fm_table_t *table)
+{
+  const fm_entry_t *chosen[ANNOUNCE_TOTAL];
+  size_t count = 0;
+
+  if (table->order->len == 0)
+    return;
+  count = announce_to (table, SAME_ZONE, ANNOUNCE_ZONE, chosen, count);
+  count = announce_to (table, OTHER_ZONE, 1, chosen, count);
+  count = announce_to (table, OTHER_REGION, 1, chosen, count);
+  announce_to (table, ANYWHERE, ANNOUNCE_TOTAL - count, chosen, count);
+}
+
+void
+fm_announce_leaving (fm_table_t *table)
+{
+  const fw_member_t *self = &table->self->member;
+
+  if (self->state == FW_LEAVING)
+    return;
+  fm_change_self (table, self->incarnation, FW_LEAVING);
+  fm_run_gossip (table);
+}
+
+void
+fm_raise_incarnation (fm_table_t *table)
+{
+  const fw_member_t *self = &table->self->member;
+
+  if (self->incarnation < FM_INCARNATION_MAX)
+    fm_change_self (table, self->incarnation + 1, self->state);
+}
+
+const fw_member_t *
+fm_get_self (const fm_table_t *table)
+{
+  return &table->self->member;
+}
+
+const fw_member_t *
+fm_find_member (const fm_table_t *table, const fb_name_t *id)
+{
+  const fm_entry_t *entry = fm_find_entry (table, id);
+
+  return entry ? &entry->member : NULL;
+}
+
+size_t
+fm_count_members (const fm_table_t *table, fw_member_state_t state)
+{
+  return table->counts[state];
+}
+
+uint64_t
+fm_digest_members (const fm_table_t *table)
+{
+  return table->digest;
+}
+
+void
+fm_visit_members (const fm_table_t *table, fm_visit_fn_t visit, void *user)
+{
+  for (guint i = 0; i < table->sorted->len; i++)
+    {
+      const fm_entry_t *entry = g_ptr_array_index (table->sorted, i);
+      if (!visit (&entry->member, user))
+        return;
+    }
+}
+
+void
+fm_visit_service (const fm_table_t *table, fb_str_t service, fm_visit_fn_t visit, void *user)
+{
+  const fm_service_t *found;
+  fb_name_t name;
+
+  if (!fb_set_name (&name, service))
+    return;
+  found = g_hash_table_lookup (table->services, &name);
+  for (guint i = 0; found && i < found->entries->len; i++)
+    {
+      const fm_entry_t *entry = g_ptr_array_index (found->entries, i);
+      FB_INVARIANT (entry->member.state <= FW_SUSPECT);
+      if (!visit (&entry->member, user))
+        return;
+    }
+}
--- /dev/null
+++ b/packages/member/source/member-update.c
@@ -0,0 +1,207 @@
+/* The rules by which updates change the table. */
+#include "member-table.h"
+#include <foxtailrun/base/invariant.h>
+#include <string.h>
+
+static void
+report_change (fm_table_t *table, const fm_entry_t *entry, const fw_member_t *previous)
+{
+  if (table->hooks.changed)
+    table->hooks.changed (&entry->member, previous, table->hooks.user);
+}
+
+static void
+start_deadline (fm_table_t *table, fm_entry_t *entry)
+{
+  fb_time_t now = fb_read_clock (table->clock);
+
+  if (entry->member.state == FW_SUSPECT)
+    {
+      fm_set_deadline (table, entry, now + fm_get_suspicion (table));
+      fb_add_counter (table->counters.suspicions, 1);
+    }
+  else if (entry->member.state == FW_DEAD)
+    {
+      fm_set_deadline (table, entry, now + table->options.dead_retention);
+      fb_add_counter (table->counters.deaths, 1);
+    }
+  else
+    fm_set_deadline (table, entry, 0);
+}
+
+static void
+change_entry (fm_table_t *table, fm_entry_t *entry, const fw_member_t *member)
+{
+  fw_member_t previous = entry->member;
+
+  fm_replace_entry (table, entry, member);
+  start_deadline (table, entry);
+  fm_queue_entry (table, entry);
+  report_change (table, entry, &previous);
+}
+
+/* An update about this node is only ever a reason to raise the own incarnation above it. */
+static void
+refute_update (fm_table_t *table, const fw_member_t *update)
+{
+  const fw_member_t *self = &table->self->member;
+
+  if (!fw_is_override (update, self))
+    return;
+  if (update->incarnation >= FM_INCARNATION_MAX)
+    {
+      fb_add_counter (table->counters.refused, 1);
+      return;
+    }
+  fb_add_counter (table->counters.refutations, 1);
+  fm_change_self (table, update->incarnation + 1, self->state);
+}
+
+static void
+add_member (fm_table_t *table, const fw_member_t *update, fm_source_t source)
+{
+  fm_entry_t *entry;
+
+  /* A member that is unknown here needs no reminder of its death, and taking one would let two
+   * tables remind each other of it for ever. */
+  if (update->state == FW_DEAD)
+    return;
+  if (update->address.len == 0 || update->control_port == 0
+      || g_hash_table_size (table->by_id) >= FM_MEMBERS_MAX)
+    {
+      fb_add_counter (table->counters.refused, 1);
+      return;
+    }
+  entry = fm_insert_entry (table, update);
+  start_deadline (table, entry);
+  /* The peer's list comes from members that know these entries already. */
+  if (source != FM_FROM_LIST)
+    fm_queue_entry (table, entry);
+  report_change (table, entry, NULL);
+}
+
+/* Changes UPDATE, an accusation of a member held to be alive under the same incarnation, to
+ * what its source permits; returns whether anything is left of it. */
+static bool
+weigh_accusation (fm_table_t *table, fm_entry_t *entry, fw_member_t *update, fm_source_t source)
+{
+  /* After a partition the other side's list declares this whole side dead: probing decides. */
+  if (source == FM_FROM_LIST)
+    {
+      fm_advance_probe (table, entry);
+      return false;
+    }
+  /* A death without a suspicion here leaves the member no time to refute it. */
+  if (source == FM_FROM_GOSSIP)
+    update->state = FW_SUSPECT;
+  return true;
+}
+
+void
+fm_add_told (fm_told_t *told, const fm_entry_t *entry)
+{
+  if (told->count < FM_TOLD_MAX)
+    told->entries[told->count++] = entry;
+}
+
+fb_time_t
+fm_get_suspicion (const fm_table_t *table)
+{
+  return table->options.suspect_timeout * (table->health + 1);
+}
+
+void
+fm_apply_update (fm_table_t *table, const fw_member_t *update, fm_source_t source,
+                 fm_told_t *told)
+{
+  fw_member_t next = *update;
+  fm_entry_t *entry;
+
+  if (update->incarnation > FM_INCARNATION_MAX)
+    {
+      fb_add_counter (table->counters.refused, 1);
+      return;
+    }
+  entry = fm_find_entry (table, &update->id);
+  if (entry == table->self)
+    {
+      refute_update (table, update);
+      return;
+    }
+  if (!entry)
+    {
+      add_member (table, update, source);
+      return;
+    }
+  if (!fw_is_override (update, &entry->member))
+    {
+      if (told && (update->state == FW_SUSPECT || update->state == FW_DEAD)
+          && fw_is_override (&entry->member, update))
+        fm_add_told (told, entry);
+      return;
+    }
+  if (update->incarnation == entry->member.incarnation)
+    {
+      /* A member describes itself once for each incarnation. */
+      next = entry->member;
+      next.state = update->state;
+      if (entry->member.state == FW_ALIVE && next.state != FW_LEAVING
+          && !weigh_accusation (table, entry, &next, source))
+        return;
+    }
+  else if (update->address.len == 0 || update->control_port == 0)
+    {
+      fb_add_counter (table->counters.refused, 1);
+      return;
+    }
+  change_entry (table, entry, &next);
+}
+
+void
+fm_suspect_entry (fm_table_t *table, fm_entry_t *entry)
+{
+  fw_member_t next = entry->member;
+  fm_told_t told = { 0 };
+
+  /* A leaving member stays leaving while it is suspected. */
+  if (next.state == FW_LEAVING && entry->deadline == 0)
+    fm_set_deadline (table, entry, fb_read_clock (table->clock) + fm_get_suspicion (table));
+  if (next.state != FW_ALIVE)
+    return;
+  next.state = FW_SUSPECT;
+  change_entry (table, entry, &next);
+  fm_add_told (&told, entry);
+  fm_send_gossip (table, entry, &told);
+}
+
+void
+fm_change_self (fm_table_t *table, uint64_t incarnation, fw_member_state_t state)
+{
+  fw_member_t next = table->self->member;
+
+  FB_INVARIANT (state == FW_ALIVE || state == FW_LEAVING);
+  FB_INVARIANT (state >= next.state);
+  next.incarnation = incarnation;
+  next.state = state;
+  change_entry (table, table->self, &next);
+}
+
+void
+fm_run_deadlines (fm_table_t *table, fb_time_t now)
+{
+  for (guint i = table->timed->len; i > 0; i--)
+    {
+      fm_entry_t *entry = g_ptr_array_index (table->timed, i - 1);
+      fw_member_t next = entry->member;
+
+      if (entry->deadline > now)
+        continue;
+      if (entry->member.state == FW_DEAD)
+        {
+          fm_remove_entry (table, entry);
+          continue;
+        }
+      next.state = FW_DEAD;
+      change_entry (table, entry, &next);
+    }
+}
