Add admission, picker, retries and at-most-once records

Cause: the daemon needs the call path's decisions behind the fixed headers.

Change: admission gives slots by rank with guaranteed shares of a decaying average of slots held, customers of a rank take turns by weight, and calls that cannot meet their deadline are refused at once. The picker weighs two random instances of a subset of 16.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -42,6 +42,9 @@
   void *user;
 } fr_admission_hooks_t;
 
+/* Hooks may call admission again; what that makes due is called after the present hook has
+ * returned. Only fr_destroy_admission is not allowed in a hook. */
+
 typedef struct fr_admission fr_admission_t;
 
 /* Creates admission for SLOTS slots and RANK_COUNT ranks in order of urgency; RANKS and HOOKS
@@ -54,8 +57,8 @@
 /* Frees the state; calls waiting are dropped without a hook. NULL is allowed. */
 void fr_destroy_admission (fr_admission_t *admission);
 
-/* Takes over new rules when a configuration changes; calls keep waiting, ranks that went away
- * join the least urgent. */
+/* Takes over new rules, 1 slot and 1 rank at least, when a configuration changes; calls keep
+ * waiting, ranks that went away join the least urgent. */
 void fr_set_rules (fr_admission_t *admission, uint32_t slots, const fr_rank_rule_t *ranks,
                    size_t rank_count);
 
--- a/packages/call/include/foxtailrun/call/once.h
+++ b/packages/call/include/foxtailrun/call/once.h
@@ -47,7 +47,9 @@
 
 /* Begins or finds the use of TICKET. With FR_ONCE_ANSWERED, *ANSWER borrows the recorded bytes
  * until the next call. A request digest that differs from the first use's gives
- * FR_ONCE_INVALID. */
+ * FR_ONCE_INVALID. When every record is running, the call is not run and nothing is recorded:
+ * the result is FR_ONCE_UNKNOWN, and the same ticket may run later. A MAX_RECORDS above the
+ * calls that admission holds (slots and queues) keeps that from happening. */
 fr_once_state_t fr_begin_once (fr_once_t *once, const fr_ticket_t *ticket,
                                uint64_t request_digest, fb_bytes_t *answer);
 
@@ -56,7 +58,8 @@
 void fr_end_once (fr_once_t *once, const fr_ticket_t *ticket, fb_bytes_t answer);
 
 /* Takes back a use that FR_ONCE_RUN began and that provably never reached the backend server,
- * so that the same ticket may run later. */
+ * so that the same ticket may run later; it counts as run when the low-water mark has passed it
+ * meanwhile. */
 void fr_abandon_once (fr_once_t *once, const fr_ticket_t *ticket);
 
 /* Returns records held and bytes of answers held. */
--- /dev/null
+++ b/packages/call/source/admission-queue.c
@@ -0,0 +1,233 @@
+/* Queues of one rank: customers take turns by weight (start-time fair queueing). */
+#include "admission-state.h"
+#include <foxtailrun/base/invariant.h>
+
+/* Slot time charged for a call of a rank that has no sample of its service time yet. */
+#define SERVICE_UNKNOWN ((double)FB_MILLISECOND)
+
+static int
+compare_turns (const void *a, const void *b, void *user)
+{
+  const flow_t *left = a;
+  const flow_t *right = b;
+
+  if (left->pass != right->pass)
+    return left->pass < right->pass ? -1 : 1;
+  return 0;
+}
+
+static void
+destroy_flow (void *data)
+{
+  flow_t *flow = data;
+
+  g_free (flow->customer);
+  g_free (flow);
+}
+
+static void
+leave_turns (flow_t *flow)
+{
+  if (flow->turn != NULL)
+    g_sequence_remove (flow->turn);
+  flow->turn = NULL;
+}
+
+/* Puts FLOW where its pass belongs. */
+static void
+take_turn (flow_t *flow)
+{
+  leave_turns (flow);
+  if (!g_queue_is_empty (&flow->waiting))
+    flow->turn = g_sequence_insert_sorted (flow->rank->turns, flow, compare_turns, NULL);
+}
+
+rank_t *
+fr_create_rank (uint32_t index, const fr_rank_rule_t *rule)
+{
+  rank_t *rank = g_new0 (rank_t, 1);
+
+  rank->index = index;
+  rank->rule = *rule;
+  rank->flows = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_flow);
+  rank->turns = g_sequence_new (NULL);
+  return rank;
+}
+
+void
+fr_destroy_rank (rank_t *rank)
+{
+  g_sequence_free (rank->turns);
+  g_hash_table_destroy (rank->flows);
+  g_free (rank);
+}
+
+flow_t *
+fr_find_flow (rank_t *rank, fb_str_t customer, double weight)
+{
+  char *name = fb_copy_text (customer);
+  flow_t *flow = g_hash_table_lookup (rank->flows, name);
+
+  if (flow == NULL)
+    {
+      flow = g_new0 (flow_t, 1);
+      flow->customer = name;
+      flow->rank = rank;
+      flow->pass = rank->virtual_time;
+      g_queue_init (&flow->waiting);
+      g_hash_table_insert (rank->flows, name, flow);
+    }
+  else
+    g_free (name);
+  flow->weight = weight > 0 ? weight : 1;
+  return flow;
+}
+
+void
+fr_push_entry (entry_t *entry)
+{
+  flow_t *flow = entry->flow;
+  bool idle = g_queue_is_empty (&flow->waiting);
+
+  entry->link.data = entry;
+  g_queue_push_tail_link (&flow->waiting, &entry->link);
+  flow->rank->waiting++;
+  if (!idle)
+    return;
+  /* A customer that was idle starts at the present turn: it saves up no credit. */
+  flow->pass = MAX (flow->pass, flow->rank->virtual_time);
+  take_turn (flow);
+}
+
+entry_t *
+fr_peek_entry (const rank_t *rank)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (rank->turns);
+
+  FB_INVARIANT (!g_sequence_iter_is_end (first));
+  return g_queue_peek_head (&((flow_t *)g_sequence_get (first))->waiting);
+}
+
+void
+fr_remove_entry (entry_t *entry)
+{
+  flow_t *flow = entry->flow;
+
+  FB_INVARIANT (entry->link.data == entry);
+  g_queue_unlink (&flow->waiting, &entry->link);
+  entry->link.data = NULL;
+  flow->rank->waiting--;
+  if (g_queue_is_empty (&flow->waiting))
+    leave_turns (flow);
+}
+
+void
+fr_charge_start (entry_t *entry)
+{
+  flow_t *flow = entry->flow;
+  rank_t *rank = flow->rank;
+
+  rank->virtual_time = MAX (rank->virtual_time, flow->pass);
+  entry->charged = rank->service > 0 ? rank->service : SERVICE_UNKNOWN;
+  flow->pass += entry->charged / flow->weight;
+  flow->started++;
+  rank->started++;
+  take_turn (flow);
+}
+
+void
+fr_charge_finish (entry_t *entry, fb_time_t used)
+{
+  flow_t *flow = entry->flow;
+
+  FB_INVARIANT (flow->started > 0 && flow->rank->started > 0);
+  flow->started--;
+  flow->rank->started--;
+  flow->pass += ((double)used - entry->charged) / flow->weight;
+  take_turn (flow);
+}
+
+entry_t *
+fr_find_largest_holder (const rank_t *rank, const flow_t *newcomer)
+{
+  const flow_t *largest = newcomer;
+  double most
+      = (double)(g_queue_get_length ((GQueue *)&newcomer->waiting) + 1) / newcomer->weight;
+
+  for (GSequenceIter *iter = g_sequence_get_begin_iter (rank->turns);
+       !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+    {
+      const flow_t *flow = g_sequence_get (iter);
+      double held = (double)flow->waiting.length / flow->weight;
+
+      if (flow != newcomer && held > most)
+        {
+          most = held;
+          largest = flow;
+        }
+    }
+  return largest == newcomer ? NULL : g_queue_peek_tail ((GQueue *)&largest->waiting);
+}
+
+double
+fr_count_ahead (const flow_t *flow)
+{
+  double own = flow->waiting.length;
+  double ahead = own;
+
+  for (GSequenceIter *iter = g_sequence_get_begin_iter (flow->rank->turns);
+       !g_sequence_iter_is_end (iter); iter = g_sequence_iter_next (iter))
+    {
+      const flow_t *other = g_sequence_get (iter);
+
+      if (other != flow)
+        ahead += MIN ((double)other->waiting.length, (own + 1) * other->weight / flow->weight);
+    }
+  return ahead;
+}
+
+static gboolean
+is_flow_done (void *key, void *value, void *user)
+{
+  const flow_t *flow = value;
+
+  /* A debt is forgotten once nobody waits for it to be made good. */
+  return g_queue_is_empty ((GQueue *)&flow->waiting) && flow->started == 0
+         && (flow->rank->waiting == 0 || flow->pass <= flow->rank->virtual_time);
+}
+
+void
+fr_forget_flows (rank_t *rank)
+{
+  g_hash_table_foreach_remove (rank->flows, is_flow_done, NULL);
+}
+
+void
+fr_merge_rank (rank_t *to, rank_t *from)
+{
+  GHashTableIter iter;
+  void *value;
+
+  to->usage += from->usage;
+  to->started += from->started;
+  to->waiting += from->waiting;
+  g_hash_table_iter_init (&iter, from->flows);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      flow_t *flow = value;
+      flow_t *target = fr_find_flow (to, fb_wrap_text (flow->customer), flow->weight);
+      entry_t *entry;
+
+      leave_turns (flow);
+      leave_turns (target);
+      target->pass = MAX (target->pass, to->virtual_time);
+      target->started += flow->started;
+      while ((entry = g_queue_peek_head (&flow->waiting)) != NULL)
+        {
+          g_queue_unlink (&flow->waiting, &entry->link);
+          g_queue_push_tail_link (&target->waiting, &entry->link);
+          entry->flow = target;
+        }
+      take_turn (target);
+    }
+}
--- /dev/null
+++ b/packages/call/source/admission-share.c
@@ -0,0 +1,152 @@
+/* Which rank gets the next slot, and how long a new call waits for one. */
+#include "admission-state.h"
+#include <math.h>
+
+/* Part of the slots that the estimate of the wait leaves to a rank at least; keeps it finite.
+ */
+#define AVAILABLE_MIN 0.01
+
+/* Share that FR_POLICY_FAIR gives a rank without one. */
+#define FAIR_SHARE_MIN 0.01
+
+void
+fr_update_usage (fr_admission_t *admission)
+{
+  fb_time_t now = fb_read_clock (admission->clock);
+  double kept;
+
+  if (now == admission->usage_time)
+    return;
+  kept = exp (-(double)(now - admission->usage_time) / (double)USAGE_WINDOW);
+  admission->usage_time = now;
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    {
+      rank_t *rank = g_ptr_array_index (admission->ranks, i);
+
+      rank->usage = rank->usage * kept + rank->started * (1 - kept);
+    }
+}
+
+bool
+fr_is_below_share (const fr_admission_t *admission, const rank_t *rank)
+{
+  double guaranteed = rank->rule.share * admission->slots;
+
+  /* The second condition keeps a rank that was idle from taking every slot at once to make up
+   * for its idle time. */
+  return rank->usage < guaranteed && rank->started < ceil (guaranteed);
+}
+
+static rank_t *
+choose_by_share (const fr_admission_t *admission)
+{
+  rank_t *urgent = NULL;
+
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    {
+      rank_t *rank = g_ptr_array_index (admission->ranks, i);
+
+      if (rank->waiting == 0)
+        continue;
+      if (fr_is_below_share (admission, rank))
+        return rank;
+      if (urgent == NULL)
+        urgent = rank;
+    }
+  return urgent;
+}
+
+static rank_t *
+choose_by_order (const fr_admission_t *admission)
+{
+  rank_t *oldest = NULL;
+
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    {
+      rank_t *rank = g_ptr_array_index (admission->ranks, i);
+
+      if (rank->waiting > 0
+          && (oldest == NULL || fr_peek_entry (rank)->order < fr_peek_entry (oldest)->order))
+        oldest = rank;
+    }
+  return oldest;
+}
+
+static rank_t *
+choose_by_weight (const fr_admission_t *admission)
+{
+  rank_t *least = NULL;
+  double least_used = 0;
+
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    {
+      rank_t *rank = g_ptr_array_index (admission->ranks, i);
+      double used = rank->usage / MAX (rank->rule.share, FAIR_SHARE_MIN);
+
+      if (rank->waiting > 0 && (least == NULL || used < least_used))
+        {
+          least = rank;
+          least_used = used;
+        }
+    }
+  return least;
+}
+
+rank_t *
+fr_choose_rank (const fr_admission_t *admission)
+{
+  if (admission->waiting == 0)
+    return NULL;
+  switch (admission->policy)
+    {
+    case FR_POLICY_FIFO:
+    case FR_POLICY_ADAPTIVE:
+      return choose_by_order (admission);
+    case FR_POLICY_FAIR:
+      return choose_by_weight (admission);
+    case FR_POLICY_STRICT:
+      for (size_t i = 0; i < admission->ranks->len; i++)
+        {
+          rank_t *rank = g_ptr_array_index (admission->ranks, i);
+
+          if (rank->waiting > 0)
+            return rank;
+        }
+      return NULL;
+    case FR_POLICY_SHARES:
+      break;
+    }
+  return choose_by_share (admission);
+}
+
+/* Returns the part of the slots that RANK can count on: what more urgent ranks use and less
+ * urgent ranks use within their guarantee is gone, its own guarantee is not. */
+static double
+get_available (const fr_admission_t *admission, const rank_t *rank)
+{
+  double available = 1;
+
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    {
+      const rank_t *other = g_ptr_array_index (admission->ranks, i);
+      double used = other->usage / admission->slots;
+
+      if (other->index < rank->index)
+        available -= used;
+      else if (other->index > rank->index)
+        available -= MIN (used, other->rule.share);
+    }
+  return MAX (MAX (available, rank->rule.share), AVAILABLE_MIN);
+}
+
+double
+fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow)
+{
+  const rank_t *rank = flow->rank;
+  double ahead;
+
+  if (admission->started < admission->slots && admission->waiting == 0)
+    return 0;
+  ahead = fr_count_ahead (flow) + 1;
+  return ahead * rank->service / (admission->slots * get_available (admission, rank));
+}
--- /dev/null
+++ b/packages/call/source/admission.c
@@ -0,0 +1,367 @@
+/* Admission: takes calls in, gives slots out and calls the hooks. */
+#include "admission-state.h"
+#include <foxtailrun/base/invariant.h>
+
+const char *
+fr_describe_refusal (fr_refusal_t refusal)
+{
+  switch (refusal)
+    {
+    case FR_REFUSED_FULL:
+      return "queue-full";
+    case FR_REFUSED_LATE:
+      return "deadline";
+    case FR_REFUSED_DRAINING:
+      return "draining";
+    case FR_REFUSED_CANCELLED:
+      return "cancelled";
+    }
+  return "unknown";
+}
+
+/* Calls the hooks that are due. A hook may call admission again; the outermost call then
+ * delivers what that adds. */
+static void
+deliver_events (fr_admission_t *admission)
+{
+  event_t *event;
+
+  if (admission->delivering)
+    return;
+  admission->delivering = true;
+  while ((event = g_queue_pop_head (&admission->events)) != NULL)
+    {
+      if (event->start)
+        admission->hooks.start (event->call, admission->hooks.user);
+      else
+        admission->hooks.refuse (event->call, event->refusal, admission->hooks.user);
+      g_free (event);
+    }
+  admission->delivering = false;
+}
+
+static void
+add_event (fr_admission_t *admission, void *call, bool start, fr_refusal_t refusal)
+{
+  event_t *event = g_new0 (event_t, 1);
+
+  event->call = call;
+  event->start = start;
+  event->refusal = refusal;
+  g_queue_push_tail (&admission->events, event);
+  fb_add_counter (start ? admission->count_started : admission->count_refused[refusal], 1);
+}
+
+/* Refuses a waiting ENTRY and forgets it. */
+static void
+refuse_entry (fr_admission_t *admission, entry_t *entry, fr_refusal_t refusal)
+{
+  fr_remove_entry (entry);
+  admission->waiting--;
+  add_event (admission, entry->call, false, refusal);
+  g_hash_table_remove (admission->entries, &entry->id);
+}
+
+/* Returns whether ENTRY can no longer end by its deadline. A rank that runs nothing gets one
+ * call through whatever the average says, or a wrong average would never be corrected. */
+static bool
+is_entry_late (const fr_admission_t *admission, const entry_t *entry, fb_time_t now)
+{
+  const rank_t *rank = entry->flow->rank;
+
+  if (entry->deadline <= now)
+    return true;
+  return admission->policy == FR_POLICY_SHARES && rank->started > 0
+         && (double)(entry->deadline - now) < rank->service;
+}
+
+static void
+start_entry (fr_admission_t *admission, entry_t *entry, fb_time_t now)
+{
+  FB_INVARIANT (admission->started < admission->slots);
+  fr_remove_entry (entry);
+  fr_charge_start (entry);
+  entry->started = now;
+  admission->waiting--;
+  admission->started++;
+  add_event (admission, entry->call, true, FR_REFUSED_FULL);
+}
+
+/* Gives free slots to waiting calls. */
+static void
+fill_slots (fr_admission_t *admission)
+{
+  fb_time_t now = fb_read_clock (admission->clock);
+  rank_t *rank;
+
+  while (admission->started < admission->slots && (rank = fr_choose_rank (admission)) != NULL)
+    {
+      entry_t *entry = fr_peek_entry (rank);
+
+      if (is_entry_late (admission, entry, now))
+        refuse_entry (admission, entry, FR_REFUSED_LATE);
+      else
+        start_entry (admission, entry, now);
+    }
+}
+
+static void
+set_ranks (fr_admission_t *admission, const fr_rank_rule_t *ranks, size_t rank_count)
+{
+  size_t old_count = admission->ranks->len;
+
+  FB_INVARIANT (rank_count > 0);
+  for (size_t i = 0; i < rank_count; i++)
+    {
+      rank_t *rank;
+
+      if (i >= old_count)
+        g_ptr_array_add (admission->ranks, fr_create_rank ((uint32_t)i, &ranks[i]));
+      rank = g_ptr_array_index (admission->ranks, i);
+      rank->rule = ranks[i];
+      if (rank->rule.queue_max == 0)
+        rank->rule.queue_max = QUEUE_MAX_DEFAULT;
+    }
+}
+
+fr_admission_t *
+fr_create_admission (fr_policy_t policy, uint32_t slots, const fr_rank_rule_t *ranks,
+                     size_t rank_count, const fb_clock_t *clock, fb_counters_t *counters,
+                     const fr_admission_hooks_t *hooks)
+{
+  fr_admission_t *admission = g_new0 (fr_admission_t, 1);
+
+  FB_INVARIANT (slots > 0);
+  admission->policy = policy;
+  admission->slots = slots;
+  admission->clock = clock;
+  admission->hooks = *hooks;
+  admission->usage_time = fb_read_clock (clock);
+  admission->limit = slots;
+  admission->ranks = g_ptr_array_new ();
+  admission->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  g_queue_init (&admission->events);
+  admission->count_started = fb_find_counter (counters, "admission_started_total", "");
+  for (int i = FR_REFUSED_FULL; i <= FR_REFUSED_CANCELLED; i++)
+    {
+      char *labels = g_strdup_printf ("reason=\"%s\"", fr_describe_refusal ((fr_refusal_t)i));
+
+      admission->count_refused[i]
+          = fb_find_counter (counters, "admission_refused_total", labels);
+      g_free (labels);
+    }
+  set_ranks (admission, ranks, rank_count);
+  return admission;
+}
+
+void
+fr_destroy_admission (fr_admission_t *admission)
+{
+  if (admission == NULL)
+    return;
+  FB_INVARIANT (!admission->delivering);
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    fr_destroy_rank (g_ptr_array_index (admission->ranks, i));
+  g_ptr_array_free (admission->ranks, TRUE);
+  g_hash_table_destroy (admission->entries);
+  g_free (admission);
+}
+
+void
+fr_set_rules (fr_admission_t *admission, uint32_t slots, const fr_rank_rule_t *ranks,
+              size_t rank_count)
+{
+  GHashTableIter iter;
+  void *value;
+  rank_t *last;
+
+  FB_INVARIANT (slots > 0);
+  fr_update_usage (admission);
+  admission->slots = slots;
+  set_ranks (admission, ranks, rank_count);
+  last = g_ptr_array_index (admission->ranks, rank_count - 1);
+  for (size_t i = rank_count; i < admission->ranks->len; i++)
+    fr_merge_rank (last, g_ptr_array_index (admission->ranks, i));
+  g_hash_table_iter_init (&iter, admission->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      entry_t *entry = value;
+
+      /* Started calls are in no queue; they find their flow in the rank that took it over. */
+      if (entry->flow->rank->index >= rank_count)
+        entry->flow
+            = fr_find_flow (last, fb_wrap_text (entry->flow->customer), entry->flow->weight);
+    }
+  while (admission->ranks->len > rank_count)
+    fr_destroy_rank (g_ptr_array_remove_index (admission->ranks, admission->ranks->len - 1));
+  fill_slots (admission);
+  deliver_events (admission);
+}
+
+/* Makes room for one more call of FLOW; returns false when there is none. */
+static bool
+make_room (fr_admission_t *admission, const flow_t *flow)
+{
+  rank_t *rank = flow->rank;
+  entry_t *largest;
+
+  if (admission->policy == FR_POLICY_ADAPTIVE)
+    return (double)(admission->started + admission->waiting) < admission->limit;
+  if (rank->waiting < rank->rule.queue_max)
+    return true;
+  largest = fr_find_largest_holder (rank, flow);
+  if (largest == NULL)
+    return false;
+  refuse_entry (admission, largest, FR_REFUSED_FULL);
+  return true;
+}
+
+/* Decides whether a new call of FLOW is refused, as REFUSAL. */
+static bool
+is_refused (fr_admission_t *admission, const flow_t *flow, fb_time_t deadline,
+            fr_refusal_t *refusal)
+{
+  const rank_t *rank = flow->rank;
+  fb_time_t now = fb_read_clock (admission->clock);
+
+  *refusal = FR_REFUSED_DRAINING;
+  if (admission->draining)
+    return true;
+  *refusal = FR_REFUSED_LATE;
+  if (deadline <= now)
+    return true;
+  if (admission->policy == FR_POLICY_SHARES && rank->started > 0)
+    {
+      double time = fr_estimate_wait (admission, flow) + rank->service;
+
+      if (time > (double)(deadline - now))
+        return true;
+      *refusal = FR_REFUSED_FULL;
+      /* A call that waits longer than its target is worth little; only the guaranteed share is
+       * served late rather than not at all. */
+      if (rank->rule.target > 0 && time > (double)rank->rule.target && admission->waiting > 0
+          && !fr_is_below_share (admission, rank))
+        return true;
+    }
+  *refusal = FR_REFUSED_FULL;
+  return !make_room (admission, flow);
+}
+
+void
+fr_offer_call (fr_admission_t *admission, uint64_t id, void *call, uint32_t rank,
+               fb_str_t customer, double weight, fb_time_t deadline)
+{
+  size_t index = MIN (rank, admission->ranks->len - 1);
+  /* The baselines know ranks but not customers. */
+  bool by_customer = admission->policy == FR_POLICY_SHARES;
+  flow_t *flow
+      = fr_find_flow (g_ptr_array_index (admission->ranks, index),
+                      by_customer ? customer : FB_LITERAL (""), by_customer ? weight : 1);
+  fr_refusal_t refusal;
+
+  FB_INVARIANT (!g_hash_table_contains (admission->entries, &id));
+  fr_update_usage (admission);
+  if (is_refused (admission, flow, deadline, &refusal))
+    add_event (admission, call, false, refusal);
+  else
+    {
+      entry_t *entry = g_new0 (entry_t, 1);
+
+      entry->id = id;
+      entry->call = call;
+      entry->flow = flow;
+      entry->order = admission->arrivals++;
+      entry->arrived = fb_read_clock (admission->clock);
+      entry->deadline = deadline;
+      g_hash_table_insert (admission->entries, &entry->id, entry);
+      admission->waiting++;
+      fr_push_entry (entry);
+      fill_slots (admission);
+    }
+  deliver_events (admission);
+}
+
+void
+fr_finish_call (fr_admission_t *admission, uint64_t id)
+{
+  entry_t *entry = g_hash_table_lookup (admission->entries, &id);
+  fb_time_t now = fb_read_clock (admission->clock);
+  rank_t *rank;
+  double used;
+
+  FB_INVARIANT (entry != NULL && entry->link.data == NULL);
+  fr_update_usage (admission);
+  rank = entry->flow->rank;
+  used = (double)(now - entry->started);
+  fr_charge_finish (entry, now - entry->started);
+  rank->service
+      = rank->service > 0 ? rank->service + (used - rank->service) * SERVICE_GAIN : used;
+  if (admission->policy == FR_POLICY_ADAPTIVE)
+    fr_adapt_limit (admission, now - entry->arrived);
+  admission->started--;
+  g_hash_table_remove (admission->entries, &id);
+  fill_slots (admission);
+  deliver_events (admission);
+}
+
+bool
+fr_cancel_call (fr_admission_t *admission, uint64_t id)
+{
+  entry_t *entry = g_hash_table_lookup (admission->entries, &id);
+
+  if (entry == NULL || entry->link.data == NULL)
+    return false;
+  refuse_entry (admission, entry, FR_REFUSED_CANCELLED);
+  deliver_events (admission);
+  return true;
+}
+
+void
+fr_tick_admission (fr_admission_t *admission)
+{
+  fb_time_t now = fb_read_clock (admission->clock);
+  GPtrArray *late = g_ptr_array_new ();
+  GHashTableIter iter;
+  void *value;
+
+  fr_update_usage (admission);
+  g_hash_table_iter_init (&iter, admission->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      entry_t *entry = value;
+
+      if (entry->link.data != NULL && is_entry_late (admission, entry, now))
+        g_ptr_array_add (late, entry);
+    }
+  for (size_t i = 0; i < late->len; i++)
+    refuse_entry (admission, g_ptr_array_index (late, i), FR_REFUSED_LATE);
+  g_ptr_array_free (late, TRUE);
+  for (size_t i = 0; i < admission->ranks->len; i++)
+    fr_forget_flows (g_ptr_array_index (admission->ranks, i));
+  fill_slots (admission);
+  deliver_events (admission);
+}
+
+void
+fr_drain_admission (fr_admission_t *admission)
+{
+  admission->draining = true;
+}
+
+uint32_t
+fr_get_load (const fr_admission_t *admission)
+{
+  return (uint32_t)((admission->started + admission->waiting) * 1000 / admission->slots);
+}
+
+size_t
+fr_count_started (const fr_admission_t *admission)
+{
+  return admission->started;
+}
+
+size_t
+fr_count_waiting (const fr_admission_t *admission)
+{
+  return admission->waiting;
+}
--- /dev/null
+++ b/packages/call/source/retry-budget.c
@@ -0,0 +1,78 @@
+/* Retry budget per service, and which attempts may be made again. */
+#include "retry-window.h"
+#include <foxtailrun/call/retry.h>
+
+/* Retries allowed in each window whatever the traffic, so that a quiet service can retry: one a
+ * second. */
+#define RETRY_FLOOR 10.0
+
+struct fr_retry_budget
+{
+  const fb_clock_t *clock;
+  GHashTable *windows; /* service -> fr_window_t of first attempts and retries */
+};
+
+fr_retry_budget_t *
+fr_create_retry_budget (const fb_clock_t *clock)
+{
+  fr_retry_budget_t *budget = g_new0 (fr_retry_budget_t, 1);
+
+  budget->clock = clock;
+  budget->windows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return budget;
+}
+
+void
+fr_destroy_retry_budget (fr_retry_budget_t *budget)
+{
+  if (budget == NULL)
+    return;
+  g_hash_table_destroy (budget->windows);
+  g_free (budget);
+}
+
+static fr_window_t *
+find_window (fr_retry_budget_t *budget, fb_str_t service)
+{
+  char *key = fb_copy_text (service);
+  fr_window_t *window = fr_find_window (budget->windows, key);
+
+  g_free (key);
+  return window;
+}
+
+void
+fr_earn_retry (fr_retry_budget_t *budget, fb_str_t service)
+{
+  fr_add_window (find_window (budget, service), fb_read_clock (budget->clock), 1, 0);
+}
+
+bool
+fr_take_retry (fr_retry_budget_t *budget, fb_str_t service)
+{
+  fr_window_t *window = find_window (budget, service);
+  fb_time_t now = fb_read_clock (budget->clock);
+  const fr_window_count_t *sum = fr_move_window (window, now);
+
+  if ((double)(sum->taken + 1) > FR_RETRY_RATIO * (double)sum->offered + RETRY_FLOOR)
+    return false;
+  fr_add_window (window, now, 0, 1);
+  return true;
+}
+
+bool
+fr_may_retry (fw_outcome_t outcome, bool repeatable, bool has_ticket)
+{
+  /* By outcome: without a ticket on a route that is not repeatable, and on one that is. A call
+   * with a ticket belongs to one node and is never made again elsewhere. */
+  static const bool allowed[][2] = {
+    [FW_ANSWERED] = { false, false },
+    [FW_NOT_RUN] = { true, true },
+    [FW_UNKNOWN] = { false, true },
+    [FW_FAILED] = { false, true },
+  };
+
+  if (has_ticket || outcome < FW_ANSWERED || outcome > FW_FAILED)
+    return false;
+  return allowed[outcome][repeatable];
+}
--- /dev/null
+++ b/packages/call/source/route-pick.c
@@ -0,0 +1,355 @@
+/* Picker: keeps the instances of each service and chooses one for each attempt. */
+#include "route-state.h"
+#include <foxtailrun/base/digest.h>
+#include <foxtailrun/base/invariant.h>
+
+typedef struct
+{
+  instance_t *instances[SUBSET_MAX];
+  size_t count;
+} candidates_t;
+
+static void
+destroy_service (void *data)
+{
+  service_t *service = data;
+
+  g_free (service->name);
+  g_ptr_array_free (service->instances, TRUE);
+  g_ptr_array_free (service->subset, TRUE);
+  g_free (service);
+}
+
+fr_picker_t *
+fr_create_picker (fr_pick_policy_t policy, const fb_name_t *self, const fb_name_t *zone,
+                  uint32_t seed, const fb_clock_t *clock)
+{
+  fr_picker_t *picker = g_new0 (fr_picker_t, 1);
+
+  picker->policy = policy;
+  picker->self = *self;
+  picker->zone = *zone;
+  picker->clock = clock;
+  picker->random = g_rand_new_with_seed (seed);
+  picker->instances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  picker->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_service);
+  return picker;
+}
+
+void
+fr_destroy_picker (fr_picker_t *picker)
+{
+  if (picker == NULL)
+    return;
+  g_hash_table_destroy (picker->instances);
+  g_hash_table_destroy (picker->services);
+  g_rand_free (picker->random);
+  g_free (picker);
+}
+
+static service_t *
+find_service (const fr_picker_t *picker, fb_str_t name)
+{
+  fb_name_t key;
+
+  return fb_set_name (&key, name) ? g_hash_table_lookup (picker->services, key.data) : NULL;
+}
+
+static service_t *
+add_service (fr_picker_t *picker, const fb_name_t *name)
+{
+  service_t *service = find_service (picker, fb_get_name (name));
+
+  if (service != NULL)
+    return service;
+  service = g_new0 (service_t, 1);
+  service->name = g_strdup (name->data);
+  service->instances = g_ptr_array_new ();
+  service->subset = g_ptr_array_new ();
+  g_hash_table_insert (picker->services, service->name, service);
+  return service;
+}
+
+/* Takes INSTANCE out of its service; it is kept while calls are in flight on it. */
+static void
+remove_instance (fr_picker_t *picker, instance_t *instance)
+{
+  if (!instance->gone)
+    {
+      instance->gone = true;
+      instance->member_of_subset = false;
+      g_ptr_array_remove (instance->service->instances, instance);
+      fr_choose_subset (picker, instance->service);
+    }
+  if (instance->in_flight == 0)
+    g_hash_table_remove (picker->instances, instance->member.id.data);
+}
+
+/* Adds MEMBER, or an instance that was gone, as a new instance. */
+static void
+add_instance (fr_picker_t *picker, const fw_member_t *member, instance_t *instance)
+{
+  if (instance == NULL)
+    {
+      instance = g_new0 (instance_t, 1);
+      instance->member = *member;
+      g_hash_table_insert (picker->instances, instance->member.id.data, instance);
+    }
+  instance->member = *member;
+  instance->service = add_service (picker, &member->service);
+  instance->weight
+      = fb_weigh_rendezvous (fb_get_name (&picker->self), fb_get_name (&member->id));
+  instance->gone = false;
+  instance->latency = 0;
+  instance->load = 0;
+  instance->failures = 0;
+  instance->ejections = 0;
+  instance->ejected_until = 0;
+  instance->joined = fb_read_clock (picker->clock);
+  g_ptr_array_add (instance->service->instances, instance);
+  fr_choose_subset (picker, instance->service);
+}
+
+/* Learns the region from this node's own description. */
+static void
+learn_region (fr_picker_t *picker, const fw_member_t *member)
+{
+  GHashTableIter iter;
+  void *value;
+
+  if (fb_equal_name (&picker->region, &member->region))
+    return;
+  picker->region = member->region;
+  g_hash_table_iter_init (&iter, picker->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    fr_choose_subset (picker, value);
+}
+
+void
+fr_update_instance (fr_picker_t *picker, const fw_member_t *member)
+{
+  instance_t *instance = g_hash_table_lookup (picker->instances, member->id.data);
+  bool present
+      = (member->state == FW_ALIVE || member->state == FW_SUSPECT) && member->service.len > 0;
+  bool moved;
+
+  if (fb_equal_name (&member->id, &picker->self))
+    learn_region (picker, member);
+  if (!present)
+    {
+      if (instance != NULL)
+        remove_instance (picker, instance);
+      return;
+    }
+  if (instance == NULL || instance->gone)
+    {
+      add_instance (picker, member, instance);
+      return;
+    }
+  if (!fb_equal_name (&instance->member.service, &member->service))
+    {
+      instance->in_flight++; /* keeps the entry while it changes its service */
+      remove_instance (picker, instance);
+      instance->in_flight--;
+      add_instance (picker, member, instance);
+      return;
+    }
+  moved = !fb_equal_name (&instance->member.zone, &member->zone)
+          || !fb_equal_name (&instance->member.region, &member->region);
+  instance->member = *member;
+  if (moved)
+    fr_choose_subset (picker, instance->service);
+}
+
+static bool
+is_excluded (const instance_t *instance, const fb_name_t *excluded, size_t count)
+{
+  for (size_t i = 0; i < count; i++)
+    if (fb_equal_name (&instance->member.id, &excluded[i]))
+      return true;
+  return false;
+}
+
+/* Collects the instances within REACH in the given state and returns whether each of them is
+ * full. */
+static bool
+collect_candidates (const fr_picker_t *picker, const service_t *service, nearness_t reach,
+                    fw_member_state_t state, bool ejected, const fb_name_t *excluded,
+                    size_t excluded_count, candidates_t *candidates)
+{
+  fb_time_t now = fb_read_clock (picker->clock);
+  bool full = true;
+
+  candidates->count = 0;
+  for (size_t i = 0; i < service->subset->len; i++)
+    {
+      instance_t *instance = g_ptr_array_index (service->subset, i);
+
+      if (fr_get_nearness (picker, instance) > reach || instance->member.state != state
+          || fr_is_ejected (instance, now) != ejected
+          || is_excluded (instance, excluded, excluded_count))
+        continue;
+      FB_INVARIANT (candidates->count < SUBSET_MAX);
+      candidates->instances[candidates->count++] = instance;
+      full = full && fr_is_full (instance, now);
+    }
+  return full;
+}
+
+/* Collects the own zone first, then further away; ejected and suspect instances come last. */
+static void
+find_candidates (const fr_picker_t *picker, const service_t *service, const fb_name_t *excluded,
+                 size_t excluded_count, candidates_t *candidates)
+{
+  for (int near = 0; near < NEAR_COUNT; near++)
+    {
+      bool full = collect_candidates (picker, service, (nearness_t)near, FW_ALIVE, false,
+                                      excluded, excluded_count, candidates);
+
+      if (candidates->count >= 2 && !full)
+        return;
+    }
+  if (candidates->count == 0)
+    collect_candidates (picker, service, NEAR_OTHER, FW_ALIVE, true, excluded, excluded_count,
+                        candidates);
+  if (candidates->count == 0)
+    collect_candidates (picker, service, NEAR_OTHER, FW_SUSPECT, false, excluded,
+                        excluded_count, candidates);
+  if (candidates->count == 0)
+    collect_candidates (picker, service, NEAR_OTHER, FW_SUSPECT, true, excluded, excluded_count,
+                        candidates);
+}
+
+/* Draws one candidate other than TAKEN; an instance in its slow start is drawn less often. */
+static instance_t *
+draw_candidate (fr_picker_t *picker, const candidates_t *candidates, const instance_t *taken,
+                fb_time_t now)
+{
+  instance_t *last = NULL;
+  double total = 0;
+  double point;
+
+  for (size_t i = 0; i < candidates->count; i++)
+    if (candidates->instances[i] != taken)
+      total += fr_get_warmth (candidates->instances[i], now);
+  point = g_rand_double (picker->random) * total;
+  for (size_t i = 0; i < candidates->count; i++)
+    {
+      if (candidates->instances[i] == taken)
+        continue;
+      last = candidates->instances[i];
+      point -= fr_get_warmth (last, now);
+      if (point < 0)
+        break;
+    }
+  return last;
+}
+
+static instance_t *
+pick_two (fr_picker_t *picker, const candidates_t *candidates, fb_time_t now)
+{
+  instance_t *first = draw_candidate (picker, candidates, NULL, now);
+  instance_t *second = draw_candidate (picker, candidates, first, now);
+
+  if (second == NULL)
+    return first;
+  return fr_score_instance (second, now) < fr_score_instance (first, now) ? second : first;
+}
+
+/* The baselines. */
+static instance_t *
+pick_plain (const fr_picker_t *picker, service_t *service, const candidates_t *candidates,
+            fb_str_t key)
+{
+  instance_t *best = candidates->instances[0];
+
+  if (picker->policy == FR_PICK_ROUND_ROBIN)
+    return candidates->instances[service->turn++ % candidates->count];
+  for (size_t i = 1; i < candidates->count; i++)
+    {
+      instance_t *other = candidates->instances[i];
+
+      if (picker->policy == FR_PICK_LEAST
+              ? other->in_flight < best->in_flight
+              : fb_weigh_rendezvous (key, fb_get_name (&other->member.id))
+                    > fb_weigh_rendezvous (key, fb_get_name (&best->member.id)))
+        best = other;
+    }
+  return best;
+}
+
+bool
+fr_pick_backend (fr_picker_t *picker, fb_str_t service_name, fb_str_t key,
+                 const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
+{
+  service_t *service = find_service (picker, service_name);
+  candidates_t candidates;
+  instance_t *instance;
+
+  if (service == NULL)
+    return false;
+  find_candidates (picker, service, excluded, excluded_count, &candidates);
+  if (candidates.count == 0)
+    return false;
+  if (picker->policy == FR_PICK_TWO)
+    instance = pick_two (picker, &candidates, fb_read_clock (picker->clock));
+  else
+    instance = pick_plain (picker, service, &candidates, key);
+  instance->in_flight++;
+  *picked = instance->member.id;
+  return true;
+}
+
+void
+fr_begin_attempt (fr_picker_t *picker, const fb_name_t *name)
+{
+  instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
+
+  if (instance != NULL)
+    instance->in_flight++;
+}
+
+void
+fr_report_result (fr_picker_t *picker, const fb_name_t *name, fr_result_t result,
+                  fb_time_t latency, uint32_t load)
+{
+  instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
+  fb_time_t now = fb_read_clock (picker->clock);
+
+  if (instance == NULL)
+    return;
+  /* A call that began before the instance was known is not counted in flight. */
+  if (instance->in_flight > 0)
+    instance->in_flight--;
+  if (result == FR_RESULT_GOOD || result == FR_RESULT_FAILED)
+    {
+      fr_sample_latency (instance, latency, result == FR_RESULT_FAILED, now);
+      fr_count_attempt (instance, result == FR_RESULT_FAILED, now);
+    }
+  if (result == FR_RESULT_GOOD || result == FR_RESULT_REFUSED)
+    {
+      instance->load = load;
+      instance->load_time = now;
+    }
+  if (instance->gone && instance->in_flight == 0)
+    g_hash_table_remove (picker->instances, instance->member.id.data);
+}
+
+size_t
+fr_count_instances (const fr_picker_t *picker, fb_str_t service_name)
+{
+  const service_t *service = find_service (picker, service_name);
+
+  if (service == NULL)
+    return 0;
+  return service->subset->len
+         - fr_count_subset_ejected (service, fb_read_clock (picker->clock));
+}
+
+size_t
+fr_count_ejected (const fr_picker_t *picker, fb_str_t service_name)
+{
+  const service_t *service = find_service (picker, service_name);
+
+  return service == NULL ? 0 : fr_count_subset_ejected (service, fb_read_clock (picker->clock));
+}
--- /dev/null
+++ b/packages/call/source/route-state.h
@@ -0,0 +1,101 @@
+/* State of the picker, shared by its files. */
+#ifndef FOXTAILRUN_CALL_ROUTE_STATE_H
+#define FOXTAILRUN_CALL_ROUTE_STATE_H
+
+#include <foxtailrun/call/picker.h>
+#include <glib.h>
+
+/* Most instances of one service that a node sends to. */
+#define SUBSET_MAX 16
+
+/* Places of the subset kept for the own zone and for the rest of the own region. */
+#define SUBSET_ZONE 10
+#define SUBSET_REGION 4
+
+/* Time over which a new or returned instance gets its full part. */
+#define SLOW_START (10 * FB_SECOND)
+
+/* How far an instance is away. */
+typedef enum
+{
+  NEAR_ZONE,
+  NEAR_REGION,
+  NEAR_OTHER,
+  NEAR_COUNT
+} nearness_t;
+
+typedef struct service service_t;
+
+typedef struct
+{
+  fw_member_t member;
+  service_t *service;
+  uint64_t weight; /* rendezvous weight for this node */
+  bool gone;       /* left or dead, and kept only for the calls in flight */
+  bool member_of_subset;
+  uint32_t in_flight;
+  double latency;         /* moving average in ns; 0 before the first sample */
+  fb_time_t latency_time; /* of the last sample */
+  uint32_t load;          /* per 1,000 slots, as last reported */
+  fb_time_t load_time;
+  fb_time_t joined;  /* start of the slow start */
+  uint32_t failures; /* in a row */
+  uint32_t ejections;
+  fb_time_t ejected_until; /* 0 when not ejected */
+} instance_t;
+
+struct service
+{
+  char *name;
+  GPtrArray *instances; /* instance_t that are not gone */
+  GPtrArray *subset;    /* of the above, at most SUBSET_MAX */
+  double latency;       /* average of all instances, ns */
+  uint64_t turn;        /* FR_PICK_ROUND_ROBIN */
+};
+
+struct fr_picker
+{
+  fr_pick_policy_t policy;
+  fb_name_t self;
+  fb_name_t zone;
+  fb_name_t region; /* learnt from this node's own description; empty before */
+  const fb_clock_t *clock;
+  GRand *random;
+  GHashTable *instances; /* id -> instance_t */
+  GHashTable *services;  /* name -> service_t */
+};
+
+/* route-subset.c */
+
+/* Returns how far INSTANCE is away. */
+nearness_t fr_get_nearness (const fr_picker_t *picker, const instance_t *instance);
+
+/* Chooses the instances of SERVICE that this node sends to. */
+void fr_choose_subset (const fr_picker_t *picker, service_t *service);
+
+/* route-outlier.c */
+
+/* Returns whether INSTANCE is ejected now. */
+bool fr_is_ejected (const instance_t *instance, fb_time_t now);
+
+/* Counts a good or failed attempt and ejects INSTANCE when it fails too often in a row. */
+void fr_count_attempt (instance_t *instance, bool failed, fb_time_t now);
+
+/* Returns how many instances of the subset of SERVICE are ejected. */
+size_t fr_count_subset_ejected (const service_t *service, fb_time_t now);
+
+/* route-score.c */
+
+/* Takes one sample of the latency; a failure never makes an instance look faster. */
+void fr_sample_latency (instance_t *instance, fb_time_t latency, bool failed, fb_time_t now);
+
+/* Returns the expected cost of one more call on INSTANCE; the lower is better. */
+double fr_score_instance (const instance_t *instance, fb_time_t now);
+
+/* Returns the part, 0 to 1, that INSTANCE gets during its slow start. */
+double fr_get_warmth (const instance_t *instance, fb_time_t now);
+
+/* Returns whether a recent report says that every slot of INSTANCE is in use. */
+bool fr_is_full (const instance_t *instance, fb_time_t now);
+
+#endif
