--- /dev/null
+++ b/packages/dist/source/dist-fetch.c
@@ -0,0 +1,181 @@
+/* Fetches versions above the one in force from the peers that announce them. */
+#include "dist-state.h"
+#include <foxtailrun/config/delta.h>
+
+static fd_announcer_t *
+find_announcer (fd_node_t *node, const fb_name_t *id)
+{
+  for (size_t i = 0; i < node->announcer_count; i++)
+    {
+      if (fb_equal_name (&node->announcers[i].id, id))
+        return &node->announcers[i];
+    }
+  return NULL;
+}
+
+static void
+remove_announcer (fd_node_t *node, size_t index)
+{
+  node->announcers[index] = node->announcers[--node->announcer_count];
+}
+
+void
+fd_drop_announcers (fd_node_t *node)
+{
+  for (size_t i = node->announcer_count; i > 0; i--)
+    {
+      const fd_announcer_t *announcer = &node->announcers[i - 1];
+
+      if (fb_compare_versions (&announcer->version, &node->version) <= 0
+          || fd_is_refused (node, &announcer->version))
+        remove_announcer (node, i - 1);
+    }
+}
+
+/* Returns whether A is to be asked before B: the higher version, then fewer attempts. */
+static bool
+is_better (const fd_announcer_t *a, const fd_announcer_t *b)
+{
+  int order = fb_compare_versions (&a->version, &b->version);
+
+  return order != 0 ? order > 0 : a->tries < b->tries;
+}
+
+/* Returns the next announcer to ask, or NULL; drops those that are dead or asked too often. */
+static fd_announcer_t *
+choose_announcer (fd_node_t *node, fb_time_t now)
+{
+  fd_announcer_t *best = NULL;
+
+  for (size_t i = node->announcer_count; i > 0; i--)
+    {
+      const fd_announcer_t *announcer = &node->announcers[i - 1];
+      const fw_member_t *member = fm_find_member (node->members, &announcer->id);
+      bool is_due = announcer->tries == 0 || now - announcer->asked_at >= FD_FETCH_TIMEOUT;
+
+      if (member == NULL || member->state == FW_DEAD
+          || (announcer->tries >= FD_FETCH_TRIES && is_due))
+        remove_announcer (node, i - 1);
+    }
+  for (size_t i = 0; i < node->announcer_count; i++)
+    {
+      fd_announcer_t *announcer = &node->announcers[i];
+
+      if (announcer->tries > 0 && now - announcer->asked_at < FD_FETCH_TIMEOUT)
+        continue;
+      if (best == NULL || is_better (announcer, best))
+        best = announcer;
+    }
+  return best;
+}
+
+static void
+start_fetch (fd_node_t *node)
+{
+  fb_time_t now = fb_read_clock (node->clock);
+  fd_announcer_t *announcer;
+  fw_control_t message;
+
+  if (node->fetch.outstanding)
+    return;
+  announcer = choose_announcer (node, now);
+  if (announcer == NULL)
+    return;
+  announcer->tries++;
+  announcer->asked_at = now;
+  message = fd_make_message (node, FW_FETCH, fd_next_request (node));
+  if (!node->fetch.whole)
+    message.base = node->version.digest;
+  node->fetch.outstanding = true;
+  node->fetch.request = message.request;
+  node->fetch.peer = announcer->id;
+  node->fetch.deadline = now + FD_FETCH_TIMEOUT;
+  fb_add_counter (node->counters.fetches, 1);
+  node->hooks.send (fm_find_member (node->members, &announcer->id), &message, node->hooks.user);
+}
+
+void
+fd_note_announcer (fd_node_t *node, const fb_name_t *id, const fb_version_t *version)
+{
+  fd_announcer_t *announcer = find_announcer (node, id);
+
+  if (announcer == NULL)
+    {
+      size_t slot = node->announcer_count;
+
+      if (slot < FD_ANNOUNCERS_MAX)
+        node->announcer_count++;
+      else
+        {
+          slot = 0;
+          for (size_t i = 1; i < node->announcer_count; i++)
+            {
+              if (is_better (&node->announcers[slot], &node->announcers[i]))
+                slot = i;
+            }
+          if (fb_compare_versions (version, &node->announcers[slot].version) <= 0)
+            return;
+        }
+      announcer = &node->announcers[slot];
+      *announcer = (fd_announcer_t){ .id = *id };
+    }
+  announcer->version = *version;
+  start_fetch (node);
+}
+
+/* Restores the document in MESSAGE and judges it. */
+static fd_verdict_t
+take_document (fd_node_t *node, const fw_control_t *message)
+{
+  fb_bytes_t base = { NULL, 0 };
+  uint8_t *document = NULL;
+  size_t length = 0;
+  fd_verdict_t verdict;
+
+  if (!fd_is_zero_digest (&message->base) && !fd_find_document (node, &message->base, &base))
+    return FD_CORRUPT;
+  if (fc_decode_delta (base, message->payload, &document, &length) != FB_OK)
+    return FD_CORRUPT;
+  verdict = fd_judge_document (node, &message->version, (fb_bytes_t){ document, length });
+  if (verdict == FD_APPLIED)
+    fd_cache_encoding (node, &message->base,
+                       g_memdup2 (message->payload.data, message->payload.len),
+                       message->payload.len);
+  g_free (document);
+  return verdict;
+}
+
+/* Takes a document also when the fetch was given up meanwhile: whatever is valid and above the
+ * version in force is welcome, and on a slow path only late answers arrive. */
+void
+fd_handle_document (fd_node_t *node, const fw_control_t *message)
+{
+  if (node->fetch.outstanding && message->request == node->fetch.request
+      && fb_equal_name (&message->sender, &node->fetch.peer))
+    node->fetch.outstanding = false;
+  if (message->payload.len > 0 && message->version.number > 0
+      && fb_compare_versions (&message->version, &node->version) > 0
+      && !fd_is_refused (node, &message->version))
+    {
+      fd_verdict_t verdict = take_document (node, message);
+
+      if (verdict == FD_CORRUPT)
+        {
+          fb_add_counter (node->counters.bad_messages, 1);
+          node->fetch.whole = true;
+        }
+      fd_drop_announcers (node);
+    }
+  start_fetch (node);
+}
+
+void
+fd_tick_fetch (fd_node_t *node)
+{
+  if (node->fetch.outstanding && fb_read_clock (node->clock) >= node->fetch.deadline)
+    {
+      node->fetch.outstanding = false;
+      fb_add_counter (node->counters.fetch_timeouts, 1);
+    }
+  start_fetch (node);
+}
