--- a/Makefile
+++ b/Makefile
@@ -18,4 +18,7 @@
 format: packages
 	@tools/check-format -i
 
-.PHONY: all packages build check format
+demo: build
+	@BUILD=$(BUILD) tools/demo
+
+.PHONY: demo all packages build check format
