Implement the config package

A scan before parsing bounds nesting and line length, because toml11 3.7 recurses without a limit and searches the whole line for each value. Tables of arrays use a vector with checked ends, because toml11 takes the last element of an empty array for "a = []" before "[a.b]".

--- /dev/null
+++ b/packages/config/include/foxtailrun/config/schema.h
@@ -0,0 +1,59 @@
+/* Keys of the configuration document and of the settings file: one table that the checker, the
+ * schema command and the operators' page share. */
+#ifndef FOXTAILRUN_CONFIG_SCHEMA_H
+#define FOXTAILRUN_CONFIG_SCHEMA_H
+
+#include <stdbool.h>
+#include <stddef.h>
+
+typedef enum
+{
+  FC_TYPE_NAME,      /* string of 1 to FB_NAME_MAX letters, digits, ".", "_" or "-" */
+  FC_TYPE_REFERENCE, /* name of another element */
+  FC_TYPE_PATH,      /* string that starts with "/" */
+  FC_TYPE_INTEGER,
+  FC_TYPE_NUMBER, /* integer or float */
+  FC_TYPE_BOOLEAN,
+  FC_TYPE_REFERENCES, /* array of names of other elements */
+  FC_TYPE_METHODS,    /* array of HTTP methods */
+  FC_TYPE_ADDRESS,    /* numeric IP address */
+  FC_TYPE_ENDPOINTS,  /* array of "IP:PORT" */
+  FC_TYPE_CHOICE,     /* one of the strings that ALLOWED lists */
+  FC_TYPE_KEY         /* string of printable ASCII characters without spaces */
+} fc_type_t;
+
+/* One key. */
+typedef struct
+{
+  const char *section; /* "" for the top level, otherwise the table's name */
+  const char *key;
+  fc_type_t type;
+  const char *unit;     /* "" when there is none */
+  const char *fallback; /* default as text; NULL when the key must be given */
+  double min;           /* numbers only */
+  double max;
+  const char *allowed; /* what may stand there, for types without a range of numbers */
+  const char *meaning; /* one phrase */
+} fc_field_t;
+
+/* A list of fields; fields of one section are adjacent. */
+typedef struct
+{
+  const fc_field_t *fields;
+  size_t count;
+  bool repeated; /* sections are arrays of tables, [[section]] */
+} fc_schema_t;
+
+/* Returns the static schema of the configuration document. */
+const fc_schema_t *fc_get_document_schema (void);
+
+/* Returns the static schema of the settings file. */
+const fc_schema_t *fc_get_settings_schema (void);
+
+/* Returns the static name of TYPE, such as "integer". */
+const char *fc_describe_type (fc_type_t type);
+
+/* Returns what may stand at FIELD, such as "an integer from 0 to 3"; free with g_free. */
+char *fc_describe_allowed (const fc_field_t *field);
+
+#endif
--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -9,6 +9,8 @@
 #define FC_SERVICES_MAX 1000
 #define FC_ROUTES_MAX 4000
 #define FC_RANKS_MAX 16
+#define FC_CUSTOMERS_MAX 4000
+#define FC_OBJECTIVES_MAX 4000
 
 typedef struct
 {
--- /dev/null
+++ b/packages/config/source/check-document.c
@@ -0,0 +1,159 @@
+/* Check of a whole document, and the parts that its sections share. */
+#include "check-parts.h"
+#include <string.h>
+
+static const fc_toml_t *
+get_section (const fc_checker_t *checker, const char *section)
+{
+  const fc_toml_t *node = fc_find_child (checker->root, section);
+
+  return node && node->kind == FC_TOML_ARRAY ? node : NULL;
+}
+
+size_t
+fc_count_rows (const fc_checker_t *checker, const char *section)
+{
+  const fc_toml_t *node = get_section (checker, section);
+
+  return node ? node->count : 0;
+}
+
+bool
+fc_next_row (const fc_checker_t *checker, const char *section, const fc_toml_t **table,
+             size_t *index, fc_row_t *row)
+{
+  char path[FC_ROW_PATH_MAX];
+
+  if (*table)
+    {
+      *table = (*table)->next;
+      (*index)++;
+    }
+  else
+    {
+      const fc_toml_t *node = get_section (checker, section);
+
+      *table = node ? node->child : NULL;
+      *index = 0;
+    }
+  /* An element that is no table has been reported with its section. */
+  while (*table && (*table)->kind != FC_TOML_TABLE)
+    {
+      *table = (*table)->next;
+      (*index)++;
+    }
+  if (!*table)
+    return false;
+  g_snprintf (path, sizeof path, "%s[%zu]", section, *index);
+  fc_check_row (row, fc_get_document_schema (), section, path, *table, checker->problems);
+  return true;
+}
+
+void
+fc_report_duplicate (const fc_checker_t *checker, const fc_row_t *row, const char *key,
+                     const char *section, size_t earlier)
+{
+  char *quote = fc_quote_node (fc_get_value (row, key)->node);
+  char *found = g_strdup_printf ("%s, as in %s[%zu]", quote, section, earlier);
+  char *allowed = g_strdup_printf ("a different %s for each [[%s]]", key, section);
+
+  fc_add_row_problem (checker->problems, row, key, found, allowed);
+  g_free (allowed);
+  g_free (found);
+  g_free (quote);
+}
+
+uint32_t
+fc_resolve_name (const fc_checker_t *checker, const fc_row_t *row, const char *key,
+                 GHashTable *names)
+{
+  const fc_value_t *value = fc_get_value (row, key);
+  size_t index = 0;
+
+  if (value->node && !fc_find_name (names, value->text, &index))
+    fc_add_node_problem (checker->problems, row, key, value->node, NULL);
+  return (uint32_t)index;
+}
+
+static void
+check_count (const fc_checker_t *checker, const char *section, size_t most)
+{
+  const fc_toml_t *node = get_section (checker, section);
+  char *found;
+  char *allowed;
+
+  if (!node || node->count <= most)
+    return;
+  found = g_strdup_printf ("%zu tables", node->count);
+  allowed = g_strdup_printf ("at most %zu", most);
+  fc_add_problem (checker->problems, node->line, section, found, allowed);
+  g_free (allowed);
+  g_free (found);
+}
+
+static void
+check_root (fc_checker_t *checker)
+{
+  fc_row_t row;
+
+  fc_check_row (&row, fc_get_document_schema (), "", "", checker->root, checker->problems);
+  checker->snapshot->number = fc_get_value (&row, "version")->integer;
+  check_count (checker, "rank", FC_RANKS_MAX);
+  check_count (checker, "service", FC_SERVICES_MAX);
+  check_count (checker, "route", FC_ROUTES_MAX);
+  check_count (checker, "customer", FC_CUSTOMERS_MAX);
+  check_count (checker, "objective", FC_OBJECTIVES_MAX);
+  fc_check_ranks (checker);
+  fc_check_services (checker);
+  fc_check_routes (checker);
+  fc_check_customers (checker);
+  fc_check_objectives (checker);
+}
+
+static fc_snapshot_t *
+build_snapshot (fb_bytes_t document, fc_problems_t *problems)
+{
+  fc_checker_t checker = { .problems = problems };
+  fc_toml_document_t *parsed = NULL;
+  fb_str_t text = { (const char *)document.data, document.len };
+
+  if (document.len > FC_DOCUMENT_MAX)
+    {
+      char *found = g_strdup_printf ("%zu bytes", document.len);
+
+      fc_add_problem (problems, 0, "file", found, "at most 1048576 bytes");
+      g_free (found);
+      return NULL;
+    }
+  if (!fc_scan_toml (text, problems))
+    return NULL;
+  parsed = fc_parse_toml (text, problems);
+  if (!parsed)
+    return NULL;
+  checker.root = fc_get_toml_root (parsed);
+  checker.snapshot = fc_create_snapshot (document);
+  check_root (&checker);
+  fc_destroy_toml (parsed);
+  return checker.snapshot;
+}
+
+fc_snapshot_t *
+fc_check_document (fb_bytes_t document, fc_problems_t *problems)
+{
+  fc_problems_t *found = fc_create_problems ();
+  fc_snapshot_t *snapshot = build_snapshot (document, found);
+
+  if (fc_count_problems (found) > 0)
+    {
+      fc_release_snapshot (snapshot);
+      snapshot = NULL;
+    }
+  for (size_t i = 0; problems && i < fc_count_problems (found); i++)
+    {
+      const fc_problem_t *problem = fc_get_problem (found, i);
+
+      fc_add_problem (problems, problem->line, problem->key, problem->found, problem->allowed);
+    }
+  fc_destroy_problems (found);
+  return snapshot;
+}
--- /dev/null
+++ b/packages/config/source/check-route.c
@@ -0,0 +1,97 @@
+/* Check of routes. */
+#include "check-parts.h"
+#include <string.h>
+
+/* Reads the methods at ROW into *METHODS and joins them by commas into TEXT. */
+static void
+check_methods (const fc_checker_t *checker, const fc_row_t *row, fc_methods_t *methods,
+               GString *text)
+{
+  const fc_toml_t *list = fc_get_value (row, "methods")->node;
+
+  *methods = 0;
+  for (const fc_toml_t *node = list ? list->child : NULL; node; node = node->next)
+    {
+      fc_methods_t bit = fc_get_method_bit (node->text);
+
+      if (bit == 0 || (*methods & bit))
+        {
+          fc_add_node_problem (checker->problems, row, "methods", node, NULL);
+          continue;
+        }
+      *methods |= bit;
+      g_string_append_printf (text, "%s%.*s", text->len ? "," : "", (int)node->text.len,
+                              node->text.data);
+    }
+  if (!list || list->count == 0)
+    *methods = FC_METHODS_ALL;
+}
+
+static fb_str_t
+keep_text (fc_snapshot_t *snapshot, const char *data, size_t len)
+{
+  return (fb_str_t){ g_string_chunk_insert_len (snapshot->texts, data, (gssize)len), len };
+}
+
+static void
+check_path (fc_checker_t *checker, const fc_row_t *row, size_t index, fc_methods_t methods)
+{
+  const fc_route_t *route = &checker->snapshot->routes[index];
+  uint32_t earlier;
+  char *found;
+
+  if (route->path.len == 0 || methods == 0
+      || fc_add_route (checker->snapshot->index, route->path, methods, (uint32_t)index,
+                       &earlier))
+    return;
+  found = g_strdup_printf ("\"%.*s\", which route[%u] has for the same methods",
+                           (int)route->path.len, route->path.data, earlier);
+  fc_add_row_problem (checker->problems, row, "path", found,
+                      "one route for each path and method");
+  g_free (found);
+}
+
+static void
+check_route (fc_checker_t *checker, const fc_row_t *row, size_t index)
+{
+  fc_snapshot_t *snapshot = checker->snapshot;
+  fc_route_t *route = &snapshot->routes[index];
+  fb_str_t path = fc_get_value (row, "path")->text;
+  GString *text = g_string_new ("");
+  fc_methods_t methods;
+
+  fb_set_name (&route->name, fc_get_value (row, "name")->text);
+  route->path = keep_text (snapshot, path.data, path.len);
+  check_methods (checker, row, &methods, text);
+  route->methods = keep_text (snapshot, text->str, text->len);
+  g_string_free (text, TRUE);
+  route->service = fc_resolve_name (checker, row, "service", snapshot->service_names);
+  route->rank = fc_resolve_name (checker, row, "rank", snapshot->rank_names);
+  route->timeout_ms = (uint32_t)fc_get_value (row, "timeout_ms")->integer;
+  route->retries = (uint32_t)fc_get_value (row, "retries")->integer;
+  route->repeatable = fc_get_value (row, "repeatable")->integer != 0;
+  check_path (checker, row, index, methods);
+}
+
+void
+fc_check_routes (fc_checker_t *checker)
+{
+  fc_snapshot_t *snapshot = checker->snapshot;
+  GHashTable *names = fc_create_names ();
+  const fc_toml_t *table = NULL;
+  size_t index;
+  size_t earlier;
+  fc_row_t row;
+
+  snapshot->route_count = fc_count_rows (checker, "route");
+  snapshot->routes = g_new0 (fc_route_t, snapshot->route_count);
+  while (fc_next_row (checker, "route", &table, &index, &row))
+    {
+      const fb_name_t *name = &snapshot->routes[index].name;
+
+      check_route (checker, &row, index);
+      if (name->len > 0 && !fc_add_name (names, name, index, &earlier))
+        fc_report_duplicate (checker, &row, "name", "route", earlier);
+    }
+  g_hash_table_unref (names);
+}
--- /dev/null
+++ b/packages/config/source/check-text.h
@@ -0,0 +1,17 @@
+/* Forms of strings in the document and the settings. */
+#ifndef FOXTAILRUN_CONFIG_CHECK_TEXT_H
+#define FOXTAILRUN_CONFIG_CHECK_TEXT_H
+
+#include <foxtailrun/base/string.h>
+#include <foxtailrun/config/schema.h>
+
+/* Returns whether TEXT may be a name. */
+bool fc_is_name (fb_str_t text);
+
+/* Returns whether TEXT is a numeric IPv4 or IPv6 address. */
+bool fc_is_address (fb_str_t text);
+
+/* Returns whether TEXT has the form that FIELD, of a string type, asks for. */
+bool fc_is_valid_text (const fc_field_t *field, fb_str_t text);
+
+#endif
--- /dev/null
+++ b/packages/config/source/route-index.h
@@ -0,0 +1,34 @@
+/* Index from path prefixes and methods to routes. */
+#ifndef FOXTAILRUN_CONFIG_ROUTE_INDEX_H
+#define FOXTAILRUN_CONFIG_ROUTE_INDEX_H
+
+#include <foxtailrun/config/snapshot.h>
+
+/* A set of methods, one bit each. */
+typedef uint32_t fc_methods_t;
+
+/* Every method, also those without a bit of their own. */
+#define FC_METHODS_ALL UINT32_MAX
+
+/* Returns the bit of METHOD, or 0 when a route cannot list it. */
+fc_methods_t fc_get_method_bit (fb_str_t method);
+
+typedef struct fc_route_index fc_route_index_t;
+
+/* Creates an empty index. */
+fc_route_index_t *fc_create_route_index (void);
+
+/* Frees the index; NULL is allowed. */
+void fc_destroy_route_index (fc_route_index_t *index);
+
+/* Adds route number ROUTE for PATH and METHODS. Returns false when an earlier route has the
+ * same path and one of the methods; *EARLIER is its number. */
+bool fc_add_route (fc_route_index_t *index, fb_str_t path, fc_methods_t methods, uint32_t route,
+                   uint32_t *earlier);
+
+/* Finds the route with the longest prefix of PATH that allows METHOD; returns false when there
+ * is none. */
+bool fc_find_indexed_route (const fc_route_index_t *index, fb_str_t method, fb_str_t path,
+                            uint32_t *route);
+
+#endif
--- /dev/null
+++ b/packages/config/source/schema.c
@@ -0,0 +1,170 @@
+/* The schema tables. */
+#include <foxtailrun/base/string.h>
+#include <foxtailrun/config/schema.h>
+#include <foxtailrun/config/settings.h>
+#include <foxtailrun/config/snapshot.h>
+#include <glib.h>
+
+#define NAME_TEXT "1 to 47 letters, digits, '.', '_' or '-'"
+#define ADDRESS_TEXT "a numeric IP address"
+#define PATH_TEXT                                                                              \
+  "\"/\" or at most 255 bytes in up to 32 segments, each with a \"/\" before it, without "     \
+  "spaces, '?' or '#'"
+#define METHODS_TEXT "GET, HEAD, POST, PUT, PATCH, DELETE or OPTIONS, each at most once"
+#define PORT_MAX 65535
+
+/* Largest integer that every JSON reader keeps exactly. */
+#define VERSION_MAX 9007199254740991.0
+
+static const fc_field_t document_fields[] = {
+  { "", "version", FC_TYPE_INTEGER, "", NULL, 1, VERSION_MAX, NULL,
+    "number of the publication, increased with each one" },
+
+  { "rank", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the rank" },
+  { "rank", "order", FC_TYPE_INTEGER, "", NULL, 0, 99, NULL, "urgency; 0 is the most urgent" },
+  { "rank", "target_ms", FC_TYPE_INTEGER, "ms", "1000", 1, 3600000, NULL, "latency target" },
+  { "rank", "worth", FC_TYPE_NUMBER, "", "1", 0, 1000000, NULL,
+    "relative worth of one call answered within its target" },
+  { "rank", "share", FC_TYPE_NUMBER, "fraction of slot time", "0", 0, 1, NULL,
+    "guaranteed part of slot time; at most 1 over all ranks" },
+
+  { "service", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the service" },
+  { "service", "slots", FC_TYPE_INTEGER, "calls", NULL, 1, 10000, NULL,
+    "calls that an instance runs at once" },
+  { "service", "connections", FC_TYPE_INTEGER, "connections", NULL, 1, 100000, NULL,
+    "connections that an instance accepts" },
+  { "service", "depends_on", FC_TYPE_REFERENCES, "", "[]", 0, 0, "names of other services",
+    "services that this one calls" },
+
+  { "route", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the route" },
+  { "route", "path", FC_TYPE_PATH, "", NULL, 0, 0, PATH_TEXT,
+    "prefix of the request path, matched by whole segments" },
+  { "route", "methods", FC_TYPE_METHODS, "", "[]", 0, 0, METHODS_TEXT,
+    "methods of the route; none listed means every method" },
+  { "route", "service", FC_TYPE_REFERENCE, "", NULL, 0, 0, "the name of a service",
+    "service that runs the calls" },
+  { "route", "rank", FC_TYPE_REFERENCE, "", NULL, 0, 0, "the name of a rank",
+    "rank of the calls" },
+  { "route", "timeout_ms", FC_TYPE_INTEGER, "ms", "1000", 1, 600000, NULL,
+    "longest time for a call with all its attempts" },
+  { "route", "repeatable", FC_TYPE_BOOLEAN, "", "false", 0, 0, "true or false",
+    "whether a call may run more than once; false requires a ticket" },
+  { "route", "retries", FC_TYPE_INTEGER, "attempts", "1", 0, 3, NULL,
+    "most further attempts after the first" },
+
+  { "customer", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the customer" },
+  { "customer", "weight", FC_TYPE_NUMBER, "", "1", 0.01, 1000, NULL,
+    "part within a rank, relative to customers that are not listed" },
+
+  { "objective", "service", FC_TYPE_REFERENCE, "", NULL, 0, 0, "the name of a service",
+    "service that the objective is about" },
+  { "objective", "rank", FC_TYPE_REFERENCE, "", NULL, 0, 0, "the name of a rank",
+    "rank that the objective is about" },
+  { "objective", "target_ms", FC_TYPE_INTEGER, "ms", NULL, 1, 3600000, NULL, "latency target" },
+  { "objective", "ratio", FC_TYPE_NUMBER, "fraction of calls", NULL, 0, 1, NULL,
+    "part of the calls answered within the target" },
+};
+
+static const fc_field_t settings_fields[] = {
+  { "node", "id", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "unique name of the node" },
+  { "node", "zone", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "availability zone" },
+  { "node", "region", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "region of the zone" },
+  { "node", "service", FC_TYPE_NAME, "", "", 0, 0, NAME_TEXT,
+    "service of the backend server beside the node; none when left out" },
+
+  { "listen", "address", FC_TYPE_ADDRESS, "", NULL, 0, 0,
+    ADDRESS_TEXT " that other nodes reach, not 0.0.0.0 or ::", "address of the node" },
+  { "listen", "caller_port", FC_TYPE_INTEGER, "", "7400", 1, PORT_MAX, NULL,
+    "TCP port for HTTP calls of callers" },
+  { "listen", "call_port", FC_TYPE_INTEGER, "", "7401", 1, PORT_MAX, NULL,
+    "TCP port for calls of other nodes" },
+  { "listen", "control_port", FC_TYPE_INTEGER, "", "7402", 1, PORT_MAX, NULL,
+    "UDP and TCP port for membership and distribution" },
+  { "listen", "admin_port", FC_TYPE_INTEGER, "", "7403", 1, PORT_MAX, NULL,
+    "TCP port for HTTP administration" },
+
+  { "backend", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
+    "address of the backend server" },
+  { "backend", "port", FC_TYPE_INTEGER, "", "0", 1, PORT_MAX, NULL,
+    "HTTP port of the backend server; required with node.service" },
+
+  { "platform", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
+    "address of the platform's configuration service and host list" },
+  { "platform", "port", FC_TYPE_INTEGER, "", "0", 1, PORT_MAX, NULL,
+    "HTTP port of the platform; not read when left out" },
+
+  { "seeds", "nodes", FC_TYPE_ENDPOINTS, "", "[]", 0, 0,
+    "at most 32 different \"IP:PORT\" or \"[IPv6]:PORT\"",
+    "control addresses of nodes to join by" },
+
+  { "admin", "key", FC_TYPE_KEY, "", "", 0, 0,
+    "8 to 47 printable ASCII characters without spaces",
+    "key for calls that change something; they are refused without one" },
+
+  { "log", "level", FC_TYPE_CHOICE, "", "info", 0, 0, "debug, info, warning, error",
+    "least level of the lines written" },
+  { "log", "format", FC_TYPE_CHOICE, "", "logfmt", 0, 0, "logfmt, json",
+    "format of the lines" },
+};
+
+const fc_schema_t *
+fc_get_document_schema (void)
+{
+  static const fc_schema_t schema = { document_fields, G_N_ELEMENTS (document_fields), true };
+
+  return &schema;
+}
+
+const fc_schema_t *
+fc_get_settings_schema (void)
+{
+  static const fc_schema_t schema = { settings_fields, G_N_ELEMENTS (settings_fields), false };
+
+  return &schema;
+}
+
+const char *
+fc_describe_type (fc_type_t type)
+{
+  switch (type)
+    {
+    case FC_TYPE_NAME:
+    case FC_TYPE_REFERENCE:
+    case FC_TYPE_PATH:
+    case FC_TYPE_ADDRESS:
+    case FC_TYPE_CHOICE:
+    case FC_TYPE_KEY:
+      return "string";
+    case FC_TYPE_INTEGER:
+      return "integer";
+    case FC_TYPE_NUMBER:
+      return "number";
+    case FC_TYPE_BOOLEAN:
+      return "boolean";
+    case FC_TYPE_REFERENCES:
+    case FC_TYPE_METHODS:
+    case FC_TYPE_ENDPOINTS:
+      return "array of strings";
+    }
+  return "unknown";
+}
+
+char *
+fc_describe_allowed (const fc_field_t *field)
+{
+  switch (field->type)
+    {
+    case FC_TYPE_INTEGER:
+      return g_strdup_printf ("an integer from %.0f to %.0f", field->min, field->max);
+    case FC_TYPE_NUMBER:
+      return g_strdup_printf ("a number from %.10g to %.10g", field->min, field->max);
+    case FC_TYPE_REFERENCES:
+    case FC_TYPE_METHODS:
+    case FC_TYPE_ENDPOINTS:
+      return g_strdup_printf ("an array of %s", field->allowed);
+    case FC_TYPE_CHOICE:
+      return g_strdup_printf ("one of %s", field->allowed);
+    default:
+      return g_strdup (field->allowed);
+    }
+}
--- /dev/null
+++ b/packages/config/source/settings.c
@@ -0,0 +1,224 @@
+/* Check of a node's settings. */
+#include "check-row.h"
+#include "check-text.h"
+#include <foxtailrun/config/settings.h>
+#include <glib.h>
+#include <string.h>
+
+/* Bounds the work on a file that is no settings file. */
+#define SETTINGS_MAX_BYTES (64 * 1024)
+
+static void
+check_section (fc_row_t *row, const fc_toml_t *root, const char *section,
+               fc_problems_t *problems)
+{
+  const fc_toml_t *table = fc_find_child (root, section);
+
+  if (table && table->kind != FC_TOML_TABLE)
+    table = NULL;
+  fc_check_row (row, fc_get_settings_schema (), section, section, table, problems);
+}
+
+static void
+take_name (fb_name_t *name, const fc_row_t *row, const char *key)
+{
+  fb_set_name (name, fc_get_value (row, key)->text);
+}
+
+static uint16_t
+take_port (const fc_row_t *row, const char *key)
+{
+  return (uint16_t)fc_get_value (row, key)->integer;
+}
+
+static void
+check_node (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  fc_row_t row;
+
+  check_section (&row, root, "node", problems);
+  take_name (&settings->id, &row, "id");
+  take_name (&settings->zone, &row, "zone");
+  take_name (&settings->region, &row, "region");
+  take_name (&settings->service, &row, "service");
+}
+
+static void
+check_listen (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  static const char *const keys[]
+      = { "caller_port", "call_port", "control_port", "admin_port" };
+  uint16_t ports[G_N_ELEMENTS (keys)];
+  fc_row_t row;
+
+  check_section (&row, root, "listen", problems);
+  take_name (&settings->address, &row, "address");
+  if (strcmp (settings->address.data, "0.0.0.0") == 0
+      || strcmp (settings->address.data, "::") == 0)
+    fc_add_node_problem (problems, &row, "address", fc_get_value (&row, "address")->node, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      ports[i] = take_port (&row, keys[i]);
+      for (size_t j = 0; j < i; j++)
+        if (ports[i] == ports[j])
+          {
+            char *found = g_strdup_printf ("%u, as in listen.%s", ports[i], keys[j]);
+
+            fc_add_row_problem (problems, &row, keys[i], found, "a port of its own");
+            g_free (found);
+            break;
+          }
+    }
+  settings->caller_port = ports[0];
+  settings->call_port = ports[1];
+  settings->control_port = ports[2];
+  settings->admin_port = ports[3];
+}
+
+static void
+check_backend (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  const fc_toml_t *table = fc_find_child (root, "backend");
+  fc_row_t row;
+
+  check_section (&row, root, "backend", problems);
+  take_name (&settings->backend.address, &row, "address");
+  settings->backend.port = take_port (&row, "port");
+  if (settings->service.len > 0 && !fc_find_child (table, "port"))
+    fc_add_row_problem (problems, &row, "port", "nothing", NULL);
+  if (settings->service.len == 0 && table
+      && !fc_find_child (fc_find_child (root, "node"), "service"))
+    fc_add_problem (problems, table->line, "backend", "a table",
+                    "no [backend] without node.service");
+}
+
+static void
+check_platform (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  const fc_toml_t *table = fc_find_child (root, "platform");
+  fc_row_t row;
+
+  check_section (&row, root, "platform", problems);
+  take_name (&settings->platform.address, &row, "address");
+  settings->platform.port = take_port (&row, "port");
+  if (table && table->kind == FC_TOML_TABLE && !fc_find_child (table, "port"))
+    fc_add_row_problem (problems, &row, "port", "nothing", NULL);
+}
+
+/* Parses "IP:PORT" or "[IPv6]:PORT". */
+static bool
+parse_endpoint (fb_str_t text, fc_endpoint_t *endpoint)
+{
+  const char *colon = text.len ? memrchr (text.data, ':', text.len) : NULL;
+  fb_str_t address;
+  uint64_t port;
+
+  if (!colon)
+    return false;
+  address = (fb_str_t){ text.data, (size_t)(colon - text.data) };
+  if (!fb_parse_u64 ((fb_str_t){ colon + 1, text.len - address.len - 1 }, &port) || port == 0
+      || port > UINT16_MAX)
+    return false;
+  if (address.len > 2 && address.data[0] == '[' && address.data[address.len - 1] == ']')
+    address = (fb_str_t){ address.data + 1, address.len - 2 };
+  else if (address.len > 0 && memchr (address.data, ':', address.len))
+    return false;
+  endpoint->port = (uint16_t)port;
+  return fc_is_address (address) && fb_set_name (&endpoint->address, address);
+}
+
+static bool
+is_known_seed (const fc_settings_t *settings, const fc_endpoint_t *seed)
+{
+  for (size_t i = 0; i < settings->seed_count; i++)
+    if (settings->seeds[i].port == seed->port
+        && fb_equal_name (&settings->seeds[i].address, &seed->address))
+      return true;
+  return false;
+}
+
+static void
+check_seeds (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  const fc_toml_t *list;
+  fc_row_t row;
+
+  check_section (&row, root, "seeds", problems);
+  list = fc_get_value (&row, "nodes")->node;
+  for (const fc_toml_t *node = list ? list->child : NULL; node; node = node->next)
+    {
+      fc_endpoint_t seed;
+
+      if (!parse_endpoint (node->text, &seed) || is_known_seed (settings, &seed)
+          || settings->seed_count == FC_SEEDS_MAX)
+        fc_add_node_problem (problems, &row, "nodes", node, NULL);
+      else
+        settings->seeds[settings->seed_count++] = seed;
+    }
+}
+
+static void
+check_admin_and_log (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  fc_row_t row;
+
+  check_section (&row, root, "admin", problems);
+  take_name (&settings->admin_key, &row, "key");
+  check_section (&row, root, "log", problems);
+  if (fb_parse_log_level (fc_get_value (&row, "level")->text, &settings->log_level) != FB_OK)
+    settings->log_level = FB_LOG_INFO;
+  settings->log_format = fb_equal_str (fc_get_value (&row, "format")->text, FB_LITERAL ("json"))
+                             ? FB_LOG_JSON
+                             : FB_LOG_LOGFMT;
+}
+
+static void
+check_all (fc_settings_t *settings, fb_bytes_t document, fc_problems_t *problems)
+{
+  fb_str_t text = { (const char *)document.data, document.len };
+  fc_toml_document_t *parsed;
+  const fc_toml_t *root;
+  fc_row_t row;
+
+  if (document.len > SETTINGS_MAX_BYTES)
+    {
+      char *found = g_strdup_printf ("%zu bytes", document.len);
+
+      fc_add_problem (problems, 0, "file", found, "at most 65536 bytes");
+      g_free (found);
+      return;
+    }
+  if (!fc_scan_toml (text, problems))
+    return;
+  parsed = fc_parse_toml (text, problems);
+  if (!parsed)
+    return;
+  root = fc_get_toml_root (parsed);
+  fc_check_row (&row, fc_get_settings_schema (), "", "", root, problems);
+  check_node (settings, root, problems);
+  check_listen (settings, root, problems);
+  check_backend (settings, root, problems);
+  check_platform (settings, root, problems);
+  check_seeds (settings, root, problems);
+  check_admin_and_log (settings, root, problems);
+  fc_destroy_toml (parsed);
+}
+
+fb_status_t
+fc_check_settings (fb_bytes_t document, fc_settings_t *settings, fc_problems_t *problems)
+{
+  fc_problems_t *found = fc_create_problems ();
+  fb_status_t status;
+
+  memset (settings, 0, sizeof *settings);
+  check_all (settings, document, found);
+  status = fc_count_problems (found) == 0 ? FB_OK : FB_INVALID;
+  for (size_t i = 0; problems && i < fc_count_problems (found); i++)
+    {
+      const fc_problem_t *problem = fc_get_problem (found, i);
+
+      fc_add_problem (problems, problem->line, problem->key, problem->found, problem->allowed);
+    }
+  fc_destroy_problems (found);
+  return status;
+}
--- /dev/null
+++ b/packages/config/source/snapshot-parts.h
@@ -0,0 +1,46 @@
+/* The inside of a snapshot, shared by the checker that builds it and the functions that read
+ * it. */
+#ifndef FOXTAILRUN_CONFIG_SNAPSHOT_PARTS_H
+#define FOXTAILRUN_CONFIG_SNAPSHOT_PARTS_H
+
+#include "route-index.h"
+#include <foxtailrun/config/snapshot.h>
+#include <glib.h>
+
+struct fc_snapshot
+{
+  gint references;
+  uint64_t number;
+  uint8_t *document;
+  size_t length;
+  fc_rank_t *ranks;
+  size_t rank_count;
+  fc_service_t *services;
+  size_t service_count;
+  fc_route_t *routes;
+  size_t route_count;
+  fc_customer_t *customers;
+  size_t customer_count;
+  fc_objective_t *objectives;
+  size_t objective_count;
+  GHashTable *rank_names;     /* fb_name_t in ranks to index */
+  GHashTable *service_names;  /* fb_name_t in services to index */
+  GHashTable *customer_names; /* fb_name_t in customers to index */
+  GStringChunk *texts;        /* paths and methods of routes */
+  GPtrArray *lists;           /* depends_on of services */
+  fc_route_index_t *index;
+};
+
+/* Creates an empty snapshot with one reference that holds a copy of DOCUMENT. */
+fc_snapshot_t *fc_create_snapshot (fb_bytes_t document);
+
+/* Creates a table from names, borrowed, to indexes. */
+GHashTable *fc_create_names (void);
+
+/* Adds NAME with INDEX, or returns false and the earlier one's index in *EARLIER. */
+bool fc_add_name (GHashTable *names, const fb_name_t *name, size_t index, size_t *earlier);
+
+/* Finds TEXT; returns false when it is missing. */
+bool fc_find_name (GHashTable *names, fb_str_t text, size_t *index);
+
+#endif
--- /dev/null
+++ b/packages/config/source/toml-parse.cc
@@ -0,0 +1,255 @@
+// Parses TOML with toml11 and hands it to C as a tree.
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <cstring>
+#include <deque>
+#include <map>
+#include <memory>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <toml.hpp>
+#include <vector>
+
+extern "C"
+{
+#include "toml-tree.h"
+}
+
+namespace
+{
+
+// A vector whose ends are checked: toml11 3.7 takes the last element of an empty array when a
+// table header names it, as in "a = []" before "[a.b]".
+template <typename T, typename... Rest> class checked_vector : public std::vector<T, Rest...>
+{
+public:
+  using base = std::vector<T, Rest...>;
+  using base::base;
+
+  T &
+  front ()
+  {
+    return this->at (0);
+  }
+  T &
+  back ()
+  {
+    if (this->empty ())
+      throw std::out_of_range ("an empty array cannot be extended by a table");
+    return base::back ();
+  }
+  const T &
+  front () const
+  {
+    return this->at (0);
+  }
+  const T &
+  back () const
+  {
+    if (this->empty ())
+      throw std::out_of_range ("an empty array cannot be extended by a table");
+    return base::back ();
+  }
+};
+
+// Ordered tables make the order of problems independent of the hash function.
+using value = toml::basic_value<toml::discard_comments, std::map, checked_vector>;
+
+// Longest piece of a line quoted in a syntax error, in bytes.
+constexpr size_t QUOTE_MAX = 60;
+
+} // namespace
+
+struct fc_toml_document
+{
+  value root;
+  fb_str_t text;
+  std::vector<size_t> lines; // offset of the first byte of each line
+  std::deque<fc_toml_t> nodes;
+};
+
+namespace
+{
+
+// Fills in where VALUE stands; the region's own line number counts lines from the top each
+// time.
+void
+locate (const fc_toml_document &document, const value &from, fc_toml_t &node)
+{
+  auto region = dynamic_cast<const toml::detail::region *> (toml::detail::get_region (from));
+  if (region == nullptr)
+    return;
+  size_t first = static_cast<size_t> (region->first () - region->begin ());
+  size_t last = static_cast<size_t> (region->last () - region->begin ());
+  if (first > last || last > document.text.len)
+    return;
+  auto line = std::upper_bound (document.lines.begin (), document.lines.end (), first);
+  node.line = static_cast<uint32_t> (line - document.lines.begin ());
+  node.source = fb_str_t{ document.text.data + first, last - first };
+}
+
+fc_toml_t *convert (fc_toml_document &document, const value &from, fb_str_t key);
+
+void
+append (fc_toml_t &parent, fc_toml_t *&last, fc_toml_t *child)
+{
+  if (last == nullptr)
+    parent.child = child;
+  else
+    last->next = child;
+  last = child;
+  parent.count++;
+}
+
+void
+convert_children (fc_toml_document &document, const value &from, fc_toml_t &node)
+{
+  fc_toml_t *last = nullptr;
+  if (from.is_table ())
+    for (const auto &item : from.as_table (std::nothrow))
+      append (
+          node, last,
+          convert (document, item.second, fb_str_t{ item.first.data (), item.first.size () }));
+  else
+    for (const auto &item : from.as_array (std::nothrow))
+      append (node, last, convert (document, item, fb_str_t{ "", 0 }));
+}
+
+fc_toml_t *
+convert (fc_toml_document &document, const value &from, fb_str_t key)
+{
+  document.nodes.emplace_back ();
+  fc_toml_t &node = document.nodes.back ();
+  node.key = key;
+  locate (document, from, node);
+  switch (from.type ())
+    {
+    case toml::value_t::table:
+    case toml::value_t::array:
+      node.kind = from.is_table () ? FC_TOML_TABLE : FC_TOML_ARRAY;
+      convert_children (document, from, node);
+      break;
+    case toml::value_t::string:
+      {
+        const std::string &text = from.as_string (std::nothrow).str;
+        node.kind = FC_TOML_STRING;
+        node.text = fb_str_t{ text.data (), text.size () };
+        break;
+      }
+    case toml::value_t::integer:
+      node.kind = FC_TOML_INTEGER;
+      node.integer = from.as_integer (std::nothrow);
+      node.number = static_cast<double> (node.integer);
+      break;
+    case toml::value_t::floating:
+      node.kind = FC_TOML_FLOAT;
+      node.number = from.as_floating (std::nothrow);
+      break;
+    case toml::value_t::boolean:
+      node.kind = FC_TOML_BOOLEAN;
+      node.integer = from.as_boolean (std::nothrow) ? 1 : 0;
+      break;
+    default:
+      node.kind = FC_TOML_TIME;
+      break;
+    }
+  return &node;
+}
+
+void
+index_lines (fc_toml_document &document)
+{
+  document.lines.push_back (0);
+  for (size_t i = 0; i < document.text.len; i++)
+    if (document.text.data[i] == '\n')
+      document.lines.push_back (i + 1);
+}
+
+// Reduces "[error] toml::function: message" and the lines below it to the message.
+std::string
+shorten (const char *what)
+{
+  std::string message (what, std::strcspn (what, "\n"));
+  size_t start = message.find ("toml::");
+  size_t colon = start == std::string::npos ? start : message.find (": ", start);
+  if (colon != std::string::npos)
+    message.erase (0, colon + 2);
+  return message.empty () ? "a value is malformed" : message;
+}
+
+// Returns line NUMBER without the blanks around it.
+std::string
+quote_line (fb_str_t text, size_t number)
+{
+  const char *line = text.data;
+  const char *end = text.data + text.len;
+  for (size_t i = 1; i < number && line < end; i++)
+    {
+      line = std::find (line, end, '\n');
+      line += line < end;
+    }
+  end = std::find (line, end, '\n');
+  while (line < end && (*line == ' ' || *line == '\t'))
+    line++;
+  while (line < end && static_cast<unsigned char> (end[-1]) <= ' ')
+    end--;
+  std::string quote (line, std::min (static_cast<size_t> (end - line), QUOTE_MAX));
+  while (!quote.empty () && quote.size () < static_cast<size_t> (end - line)
+         && (static_cast<unsigned char> (line[quote.size ()]) & 0xC0) == 0x80)
+    quote.pop_back (); // not within a UTF-8 sequence
+  if (quote.empty ())
+    return "the end of the file";
+  return "'" + quote + "'";
+}
+
+void
+report (fb_str_t text, uint32_t line, const std::string &message, fc_problems_t *problems)
+{
+  fc_add_problem (problems, line, "syntax", quote_line (text, line).c_str (),
+                  ("valid TOML (" + message + ")").c_str ());
+}
+
+} // namespace
+
+extern "C" fc_toml_document_t *
+fc_parse_toml (fb_str_t text, fc_problems_t *problems)
+{
+  try
+    {
+      std::unique_ptr<fc_toml_document> document (new fc_toml_document ());
+      std::istringstream stream (std::string (text.data, text.len));
+      document->text = text;
+      document->root
+          = toml::parse<toml::discard_comments, std::map, checked_vector> (stream, "");
+      index_lines (*document);
+      convert (*document, document->root, fb_str_t{ "", 0 });
+      return document.release ();
+    }
+  catch (const toml::exception &error)
+    {
+      report (text, error.location ().line (), shorten (error.what ()), problems);
+    }
+  catch (const std::exception &error)
+    {
+      fc_add_problem (problems, 0, "syntax", error.what (), "valid TOML");
+    }
+  catch (...)
+    {
+      fc_add_problem (problems, 0, "syntax", "an unknown parser error", "valid TOML");
+    }
+  return nullptr;
+}
+
+extern "C" const fc_toml_t *
+fc_get_toml_root (const fc_toml_document_t *document)
+{
+  return &document->nodes.front ();
+}
+
+extern "C" void
+fc_destroy_toml (fc_toml_document_t *document)
+{
+  delete document;
+}
--- /dev/null
+++ b/packages/config/source/toml-scan.c
@@ -0,0 +1,174 @@
+/* Checks that keep a document within what the TOML parser handles in bounded time and stack. */
+#include "toml-tree.h"
+#include <glib.h>
+
+/* The parser recurses for each level; the schema needs 3. */
+#define NESTING_MAX 16
+
+/* The parser searches a line once for each value on it. */
+#define LINE_MAX_BYTES 16384
+
+typedef enum
+{
+  OUTSIDE,
+  COMMENT,
+  BASIC,        /* "..." */
+  LITERAL,      /* '...' */
+  BASIC_LINES,  /* """...""" */
+  LITERAL_LINES /* '''...''' */
+} scan_state_t;
+
+typedef struct
+{
+  fb_str_t text;
+  size_t at;
+  scan_state_t state;
+  uint32_t line;
+  size_t line_start;
+  size_t depth; /* open brackets and braces */
+  size_t dots;  /* in the current key or number */
+} scan_t;
+
+static bool
+is_triple (const scan_t *scan, char quote)
+{
+  return scan->at + 2 < scan->text.len && scan->text.data[scan->at + 1] == quote
+         && scan->text.data[scan->at + 2] == quote;
+}
+
+static void
+scan_quote (scan_t *scan, char c)
+{
+  bool triple = is_triple (scan, c);
+
+  if (triple)
+    scan->at += 2;
+  if (c == '"')
+    scan->state = triple ? BASIC_LINES : BASIC;
+  else
+    scan->state = triple ? LITERAL_LINES : LITERAL;
+}
+
+static void
+scan_outside (scan_t *scan, char c)
+{
+  switch (c)
+    {
+    case '"':
+    case '\'':
+      scan_quote (scan, c);
+      break;
+    case '#':
+      scan->state = COMMENT;
+      break;
+    case '[':
+    case '{':
+      scan->depth++;
+      break;
+    case ']':
+    case '}':
+      if (scan->depth > 0)
+        scan->depth--;
+      break;
+    case '.':
+      scan->dots++;
+      break;
+    case '=':
+    case ',':
+    case '\n':
+      scan->dots = 0;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+scan_inside (scan_t *scan, char c)
+{
+  char quote = scan->state == LITERAL || scan->state == LITERAL_LINES ? '\'' : '"';
+
+  if (scan->state == COMMENT)
+    {
+      if (c == '\n')
+        scan->state = OUTSIDE;
+      return;
+    }
+  if (c == '\\' && quote == '"')
+    {
+      /* A line break stays for the caller, which counts lines. */
+      if (scan->at + 1 < scan->text.len && scan->text.data[scan->at + 1] != '\n')
+        scan->at++;
+      return;
+    }
+  if (scan->state == BASIC || scan->state == LITERAL)
+    {
+      if (c == quote || c == '\n')
+        scan->state = OUTSIDE;
+      return;
+    }
+  if (c == quote && is_triple (scan, quote))
+    {
+      scan->at += 2;
+      /* Up to two quotes may stand before the closing three. */
+      for (int i = 0; i < 2 && scan->at + 1 < scan->text.len; i++)
+        if (scan->text.data[scan->at + 1] == quote)
+          scan->at++;
+      scan->state = OUTSIDE;
+    }
+}
+
+static bool
+check_encoding (fb_str_t text, fc_problems_t *problems)
+{
+  const char *end = text.data;
+  uint32_t line = 1;
+  char *found;
+
+  if (text.len == 0 || g_utf8_validate (text.data, (gssize)text.len, &end))
+    return true;
+  for (const char *p = text.data; p < end; p++)
+    line += *p == '\n';
+  found = g_strdup_printf ("byte 0x%02x", (unsigned char)*end);
+  fc_add_problem (problems, line, "syntax", found, "UTF-8 text without NUL bytes");
+  g_free (found);
+  return false;
+}
+
+bool
+fc_scan_toml (fb_str_t text, fc_problems_t *problems)
+{
+  scan_t scan = { .text = text, .line = 1 };
+
+  if (!check_encoding (text, problems))
+    return false;
+  for (; scan.at < text.len; scan.at++)
+    {
+      char c = text.data[scan.at];
+
+      if (scan.state == OUTSIDE)
+        scan_outside (&scan, c);
+      else
+        scan_inside (&scan, c);
+      if (scan.depth > NESTING_MAX || scan.dots > NESTING_MAX)
+        {
+          fc_add_problem (problems, scan.line, "syntax", "more than 16 levels",
+                          "at most 16 levels of tables and arrays");
+          return false;
+        }
+      if (scan.at - scan.line_start >= LINE_MAX_BYTES && c != '\n')
+        {
+          fc_add_problem (problems, scan.line, "syntax", "a line of more than 16384 bytes",
+                          "lines of at most 16384 bytes");
+          return false;
+        }
+      if (c == '\n')
+        {
+          scan.line++;
+          scan.line_start = scan.at + 1;
+          /* Headers never span lines, so an unbalanced one must not count for the next. */
+          scan.dots = 0;
+        }
+    }
+  return true;
+}
