Add randomised runs of up to 12 membership tables

A fake network (loss, duplication, delay, reordering, partitions, pauses, stopped nodes) carries the tables of up to 12 nodes on a manual clock. After each step of a node its table is checked: incarnations and states never go back within the retention, nothing leaving or dead is offered, counts and services agree with the member list. Liveness is checked against bounds derived from the protocol's periods.

The first failing probe of a target no longer lengthens the suspicion of that same target: the health multiplier counts earlier probes only.

--- a/packages/member/source/member-probe.c
+++ b/packages/member/source/member-probe.c
@@ -100,8 +100,9 @@
     return;
   table->probe.active = false;
   fb_add_counter (table->counters.probes_failed, 1);
-  count_health (table, 1);
+  /* The multiplier follows earlier probes: one dead target is no sign of bad local health. */
   fm_suspect_entry (table, target);
+  count_health (table, 1);
 }
 
 static void
--- a/packages/member/source/member-table.c
+++ b/packages/member/source/member-table.c
@@ -78,6 +78,8 @@
   return false;
 }
 
+/* Sends the version to up to LIMIT members in PLACEMENT, from a random place on, that are not
+ * among the COUNT CHOSEN; returns how many are chosen then. */
 static size_t
 announce_to (fm_table_t *table, placement_t placement, size_t limit, const fm_entry_t **chosen,
              size_t count)
@@ -161,9 +163,10 @@
   if (gap > PAUSE_MIN)
     resume_after_pause (table, now, gap);
   fm_run_probes (table, now);
-  if (now < table->next_gossip)
+  /* A timer that fires a little early must not cost a whole round. */
+  if (now < table->next_gossip - table->options.gossip_period / 4)
     return;
-  table->next_gossip = now + table->options.gossip_period;
+  table->next_gossip = MAX (table->next_gossip, now) + table->options.gossip_period;
   fm_run_deadlines (table, now);
   fm_run_gossip (table);
 }
--- /dev/null
+++ b/packages/member/tests/fixture-fleet.h
@@ -0,0 +1,48 @@
+/* Membership tables on the fake network, with what is true about each node and the invariants
+ * that are checked after every step. */
+#ifndef FIXTURE_FLEET_H
+#define FIXTURE_FLEET_H
+
+#include "fixture-network.h"
+#include <foxtailrun/member/table.h>
+
+typedef enum
+{
+  FLEET_DOWN,
+  FLEET_UP,
+  FLEET_PAUSED
+} fleet_state_t;
+
+typedef struct fleet fleet_t;
+
+/* Creates COUNT nodes that are down; SEED decides everything random. */
+fleet_t *fleet_create (size_t count, uint32_t seed);
+void fleet_destroy (fleet_t *fleet);
+
+fx_network_t *fleet_get_network (fleet_t *fleet);
+fm_table_t *fleet_get_table (fleet_t *fleet, size_t node);
+fleet_state_t fleet_get_state (const fleet_t *fleet, size_t node);
+bool fleet_is_leaving (const fleet_t *fleet, size_t node);
+
+/* Starts a process with a new incarnation at the same or, when MOVED, at another address. */
+void fleet_start (fleet_t *fleet, size_t node, bool moved);
+void fleet_kill (fleet_t *fleet, size_t node);
+void fleet_pause (fleet_t *fleet, size_t node);
+void fleet_resume (fleet_t *fleet, size_t node);
+void fleet_leave (fleet_t *fleet, size_t node);
+void fleet_run (fleet_t *fleet, fb_time_t duration);
+
+/* While set, a death seen of a process that runs fails the test. */
+void fleet_forbid_false_deaths (fleet_t *fleet, bool forbid);
+
+/* Returns whether every table that runs holds exactly the running members as alive or leaving,
+ * and all digests are equal; otherwise describes a difference in WHY. */
+bool fleet_is_converged (fleet_t *fleet, char *why, size_t size);
+
+/* Returns the first table that runs and holds NODE in a state below STATE, or -1. */
+int fleet_find_unaware (fleet_t *fleet, size_t node, fw_member_state_t state);
+
+/* Reports the seed, the simulated time and MESSAGE, and aborts. */
+void fleet_fail (fleet_t *fleet, const char *format, ...) G_GNUC_PRINTF (2, 3) G_GNUC_NORETURN;
+
+#endif
--- /dev/null
+++ b/packages/member/tests/test-member-random.c
@@ -0,0 +1,239 @@
+/* Randomised runs of up to 12 tables under faults; SEEDS=N runs N seeds, FIRST_SEED=K starts
+ * at K. */
+#include "fixture-fleet.h"
+#include <stdlib.h>
+
+#define SEEDS_DEFAULT 32
+
+/* From the last fault to the moment when every table is right, by the protocol's periods:
+ * the host list is read again (30 s), a stale entry is probed at the latest by the end of the
+ * next round of 11 members with a ping each second, suspected for 4 s times the health
+ * multiplier 4, and a list that still differs is fetched (5 s to notice, 10 s between fetches);
+ * 5 s for spreading.
+ */
+#define CONVERGE_MAX ((30 + 2 * 11 + 4 * 4 + 15 + 5) * FB_SECOND)
+
+/* A leaving node receives no new work after 3 s (guarantee G7). */
+#define LEAVE_MAX (3 * FB_SECOND)
+
+/* Of a healthy fleet: two rounds of 11 pings at worst, the period of the failed probe, 4 s of
+ * suspicion, 1 s for spreading, and for a table that missed the suspicion another 4 s. */
+#define KILL_MAX ((2 * 11 + 1 + 4 + 1 + 4) * FB_SECOND)
+
+/* Longest times seen over all seeds. */
+static fb_time_t converge_seen;
+static fb_time_t leave_seen;
+static fb_time_t kill_seen;
+static fb_time_t kill_sum;
+
+/* Runs until all tables are right; returns how long that took. */
+static fb_time_t
+run_until_converged (fleet_t *fleet, const char *phase)
+{
+  char why[128];
+  fb_time_t waited = 0;
+
+  while (!fleet_is_converged (fleet, why, sizeof why))
+    {
+      if (waited > CONVERGE_MAX)
+        fleet_fail (fleet, "%s: %s after %ld s", phase, why, (long)(waited / FB_SECOND));
+      fleet_run (fleet, FX_TICK);
+      waited += FX_TICK;
+    }
+  return waited;
+}
+
+static fb_time_t
+run_until_aware (fleet_t *fleet, size_t node, fw_member_state_t state, fb_time_t limit)
+{
+  fb_time_t waited = 0;
+
+  while (fleet_find_unaware (fleet, node, state) >= 0)
+    {
+      if (waited >= limit)
+        fleet_fail (fleet, "node-%02d does not hold node-%02zu %s after %ld ms",
+                    fleet_find_unaware (fleet, node, state), node, fw_describe_state (state),
+                    (long)(waited / FB_MILLISECOND));
+      fleet_run (fleet, FX_TICK);
+      waited += FX_TICK;
+    }
+  return waited;
+}
+
+static void
+set_random_faults (fleet_t *fleet, GRand *random)
+{
+  fx_faults_t faults = { .delay_min = FB_MILLISECOND };
+
+  faults.loss = g_rand_double_range (random, 0, 0.4);
+  faults.duplicate = g_rand_double_range (random, 0, 0.2);
+  faults.delay_max
+      = g_rand_int_range (random, 2, g_rand_boolean (random) ? 50 : 1500) * FB_MILLISECOND;
+  fx_set_faults (fleet_get_network (fleet), &faults);
+}
+
+static void
+partition_nodes (fleet_t *fleet, GRand *random, size_t count, unsigned groups)
+{
+  for (size_t i = 0; i < count; i++)
+    fx_set_group (fleet_get_network (fleet), i,
+                  (unsigned)g_rand_int_range (random, 0, (gint32)groups));
+}
+
+static void
+disturb_node (fleet_t *fleet, GRand *random, size_t node)
+{
+  bool moved = g_rand_int_range (random, 0, 4) == 0;
+
+  switch (fleet_get_state (fleet, node))
+    {
+    case FLEET_DOWN:
+      fleet_start (fleet, node, moved);
+      break;
+    case FLEET_PAUSED:
+      fleet_resume (fleet, node);
+      break;
+    case FLEET_UP:
+      switch (g_rand_int_range (random, 0, 6))
+        {
+        case 0:
+          fleet_kill (fleet, node);
+          break;
+        case 1:
+          fleet_kill (fleet, node);
+          fleet_start (fleet, node, moved);
+          break;
+        case 2:
+        case 3:
+          fleet_pause (fleet, node);
+          break;
+        case 4:
+          fleet_leave (fleet, node);
+          break;
+        default:
+          fm_raise_incarnation (fleet_get_table (fleet, node));
+          break;
+        }
+      break;
+    }
+}
+
+static void
+run_faults (fleet_t *fleet, GRand *random, size_t count)
+{
+  gint32 steps = g_rand_int_range (random, 5, 30);
+
+  for (gint32 i = 0; i < steps; i++)
+    {
+      gint32 action = g_rand_int_range (random, 0, 10);
+      if (action == 0)
+        partition_nodes (fleet, random, count, 2);
+      else if (action <= 2)
+        partition_nodes (fleet, random, count, 1);
+      else if (action <= 4)
+        set_random_faults (fleet, random);
+      else
+        disturb_node (fleet, random, (size_t)g_rand_int_range (random, 0, (gint32)count));
+      /* Short and long waits, some beyond the retention of the dead. */
+      fleet_run (fleet,
+                 g_rand_int_range (random, 10, i % 8 == 7 ? 70000 : 5000) * FB_MILLISECOND);
+    }
+}
+
+static void
+stop_faults (fleet_t *fleet, GRand *random, size_t count)
+{
+  fx_faults_t faults = { .delay_min = FB_MILLISECOND, .delay_max = 20 * FB_MILLISECOND };
+
+  fx_set_faults (fleet_get_network (fleet), &faults);
+  partition_nodes (fleet, random, count, 1);
+  for (size_t i = 0; i < count; i++)
+    {
+      if (fleet_get_state (fleet, i) == FLEET_PAUSED)
+        fleet_resume (fleet, i);
+      if (fleet_get_state (fleet, i) == FLEET_DOWN && g_rand_boolean (random))
+        fleet_start (fleet, i, false);
+    }
+}
+
+/* Without loss and pauses: a leaving node and a killed one become known in time, and nobody
+ * else is declared dead. */
+static void
+run_healthy (fleet_t *fleet, GRand *random, size_t count)
+{
+  size_t leaver = (size_t)g_rand_int_range (random, 0, (gint32)count);
+  size_t victim = (leaver + 1) % count;
+  fb_time_t waited;
+
+  for (size_t i = 0; i < count; i++)
+    if (fleet_get_state (fleet, i) == FLEET_UP && fleet_is_leaving (fleet, i))
+      fleet_kill (fleet, i);
+  for (size_t i = 0; i < count; i++)
+    if (fleet_get_state (fleet, i) == FLEET_DOWN)
+      fleet_start (fleet, i, false);
+  run_until_converged (fleet, "restart");
+  fleet_run (fleet, 10 * FB_SECOND);
+  fleet_forbid_false_deaths (fleet, true);
+  fleet_run (fleet, 20 * FB_SECOND);
+  fleet_leave (fleet, leaver);
+  waited = run_until_aware (fleet, leaver, FW_LEAVING, LEAVE_MAX);
+  leave_seen = MAX (leave_seen, waited);
+  fleet_run (fleet, g_rand_int_range (random, 0, 2000) * FB_MILLISECOND);
+  fleet_kill (fleet, victim);
+  waited = run_until_aware (fleet, victim, FW_DEAD, KILL_MAX);
+  kill_seen = MAX (kill_seen, waited);
+  kill_sum += waited;
+  run_until_converged (fleet, "kill");
+  fleet_run (fleet, 20 * FB_SECOND);
+  g_assert_cmpint (run_until_converged (fleet, "rest"), ==, 0);
+}
+
+static void
+run_seed (uint32_t seed)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+  size_t count = (size_t)g_rand_int_range (random, 3, FX_NODES_MAX + 1);
+  fleet_t *fleet = fleet_create (count, seed);
+  fb_time_t waited;
+
+  for (size_t i = 0; i < count; i++)
+    fleet_start (fleet, i, false);
+  run_until_converged (fleet, "join");
+  run_faults (fleet, random, count);
+  stop_faults (fleet, random, count);
+  waited = run_until_converged (fleet, "faults");
+  converge_seen = MAX (converge_seen, waited);
+  run_healthy (fleet, random, count);
+  fleet_destroy (fleet);
+  g_rand_free (random);
+}
+
+/* Guards against tables that resurrect, forget or offer what they must not under any mix of
+ * faults, and against fleets that stay wrong once the faults stop. */
+static void
+test_random (void)
+{
+  const char *seeds_text = g_getenv ("SEEDS");
+  const char *first_text = g_getenv ("FIRST_SEED");
+  uint32_t seeds = seeds_text ? (uint32_t)strtoul (seeds_text, NULL, 10) : SEEDS_DEFAULT;
+  uint32_t first = first_text ? (uint32_t)strtoul (first_text, NULL, 10) : 1;
+
+  for (uint32_t seed = first; seed < first + seeds; seed++)
+    {
+      g_test_message ("seed %u", seed);
+      run_seed (seed);
+    }
+  g_test_message ("%u seeds; longest convergence %ld ms, leaving %ld ms, kill %ld ms (mean %ld "
+                  "ms)",
+                  seeds, (long)(converge_seen / FB_MILLISECOND),
+                  (long)(leave_seen / FB_MILLISECOND), (long)(kill_seen / FB_MILLISECOND),
+                  (long)(kill_sum / FB_MILLISECOND / MAX (seeds, 1)));
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/member/random", test_random);
+  return g_test_run ();
+}
