--- a/packages/config/source/check-text.c
+++ b/packages/config/source/check-text.c
@@ -16,8 +16,11 @@
   if (text.len == 0 || text.len > FB_NAME_MAX)
     return false;
   for (size_t i = 0; i < text.len; i++)
-    if (!g_ascii_isalnum (text.data[i]) && !memchr ("._-", text.data[i], 3))
-      return false;
+    {
+      char c = text.data[i];
+      if (!g_ascii_isalnum (c) && c != '.' && c != '_' && c != '-')
+        return false;
+    }
   return true;
 }
 
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -131,7 +131,8 @@
     }
 }
 
-/* The handle comes first: h2o takes over its data pointer, so that the server is found by the address. */
+/* The handle comes first: h2o takes over its data pointer, so that the server is found by the
+ * address. */
 typedef struct
 {
   uv_tcp_t handle;
--- a/packages/node/source/node-membership.c
+++ b/packages/node/source/node-membership.c
@@ -145,7 +145,9 @@
   fn_membership_t *membership = g_new0 (fn_membership_t, 1);
   fw_member_t self = describe_self (fn_get_settings (kernel));
   fm_options_t options = fm_get_defaults ();
-  fm_hooks_t hooks = { send_datagram, report_change, hear_version, membership };
+  fm_hooks_t hooks = {
+    .send = send_datagram, .changed = report_change, .heard = hear_version, .user = membership
+  };
 
   membership->kernel = kernel;
   membership->table = fm_create_table (&self, &options, randombytes_random (),
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -1,5 +1,6 @@
 #include "wire-pack.h"
 #include "wire-read.h"
+#include "wire-scan.h"
 #include <foxtailrun/wire/call.h>
 #include <glib.h>
 #include <string.h>
@@ -91,6 +92,8 @@
   bool good;
 
   memset (message, 0, sizeof *message);
+  if (!fw_scan_message (header))
+    return FB_INVALID;
   msgpack_unpacked_init (&unpacked);
   good = msgpack_unpack_next (&unpacked, (const char *)header.data, header.len, &offset)
              == MSGPACK_UNPACK_SUCCESS
--- a/packages/wire/source/wire-control.c
+++ b/packages/wire/source/wire-control.c
@@ -1,5 +1,6 @@
 #include "wire-pack.h"
 #include "wire-read.h"
+#include "wire-scan.h"
 #include <foxtailrun/wire/control.h>
 #include <glib.h>
 #include <string.h>
@@ -80,6 +81,8 @@
   bool good;
 
   memset (message, 0, sizeof *message);
+  if (!fw_scan_message (bytes))
+    return FB_INVALID;
   msgpack_unpacked_init (&unpacked);
   good = msgpack_unpack_next (&unpacked, (const char *)bytes.data, bytes.len, &offset)
              == MSGPACK_UNPACK_SUCCESS
--- a/packages/wire/source/wire-datagram.c
+++ b/packages/wire/source/wire-datagram.c
@@ -1,5 +1,6 @@
 #include "wire-pack.h"
 #include "wire-read.h"
+#include "wire-scan.h"
 #include <foxtailrun/wire/datagram.h>
 #include <string.h>
 
@@ -104,7 +105,7 @@
   size_t offset = 0;
   bool good;
 
-  if (bytes.len > FW_DATAGRAM_MAX)
+  if (bytes.len > FW_DATAGRAM_MAX || !fw_scan_message (bytes))
     return FB_INVALID;
   msgpack_unpacked_init (&unpacked);
   good = msgpack_unpack_next (&unpacked, (const char *)bytes.data, bytes.len, &offset)
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -227,6 +227,34 @@
   g_rand_free (random);
 }
 
+/* Guards against a few bytes that make the decoder reserve memory for elements that do not
+ * exist. */
+static void
+test_claimed_sizes (void)
+{
+  static const struct
+  {
+    const char *bytes;
+    size_t len;
+  } cases[] = {
+    { "\xdd\xff\xff\xff\xff\x01", 6 },     /* array 32 */
+    { "\xdc\xff\xff\x01", 4 },             /* array 16 */
+    { "\xdb\xff\xff\xff\xff\x01", 6 },     /* string 32 */
+    { "\xc6\xff\xff\xff\xff\x01", 6 },     /* binary 32 */
+    { "\x91\x91\x91\x91\x91\x91\x01", 7 }, /* nesting */
+    { "\x81\x01\x01", 3 },                 /* map */
+    { "\x01\x01", 2 },                     /* two values */
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      for (int codec = 0; codec < 3; codec++)
+        g_assert_cmpint (
+            decode_any (codec, (fb_bytes_t){ (const uint8_t *)cases[i].bytes, cases[i].len }),
+            ==, FB_INVALID);
+    }
+}
+
 /* Guards against an older description of a member that overrides a newer one. */
 static void
 test_override (void)
@@ -262,6 +290,7 @@
   g_test_add_func ("/wire/control-round-trip", test_control_round_trip);
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
   g_test_add_func ("/wire/malformed", test_malformed);
+  g_test_add_func ("/wire/claimed-sizes", test_claimed_sizes);
   g_test_add_func ("/wire/override", test_override);
   return g_test_run ();
 }
