--- a/packages/foxtailrun/source/fleet.c
+++ b/packages/foxtailrun/source/fleet.c
@@ -190,6 +190,7 @@
   report->number = (uint64_t)json_integer_value (json_object_get (answer, "number"));
   g_strlcpy (report->digest, digest ? digest : "", sizeof report->digest);
   report->reader = json_is_true (json_object_get (answer, "reader"));
+  report->ready = json_is_true (json_object_get (answer, "ready"));
   g_free (report->refused);
   report->refused = g_strdup (json_string_value (json_object_get (answer, "refused")));
 }
@@ -201,8 +202,9 @@
          || fb_equal_str (fb_get_name (&report->state), FB_LITERAL ("suspect"));
 }
 
-void
-fx_refresh_reports (fx_fleet_t *fleet, GArray *reports, uint64_t number)
+/* Asks all serving nodes of REPORTS for their versions. */
+static void
+ask_versions (fx_fleet_t *fleet, GArray *reports)
 {
   request_t *requests = g_new0 (request_t, reports->len);
   fx_report_t **asked = g_new0 (fx_report_t *, reports->len);
@@ -211,7 +213,7 @@
   for (guint i = 0; i < reports->len; i++)
     {
       fx_report_t *report = &g_array_index (reports, fx_report_t, i);
-      if (!fx_is_serving (report) || (report->reached && report->number >= number))
+      if (!fx_is_serving (report))
         continue;
       requests[count].target = report->target;
       requests[count].method = "GET";
@@ -221,7 +223,6 @@
   run_requests (fleet, requests, count);
   for (size_t i = 0; i < count; i++)
     {
-      asked[i]->reached = false;
       if (requests[i].answered && requests[i].status == 200 && requests[i].answer)
         read_version (asked[i], requests[i].answer);
       json_decref (requests[i].answer);
@@ -255,6 +256,6 @@
   }
   json_decref (answer);
   g_array_sort (reports, compare_reports);
-  fx_refresh_reports (fleet, reports, UINT64_MAX);
+  ask_versions (fleet, reports);
   return reports;
 }
--- a/packages/foxtailrun/source/fleet.h
+++ b/packages/foxtailrun/source/fleet.h
@@ -27,6 +27,7 @@
   uint64_t number; /* version in force; 0 when none */
   char digest[FB_DIGEST_HEX_LEN + 1];
   bool reader;
+  bool ready;    /* takes calls */
   char *refused; /* last refused document and its first problem, or NULL; owned */
 } fx_report_t;
 
@@ -51,9 +52,6 @@
  * fx_report_t ordered by id, freed by g_array_unref, or NULL when TARGET does not answer. */
 GArray *fx_survey_fleet (fx_fleet_t *fleet, const fx_target_t *target);
 
-/* Asks the nodes of REPORTS again whose version number is below NUMBER. */
-void fx_refresh_reports (fx_fleet_t *fleet, GArray *reports, uint64_t number);
-
 /* Returns whether the member takes part: alive or suspect. */
 bool fx_is_serving (const fx_report_t *report);
 
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -35,11 +35,17 @@
   return json_pack ("{s:s}", "health", "ok");
 }
 
+static bool
+is_ready (admin_t *admin)
+{
+  return fn_check_ready (find_distribution (admin)) && !fn_is_draining (admin->kernel);
+}
+
 static json_t *
 answer_ready (admin_t *admin, uint32_t *status)
 {
   bool draining = fn_is_draining (admin->kernel);
-  bool ready = fn_check_ready (find_distribution (admin)) && !draining;
+  bool ready = is_ready (admin);
 
   *status = ready ? 200 : 503;
   return json_pack ("{s:b,s:b}", "ready", ready, "draining", draining);
@@ -54,10 +60,11 @@
   char digest[FB_DIGEST_HEX_LEN + 1];
 
   fb_format_digest (&version->digest, digest);
-  return json_pack ("{s:s,s:s,s:I,s:I,s:s,s:b,s:s?}", "id", settings->id.data, "zone",
+  return json_pack ("{s:s,s:s,s:I,s:I,s:s,s:b,s:b,s:s?}", "id", settings->id.data, "zone",
                     settings->zone.data, "number", (json_int_t)version->number, "revision",
                     (json_int_t)version->revision, "digest", digest, "reader",
-                    fn_check_reader (distribution), "refused", fn_get_refusal (distribution));
+                    fn_check_reader (distribution), "ready", is_ready (admin), "refused",
+                    fn_get_refusal (distribution));
 }
 
 static bool
