--- /dev/null
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -0,0 +1,487 @@
+#include "fixture-fleet.h"
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#define CALLER_PORT 8000
+#define ADMIN_PORT 9000
+#define BACKEND_PORT 9100
+#define PLATFORM_PORT 8500
+#define PLATFORM_HOST 200
+#define POLL_MS 20
+#define IO_TIMEOUT (30 * FB_SECOND)
+
+struct fleet
+{
+  fk_kernel_t *kernel;
+  char *folder;
+  char *published;
+  unsigned net[2]; /* second and third byte of the addresses */
+  size_t count;
+  GPid platform;
+  GPid nodes[FLEET_NODES_MAX + 1];
+  GPid backends[FLEET_NODES_MAX + 1];
+};
+
+struct fleet_pending
+{
+  fleet_t *fleet;
+  fh_client_t *client;
+  bool ended;
+  fleet_answer_t answer;
+};
+
+static const char document[]
+    = "[[rank]]\nname = \"urgent\"\norder = 0\ntarget_ms = 500\nshare = 0.5\n"
+      "[[rank]]\nname = \"background\"\norder = 1\ntarget_ms = 2000\nshare = 0.1\n"
+      "[[service]]\nname = \"storefront\"\nslots = 9\nconnections = 120\n"
+      "[[service]]\nname = \"inventory\"\nslots = 9\nconnections = 120\n"
+      "[[route]]\nname = \"prices\"\npath = \"/prices\"\nservice = \"storefront\"\n"
+      "rank = \"urgent\"\ntimeout_ms = 4000\nrepeatable = true\nretries = 2\n"
+      "[[route]]\nname = \"pay\"\npath = \"/pay\"\nservice = \"storefront\"\n"
+      "rank = \"urgent\"\ntimeout_ms = 4000\nrepeatable = false\n"
+      "[[route]]\nname = \"stock\"\npath = \"/stock\"\nservice = \"inventory\"\n"
+      "rank = \"background\"\ntimeout_ms = 4000\nrepeatable = true\nretries = 2\n";
+
+static fb_name_t
+make_address (const fleet_t *fleet, size_t host)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "127.%u.%u.%zu", fleet->net[0], fleet->net[1], host);
+  return fb_make_name (text);
+}
+
+/* Ties a process to the test's own, so that a failed test leaves none behind. */
+static void
+follow_parent (gpointer user)
+{
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static GPid
+spawn (fleet_t *fleet, char **argv, const char *log)
+{
+  GPid pid;
+  GError *error = NULL;
+  char *path = g_build_filename (fleet->folder, log, NULL);
+  int output = g_open (path, O_CREAT | O_WRONLY | O_APPEND, 0600);
+
+  g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, follow_parent, NULL,
+                          &pid, -1, output, output, &error);
+  g_assert_no_error (error);
+  close (output);
+  g_free (path);
+  return pid;
+}
+
+static void
+write_settings (fleet_t *fleet, size_t number)
+{
+  fb_name_t address = make_address (fleet, number);
+  fb_name_t platform = make_address (fleet, PLATFORM_HOST);
+  fb_name_t first = make_address (fleet, 1);
+  fb_name_t second = make_address (fleet, 2);
+  char *path = g_strdup_printf ("%s/node-%zu.toml", fleet->folder, number);
+  char *text = g_strdup_printf (
+      "[node]\nid = \"node-%zu\"\nzone = \"zone-%c\"\nregion = \"region-1\"\nservice = \"%s\"\n"
+      "[listen]\naddress = \"%s\"\ncaller_port = %d\ncall_port = 7002\ncontrol_port = 7001\n"
+      "admin_port = %d\n[backend]\naddress = \"%s\"\nport = %d\n"
+      "[platform]\naddress = \"%s\"\nport = %d\n[seeds]\nnodes = [\"%s:7001\", \"%s:7001\"]\n"
+      "[admin]\nkey = \"%s\"\n",
+      number, number % 2 ? 'a' : 'b', number <= fleet->count / 2 ? "storefront" : "inventory",
+      address.data, CALLER_PORT, ADMIN_PORT, address.data, BACKEND_PORT, platform.data,
+      PLATFORM_PORT, first.data, second.data, FLEET_KEY);
+
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+  g_free (path);
+}
+
+static void
+start_node (fleet_t *fleet, size_t number)
+{
+  char *settings = g_strdup_printf ("%s/node-%zu.toml", fleet->folder, number);
+  char *log = g_strdup_printf ("node-%zu.log", number);
+  char *argv[] = { FOXTAILRUND_PATH, "--settings", settings, NULL };
+
+  fleet->nodes[number] = spawn (fleet, argv, log);
+  g_free (settings);
+  g_free (log);
+}
+
+static void
+start_backend (fleet_t *fleet, size_t number)
+{
+  fb_name_t address = make_address (fleet, number);
+  char name[32];
+  char port[8];
+  char *argv[] = { BACKEND_PATH, address.data, port, name, "9", "5", NULL };
+
+  g_snprintf (name, sizeof name, "backend-%zu", number);
+  g_snprintf (port, sizeof port, "%d", BACKEND_PORT);
+  fleet->backends[number] = spawn (fleet, argv, "backends.log");
+}
+
+static void
+start_platform (fleet_t *fleet)
+{
+  fb_name_t address = make_address (fleet, PLATFORM_HOST);
+  char port[8];
+  char *argv[] = { PLATFORM_PATH, address.data, port, fleet->published, NULL };
+
+  g_snprintf (port, sizeof port, "%d", PLATFORM_PORT);
+  fleet->platform = spawn (fleet, argv, "platform.log");
+}
+
+void
+fleet_pause (fleet_t *fleet, uint64_t ms)
+{
+  fk_timer_t *timer = fk_create_timeout (fleet->kernel, (fb_time_t)ms * FB_MILLISECOND,
+                                         (fk_callback_fn_t)fk_quit, fleet->kernel);
+
+  fk_run (fleet->kernel);
+  fk_destroy_timer (timer);
+}
+
+static gint64
+start_wait (void)
+{
+  return g_get_monotonic_time () + (gint64)FLEET_WAIT_S * G_USEC_PER_SEC;
+}
+
+/* Pauses before the next look at a condition; fails the test when it takes too long. */
+static void
+wait_more (fleet_t *fleet, gint64 limit, const char *what)
+{
+  if (g_get_monotonic_time () > limit)
+    {
+      char *log = g_strdup_printf ("tail -n 8 %s/*.log >&2", fleet->folder);
+      if (system (log) != 0)
+        g_test_message ("no logs");
+      g_free (log);
+      g_error ("waited %d s in vain: %s", FLEET_WAIT_S, what);
+    }
+  fleet_pause (fleet, POLL_MS);
+}
+
+fleet_t *
+fleet_start (size_t nodes)
+{
+  fleet_t *fleet = g_new0 (fleet_t, 1);
+
+  g_assert_cmpuint (nodes, <=, FLEET_NODES_MAX);
+  fleet->kernel = fk_create_kernel (NULL);
+  fleet->folder = g_dir_make_tmp ("foxtailrun-XXXXXX", NULL);
+  fleet->published = g_build_filename (fleet->folder, "published", NULL);
+  g_mkdir (fleet->published, 0700);
+  /* Addresses by process, so that tests that run side by side do not meet. */
+  fleet->net[0] = 100 + (unsigned)getpid () / 250 % 150;
+  fleet->net[1] = 1 + (unsigned)getpid () % 250;
+  fleet->count = nodes;
+  fleet_publish (fleet, 1, "");
+  start_platform (fleet);
+  for (size_t number = 1; number <= nodes; number++)
+    {
+      write_settings (fleet, number);
+      start_backend (fleet, number);
+      start_node (fleet, number);
+    }
+  for (size_t number = 1; number <= nodes; number++)
+    {
+      fleet_wait_version (fleet, number, 1);
+      for (size_t other = 1; other <= nodes; other++)
+        fleet_wait_state (fleet, number, other, "alive");
+    }
+  return fleet;
+}
+
+static void
+kill_process (GPid *pid)
+{
+  int status;
+
+  if (*pid == 0)
+    return;
+  kill (*pid, SIGKILL);
+  waitpid (*pid, &status, 0);
+  *pid = 0;
+}
+
+void
+fleet_stop (fleet_t *fleet)
+{
+  char *command = g_strdup_printf ("rm -rf %s", fleet->folder);
+
+  for (size_t number = 1; number <= fleet->count; number++)
+    {
+      kill_process (&fleet->nodes[number]);
+      kill_process (&fleet->backends[number]);
+    }
+  kill_process (&fleet->platform);
+  g_assert_cmpint (system (command), ==, 0);
+  fk_destroy_kernel (fleet->kernel);
+  g_free (command);
+  g_free (fleet->folder);
+  g_free (fleet->published);
+  g_free (fleet);
+}
+
+void
+fleet_publish (fleet_t *fleet, uint64_t version, const char *extra)
+{
+  char *path = g_build_filename (fleet->published, "config.toml", NULL);
+  char *text
+      = g_strdup_printf ("version = %" G_GUINT64_FORMAT "\n%s%s", version, document, extra);
+
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  g_free (text);
+  g_free (path);
+}
+
+void
+fleet_set_outage (fleet_t *fleet, bool down)
+{
+  char *path = g_build_filename (fleet->published, "down", NULL);
+
+  if (down)
+    g_assert_true (g_file_set_contents (path, "", 0, NULL));
+  else
+    g_unlink (path);
+  g_free (path);
+}
+
+void
+fleet_signal (fleet_t *fleet, size_t number, int signal)
+{
+  g_assert_cmpint (kill (fleet->nodes[number], signal), ==, 0);
+}
+
+void
+fleet_signal_backend (fleet_t *fleet, size_t number, int signal)
+{
+  g_assert_cmpint (kill (fleet->backends[number], signal), ==, 0);
+}
+
+int
+fleet_wait_exit (fleet_t *fleet, size_t number)
+{
+  gint64 limit = start_wait ();
+  int status = 0;
+
+  while (waitpid (fleet->nodes[number], &status, WNOHANG) == 0)
+    wait_more (fleet, limit, "end of a node");
+  fleet->nodes[number] = 0;
+  return WIFEXITED (status) ? WEXITSTATUS (status) : 128 + WTERMSIG (status);
+}
+
+void
+fleet_restart (fleet_t *fleet, size_t number)
+{
+  g_assert_cmpint (fleet->nodes[number], ==, 0);
+  start_node (fleet, number);
+}
+
+static void
+receive (const fh_response_t *response, void *user)
+{
+  fleet_pending_t *pending = user;
+  fb_str_t outcome = fh_find_header (response->headers, response->header_count,
+                                     FB_LITERAL ("foxtailrun-outcome"));
+  fb_str_t ticket = fh_find_header (response->headers, response->header_count,
+                                    FB_LITERAL ("foxtailrun-ticket"));
+
+  pending->ended = true;
+  pending->answer = (fleet_answer_t){
+    .result = response->result,
+    .status = response->status,
+    .outcome = fb_copy_text (outcome),
+    .ticket = fb_copy_text (ticket),
+    .body = fb_copy_text ((fb_str_t){ (const char *)response->body.data, response->body.len })
+  };
+  fk_quit (pending->fleet->kernel);
+}
+
+static fleet_pending_t *
+begin_request (fleet_t *fleet, size_t host, uint16_t port, const char *method, const char *path,
+               const fh_header_t *header)
+{
+  fb_name_t address = make_address (fleet, host);
+  fleet_pending_t *pending = g_new0 (fleet_pending_t, 1);
+  fh_outgoing_t outgoing = { .method = fb_wrap_text (method),
+                             .path = fb_wrap_text (path),
+                             .header_count = header ? 1 : 0,
+                             .headers = header,
+                             .fresh = true };
+
+  pending->fleet = fleet;
+  pending->client
+      = fh_create_client (fleet->kernel, &address, port, 1, 4 * 1024 * 1024, IO_TIMEOUT);
+  fh_send_request (pending->client, &outgoing, receive, pending);
+  return pending;
+}
+
+fleet_answer_t
+fleet_finish_call (fleet_t *fleet, fleet_pending_t *pending)
+{
+  fleet_answer_t answer;
+
+  while (!pending->ended)
+    fk_run (fleet->kernel);
+  answer = pending->answer;
+  fh_destroy_client (pending->client);
+  g_free (pending);
+  return answer;
+}
+
+fleet_pending_t *
+fleet_begin_call (fleet_t *fleet, size_t number, const char *method, const char *path,
+                  const char *ticket)
+{
+  fh_header_t header = { FB_LITERAL ("foxtailrun-ticket"), fb_wrap_text (ticket) };
+
+  return begin_request (fleet, number, CALLER_PORT, method, path, ticket ? &header : NULL);
+}
+
+fleet_answer_t
+fleet_call (fleet_t *fleet, size_t number, const char *method, const char *path,
+            const char *ticket)
+{
+  return fleet_finish_call (fleet, fleet_begin_call (fleet, number, method, path, ticket));
+}
+
+fleet_answer_t
+fleet_ask_admin (fleet_t *fleet, size_t number, const char *method, const char *path,
+                 const char *key)
+{
+  char *value = g_strdup_printf ("Bearer %s", key ? key : "");
+  fh_header_t header = { FB_LITERAL ("authorization"), fb_wrap_text (value) };
+  fleet_answer_t answer = fleet_finish_call (
+      fleet, begin_request (fleet, number, ADMIN_PORT, method, path, key ? &header : NULL));
+
+  g_free (value);
+  return answer;
+}
+
+void
+fleet_clear_answer (fleet_answer_t *answer)
+{
+  g_free (answer->outcome);
+  g_free (answer->ticket);
+  g_free (answer->body);
+}
+
+/* Returns the JSON that a node's administration answers, or NULL. */
+static json_t *
+read_admin (fleet_t *fleet, size_t number, const char *path)
+{
+  fleet_answer_t answer = fleet_ask_admin (fleet, number, "GET", path, NULL);
+  json_t *object = answer.result == FH_ANSWERED ? json_loads (answer.body, 0, NULL) : NULL;
+
+  fleet_clear_answer (&answer);
+  return object;
+}
+
+uint64_t
+fleet_read_version (fleet_t *fleet, size_t number)
+{
+  json_t *object = read_admin (fleet, number, "/version");
+  uint64_t version = (uint64_t)json_integer_value (json_object_get (object, "number"));
+
+  json_decref (object);
+  return version;
+}
+
+void
+fleet_wait_version (fleet_t *fleet, size_t number, uint64_t version)
+{
+  gint64 limit = start_wait ();
+
+  for (;;)
+    {
+      json_t *object = read_admin (fleet, number, "/version");
+      bool good
+          = json_is_true (json_object_get (object, "ready"))
+            && (uint64_t)json_integer_value (json_object_get (object, "number")) == version;
+      json_decref (object);
+      if (good)
+        return;
+      wait_more (fleet, limit, "version in force");
+    }
+}
+
+static bool
+has_state (json_t *object, size_t other, const char *state)
+{
+  char id[32];
+  size_t i;
+  json_t *item;
+
+  g_snprintf (id, sizeof id, "node-%zu", other);
+  json_array_foreach (json_object_get (object, "members"), i, item)
+  {
+    if (g_strcmp0 (json_string_value (json_object_get (item, "id")), id) == 0)
+      return g_strcmp0 (json_string_value (json_object_get (item, "state")), state) == 0;
+  }
+  return false;
+}
+
+void
+fleet_wait_state (fleet_t *fleet, size_t number, size_t other, const char *state)
+{
+  gint64 limit = start_wait ();
+
+  for (;;)
+    {
+      json_t *object = read_admin (fleet, number, "/members");
+      bool good = has_state (object, other, state);
+      json_decref (object);
+      if (good)
+        return;
+      wait_more (fleet, limit, state);
+    }
+}
+
+uint64_t
+fleet_count_runs (fleet_t *fleet, const char *path)
+{
+  char *line = g_strdup_printf ("%s ", path);
+  uint64_t runs = 0;
+
+  for (size_t number = 1; number <= fleet->count; number++)
+    {
+      fleet_answer_t answer = fleet_finish_call (
+          fleet, begin_request (fleet, number, BACKEND_PORT, "GET", "/standin/runs", NULL));
+      char **lines = g_strsplit (answer.body, "\n", -1);
+      for (char **at = lines; *at; at++)
+        {
+          if (g_str_has_prefix (*at, line))
+            runs += g_ascii_strtoull (*at + strlen (line), NULL, 10);
+        }
+      g_strfreev (lines);
+      fleet_clear_answer (&answer);
+    }
+  g_free (line);
+  return runs;
+}
+
+void
+fleet_wait_run (fleet_t *fleet, const char *path)
+{
+  gint64 limit = start_wait ();
+
+  while (fleet_count_runs (fleet, path) == 0)
+    wait_more (fleet, limit, "run at a backend server");
+}
+
+size_t
+fleet_find_owner (const char *ticket)
+{
+  g_assert_true (g_str_has_prefix (ticket, "ftr1-node-"));
+  return (size_t)g_ascii_strtoull (ticket + strlen ("ftr1-node-"), NULL, 10);
+}
