--- /dev/null
+++ b/bench/sim-heap.h
@@ -0,0 +1,34 @@
+/* Events of a simulation in order of time. */
+#ifndef FOXTAILRUN_BENCH_SIM_HEAP_H
+#define FOXTAILRUN_BENCH_SIM_HEAP_H
+
+#include <foxtailrun/base/clock.h>
+#include <stdbool.h>
+#include <stddef.h>
+
+typedef struct
+{
+  fb_time_t time;
+  uint64_t order; /* set by sim_push_event; events of one time keep their order */
+  int kind;
+  void *data;
+} sim_event_t;
+
+typedef struct
+{
+  sim_event_t *events;
+  size_t count;
+  size_t room;
+  uint64_t pushed;
+} sim_heap_t;
+
+/* Adds an event; DATA is borrowed. */
+void sim_push_event (sim_heap_t *heap, fb_time_t time, int kind, void *data);
+
+/* Takes the earliest event out; returns false when there is none. */
+bool sim_pop_event (sim_heap_t *heap, sim_event_t *event);
+
+/* Frees the events. */
+void sim_clear_heap (sim_heap_t *heap);
+
+#endif
--- /dev/null
+++ b/bench/sim-service.c
@@ -0,0 +1,445 @@
+/* The fake service: events, callers and instances. */
+#include "sim-service.h"
+#include "sim-heap.h"
+#include <foxtailrun/call/retry.h>
+#include <math.h>
+
+#define WARM_UP (3 * FB_SECOND)
+#define MEASURED (10 * FB_SECOND)
+#define TICK (10 * FB_MILLISECOND)
+
+/* One way between two nodes in one zone and in different zones. */
+#define NEAR_DELAY (150 * FB_MICROSECOND)
+#define FAR_DELAY (500 * FB_MICROSECOND)
+
+#define ZONES 3
+#define RETRIES 2
+
+/* Time that a failing instance takes to fail. */
+#define FAILURE_TIME FB_MILLISECOND
+
+const sim_rank_t SIM_RANK_TABLE[SIM_RANKS] = {
+  { "price", 4 * FB_MILLISECOND, 20 * FB_MILLISECOND, 250 * FB_MILLISECOND, 5, 0.30, 0.25,
+    true },
+  { "stock", 6 * FB_MILLISECOND, 30 * FB_MILLISECOND, 250 * FB_MILLISECOND, 3, 0.20, 0.15,
+    true },
+  { "payment", 30 * FB_MILLISECOND, 300 * FB_MILLISECOND, 2 * FB_SECOND, 20, 0.25, 0.20,
+    false },
+  { "history", 40 * FB_MILLISECOND, 2 * FB_SECOND, 5 * FB_SECOND, 0.5, 0.10, 0.10, true },
+};
+
+enum
+{
+  EVENT_ARRIVE,
+  EVENT_FLOOD,
+  EVENT_OFFER,
+  EVENT_FINISH,
+  EVENT_ANSWER,
+  EVENT_TICK
+};
+
+typedef struct
+{
+  uint64_t id;
+  uint32_t rank;
+  uint32_t customer;
+  fb_name_t customer_name;
+  uint32_t entry;
+  uint32_t target; /* instance of the present attempt */
+  uint32_t tries;
+  fb_name_t tried[RETRIES + 1];
+  fb_time_t arrived;
+  fb_time_t sent;
+  fb_time_t work; /* service time on a healthy instance */
+  fb_time_t slot; /* time in the slot */
+  uint32_t load;  /* as the answer carries it */
+  fr_result_t result;
+} call_t;
+
+typedef struct sim sim_t;
+
+typedef struct
+{
+  sim_t *sim;
+  uint32_t index;
+  fw_member_t member;
+  fr_admission_t *admission;
+  /* of the entry node beside it */
+  fr_picker_t *picker;
+  fr_retry_budget_t *budget;
+  fr_throttle_t *throttle;
+} host_t;
+
+struct sim
+{
+  const sim_deployment_t *deployment;
+  const sim_scenario_t *scenario;
+  const sim_policy_t *policy;
+  fb_clock_t *clock;
+  fb_counters_t *counters;
+  GRand *random;
+  /* Arrivals of each rank have their own numbers: they are the same in all scenarios. */
+  GRand *arrivals[SIM_RANKS + 1];
+  sim_heap_t heap;
+  host_t hosts[SIM_INSTANCES_MAX];
+  uint64_t last_id;
+  sim_result_t *result;
+};
+
+static const fb_str_t service_name = FB_LITERAL ("service");
+
+static fb_time_t
+draw_exponential (GRand *random, double mean)
+{
+  return (fb_time_t)(-log (1 - g_rand_double (random)) * mean);
+}
+
+static fb_time_t
+get_delay (const sim_t *sim, const call_t *call)
+{
+  return call->entry % ZONES == call->target % ZONES ? NEAR_DELAY : FAR_DELAY;
+}
+
+/* Calls are counted when they arrive, and again when they are answered: each in the measured
+ * time, so that a long queue at its end does not look like lost work. */
+static bool
+is_measured (const sim_t *sim)
+{
+  return fb_read_clock (sim->clock) >= WARM_UP;
+}
+
+static void
+send_answer (sim_t *sim, call_t *call)
+{
+  sim_push_event (&sim->heap, fb_read_clock (sim->clock) + get_delay (sim, call), EVENT_ANSWER,
+                  call);
+}
+
+static void
+on_start (void *data, void *user)
+{
+  host_t *host = user;
+  sim_t *sim = host->sim;
+  call_t *call = data;
+
+  call->result = FR_RESULT_GOOD;
+  call->slot = call->work;
+  if (host->index == 0 && sim->scenario->slowness > 0)
+    call->slot = (fb_time_t)((double)call->work * sim->scenario->slowness);
+  if (host->index == 1 && g_rand_double (sim->random) < sim->scenario->failure)
+    {
+      call->result = FR_RESULT_FAILED;
+      call->slot = FAILURE_TIME;
+    }
+  sim_push_event (&sim->heap, fb_read_clock (sim->clock) + call->slot, EVENT_FINISH, call);
+}
+
+static void
+on_refuse (void *data, fr_refusal_t refusal, void *user)
+{
+  host_t *host = user;
+  call_t *call = data;
+
+  call->result = FR_RESULT_REFUSED;
+  call->load = fr_get_load (host->admission);
+  send_answer (host->sim, call);
+}
+
+/* Makes the next attempt; returns false when the call ends without one. */
+static bool
+send_attempt (sim_t *sim, call_t *call)
+{
+  host_t *entry = &sim->hosts[call->entry];
+  fb_name_t picked;
+
+  if (sim->policy->throttle
+      && !fr_admit_customer (entry->throttle, service_name, call->rank,
+                             fb_get_name (&call->customer_name)))
+    return false;
+  if (!fr_pick_ranked (entry->picker, service_name, call->rank, FB_LITERAL (""), call->tried,
+                       call->tries, &picked))
+    return false;
+  call->tried[call->tries++] = picked;
+  for (uint32_t i = 0; i < sim->deployment->instances; i++)
+    if (fb_equal_name (&sim->hosts[i].member.id, &picked))
+      call->target = i;
+  call->sent = fb_read_clock (sim->clock);
+  if (is_measured (sim))
+    sim->result->attempts++;
+  sim_push_event (&sim->heap, call->sent + get_delay (sim, call), EVENT_OFFER, call);
+  return true;
+}
+
+static void
+offer_call (sim_t *sim, call_t *call)
+{
+  host_t *host = &sim->hosts[call->target];
+
+  fr_offer_call (host->admission, call->id, call, call->rank,
+                 fb_get_name (&call->customer_name), 1,
+                 call->arrived + SIM_RANK_TABLE[call->rank].deadline);
+}
+
+static void
+finish_call (sim_t *sim, call_t *call)
+{
+  host_t *host = &sim->hosts[call->target];
+
+  fr_finish_call (host->admission, call->id);
+  call->load = fr_get_load (host->admission);
+  send_answer (sim, call);
+}
+
+/* Counts a good answer if it came in time. */
+static void
+count_answer (sim_t *sim, const call_t *call)
+{
+  const sim_rank_t *rank = &SIM_RANK_TABLE[call->rank];
+  sim_rank_result_t *result = &sim->result->ranks[call->rank];
+  fb_time_t latency = fb_read_clock (sim->clock) - call->arrived;
+  double sample = (double)latency;
+
+  if (!is_measured (sim) || latency > rank->deadline)
+    return;
+  result->good++;
+  if (latency <= rank->target)
+    result->in_target++;
+  result->slot_time += (double)call->slot;
+  g_array_append_val (result->latencies, sample);
+  if (call->rank == SIM_FLOODED_RANK && call->customer != 0)
+    sim->result->others_good++;
+}
+
+static void
+take_answer (sim_t *sim, call_t *call)
+{
+  host_t *entry = &sim->hosts[call->entry];
+  const sim_rank_t *rank = &SIM_RANK_TABLE[call->rank];
+  fb_time_t now = fb_read_clock (sim->clock);
+  fw_outcome_t outcome = FW_ANSWERED;
+
+  fr_report_ranked (entry->picker, &sim->hosts[call->target].member.id, call->rank,
+                    call->result, now - call->sent, call->load);
+  if (sim->policy->throttle)
+    fr_report_customer (entry->throttle, service_name, call->rank,
+                        fb_get_name (&call->customer_name), call->result != FR_RESULT_REFUSED);
+  if (call->result == FR_RESULT_GOOD)
+    count_answer (sim, call);
+  else
+    outcome = call->result == FR_RESULT_REFUSED ? FW_NOT_RUN : FW_FAILED;
+  if (sim->policy->throttle && call->tries <= RETRIES && now < call->arrived + rank->deadline
+      && fr_may_retry (outcome, rank->repeatable, false)
+      && fr_take_retry (entry->budget, service_name) && send_attempt (sim, call))
+    return;
+  g_free (call);
+}
+
+/* Lets one call of RANK arrive, of CUSTOMER. */
+static void
+add_call (sim_t *sim, GRand *random, uint32_t rank, uint32_t customer)
+{
+  call_t *call = g_new0 (call_t, 1);
+  double mean = (double)SIM_RANK_TABLE[rank].service;
+  char name[16];
+
+  g_snprintf (name, sizeof name, "customer-%u", customer);
+  call->customer_name = fb_make_name (name);
+  call->id = ++sim->last_id;
+  call->rank = rank;
+  call->customer = customer;
+  call->entry = (uint32_t)g_rand_int_range (random, 0, (gint32)sim->deployment->instances);
+  call->arrived = fb_read_clock (sim->clock);
+  call->work = (fb_time_t)(mean / 4) + draw_exponential (random, mean * 3 / 4);
+  if (is_measured (sim))
+    {
+      sim->result->ranks[rank].offered++;
+      if (rank == SIM_FLOODED_RANK && customer != 0)
+        sim->result->others_offered++;
+    }
+  fr_earn_retry (sim->hosts[call->entry].budget, service_name);
+  if (!send_attempt (sim, call))
+    g_free (call);
+}
+
+/* Plans the next arrival of a stream with LOAD of RANK. */
+static void
+plan_arrival (sim_t *sim, GRand *random, int kind, uint32_t rank, double load)
+{
+  uint32_t slots = sim->deployment->instances * sim->deployment->slots;
+  double gap = (double)SIM_RANK_TABLE[rank].service / (load * slots);
+
+  if (load > 0)
+    sim_push_event (&sim->heap, fb_read_clock (sim->clock) + draw_exponential (random, gap),
+                    kind, GUINT_TO_POINTER (rank));
+}
+
+static double
+get_load (const sim_t *sim, uint32_t rank)
+{
+  return SIM_RANK_TABLE[rank].load * sim->scenario->scale + sim->scenario->flood[rank];
+}
+
+static void
+run_event (sim_t *sim, const sim_event_t *event)
+{
+  uint32_t rank = GPOINTER_TO_UINT (event->data);
+  GRand *random;
+
+  switch (event->kind)
+    {
+    case EVENT_ARRIVE:
+      random = sim->arrivals[rank];
+      add_call (sim, random, rank, (uint32_t)g_rand_int_range (random, 0, SIM_CUSTOMERS));
+      plan_arrival (sim, random, EVENT_ARRIVE, rank, get_load (sim, rank));
+      break;
+    case EVENT_FLOOD:
+      random = sim->arrivals[SIM_RANKS];
+      add_call (sim, random, rank, 0);
+      plan_arrival (sim, random, EVENT_FLOOD, rank, sim->scenario->customer_flood);
+      break;
+    case EVENT_OFFER:
+      offer_call (sim, event->data);
+      break;
+    case EVENT_FINISH:
+      finish_call (sim, event->data);
+      break;
+    case EVENT_ANSWER:
+      take_answer (sim, event->data);
+      break;
+    default:
+      for (uint32_t i = 0; i < sim->deployment->instances; i++)
+        fr_tick_admission (sim->hosts[i].admission);
+      sim_push_event (&sim->heap, event->time + TICK, EVENT_TICK, NULL);
+      break;
+    }
+}
+
+static void
+create_hosts (sim_t *sim)
+{
+  uint32_t count = sim->deployment->instances;
+  fr_rank_rule_t rules[SIM_RANKS];
+
+  for (int i = 0; i < SIM_RANKS; i++)
+    rules[i] = (fr_rank_rule_t){ SIM_RANK_TABLE[i].share, SIM_RANK_TABLE[i].target, 0 };
+  for (uint32_t i = 0; i < count; i++)
+    {
+      host_t *host = &sim->hosts[i];
+      const fr_admission_hooks_t hooks = { on_start, on_refuse, host };
+      char name[16];
+
+      host->sim = sim;
+      host->index = i;
+      g_snprintf (name, sizeof name, "node-%u", i);
+      host->member.id = fb_make_name (name);
+      g_snprintf (name, sizeof name, "zone-%u", i % ZONES);
+      host->member.zone = fb_make_name (name);
+      host->member.region = fb_make_name ("region");
+      host->member.service = fb_make_name (service_name.data);
+      host->admission
+          = fr_create_admission (sim->policy->admission, sim->deployment->slots, rules,
+                                 SIM_RANKS, sim->clock, sim->counters, &hooks);
+    }
+  for (uint32_t i = 0; i < count; i++)
+    {
+      host_t *host = &sim->hosts[i];
+
+      host->picker = fr_create_picker (sim->policy->pick, &host->member.id, &host->member.zone,
+                                       i + 1, sim->clock);
+      host->budget = fr_create_retry_budget (sim->clock);
+      host->throttle = fr_create_throttle (i + 1, sim->clock);
+      for (uint32_t j = 0; j < count; j++)
+        fr_update_instance (host->picker, &sim->hosts[j].member);
+    }
+}
+
+static void
+destroy_hosts (sim_t *sim)
+{
+  for (uint32_t i = 0; i < sim->deployment->instances; i++)
+    {
+      fr_destroy_admission (sim->hosts[i].admission);
+      fr_destroy_picker (sim->hosts[i].picker);
+      fr_destroy_retry_budget (sim->hosts[i].budget);
+      fr_destroy_throttle (sim->hosts[i].throttle);
+    }
+}
+
+static void
+run_events (sim_t *sim)
+{
+  sim_event_t event;
+
+  while (sim_pop_event (&sim->heap, &event))
+    {
+      if (event.time >= WARM_UP + MEASURED)
+        {
+          if (event.kind == EVENT_OFFER || event.kind == EVENT_FINISH
+              || event.kind == EVENT_ANSWER)
+            g_free (event.data);
+          continue;
+        }
+      fb_advance_clock (sim->clock, event.time - fb_read_clock (sim->clock));
+      run_event (sim, &event);
+    }
+}
+
+sim_result_t
+sim_run_service (const sim_deployment_t *deployment, const sim_scenario_t *scenario,
+                 const sim_policy_t *policy, uint32_t seed)
+{
+  sim_result_t result = { 0 };
+  sim_t sim = { deployment, scenario, policy };
+
+  sim.clock = fb_create_manual_clock (0);
+  sim.counters = fb_create_counters ();
+  sim.random = g_rand_new_with_seed (seed);
+  for (uint32_t i = 0; i <= SIM_RANKS; i++)
+    sim.arrivals[i] = g_rand_new_with_seed (seed * 100 + i);
+  sim.result = &result;
+  result.seconds = (double)MEASURED / (double)FB_SECOND;
+  result.capacity = (double)MEASURED * deployment->instances * deployment->slots;
+  for (uint32_t i = 0; i < SIM_RANKS; i++)
+    result.ranks[i].latencies = g_array_new (FALSE, FALSE, sizeof (double));
+  create_hosts (&sim);
+  for (uint32_t i = 0; i < SIM_RANKS; i++)
+    plan_arrival (&sim, sim.arrivals[i], EVENT_ARRIVE, i, get_load (&sim, i));
+  plan_arrival (&sim, sim.arrivals[SIM_RANKS], EVENT_FLOOD, SIM_FLOODED_RANK,
+                scenario->customer_flood);
+  sim_push_event (&sim.heap, 0, EVENT_TICK, NULL);
+  run_events (&sim);
+  destroy_hosts (&sim);
+  sim_clear_heap (&sim.heap);
+  for (uint32_t i = 0; i <= SIM_RANKS; i++)
+    g_rand_free (sim.arrivals[i]);
+  g_rand_free (sim.random);
+  fb_destroy_counters (sim.counters);
+  fb_destroy_clock (sim.clock);
+  return result;
+}
+
+void
+sim_clear_result (sim_result_t *result)
+{
+  for (int i = 0; i < SIM_RANKS; i++)
+    g_array_free (result->ranks[i].latencies, TRUE);
+}
+
+static int
+compare_doubles (const void *a, const void *b)
+{
+  double left = *(const double *)a;
+  double right = *(const double *)b;
+
+  return (left > right) - (left < right);
+}
+
+double
+sim_get_quantile (const sim_rank_result_t *rank, double quantile)
+{
+  if (rank->latencies->len == 0)
+    return 0;
+  g_array_sort (rank->latencies, compare_doubles);
+  return g_array_index (rank->latencies, double, (guint)((rank->latencies->len - 1) * quantile))
+         / (double)FB_MILLISECOND;
+}
--- /dev/null
+++ b/bench/sim-service.h
@@ -0,0 +1,89 @@
+/* A small fake of one service on a manual clock: callers, entry nodes with the real picker,
+ * budget and throttle, and instances with the real admission. */
+#ifndef FOXTAILRUN_BENCH_SIM_SERVICE_H
+#define FOXTAILRUN_BENCH_SIM_SERVICE_H
+
+#include <foxtailrun/call/admission.h>
+#include <foxtailrun/call/picker.h>
+#include <glib.h>
+
+#define SIM_RANKS 4
+#define SIM_CUSTOMERS 20
+#define SIM_INSTANCES_MAX 6
+
+/* Sizes of one deployment. */
+typedef struct
+{
+  const char *name;
+  uint32_t instances;
+  uint32_t slots;
+} sim_deployment_t;
+
+/* What the callers and the instances do. Loads are parts of the capacity in slot time. */
+typedef struct
+{
+  const char *name;
+  double scale;            /* of the steady load of each rank */
+  double flood[SIM_RANKS]; /* load added to a rank */
+  double customer_flood;   /* load that customer 0 adds to SIM_FLOODED_RANK */
+  double slowness;         /* service time of instance 0 relative to the others */
+  double failure;          /* part of the calls that instance 1 fails at once */
+} sim_scenario_t;
+
+/* The rank in which one customer floods. */
+#define SIM_FLOODED_RANK 1
+
+typedef struct
+{
+  fr_policy_t admission;
+  fr_pick_policy_t pick;
+  bool throttle; /* the entry nodes throttle and retry */
+} sim_policy_t;
+
+/* One rank of the workload. */
+typedef struct
+{
+  const char *name;
+  fb_time_t service;  /* mean time in a slot, ns */
+  fb_time_t target;   /* ns */
+  fb_time_t deadline; /* ns after the arrival */
+  double worth;
+  double share;
+  double load; /* part of the capacity in the steady state */
+  bool repeatable;
+} sim_rank_t;
+
+extern const sim_rank_t SIM_RANK_TABLE[SIM_RANKS];
+
+/* What was measured of one rank. */
+typedef struct
+{
+  uint64_t offered;
+  uint64_t good;      /* answered before the deadline */
+  uint64_t in_target; /* answered within the target */
+  double slot_time;   /* ns of slots spent on calls that were good */
+  GArray *latencies;  /* double, ns, of the good ones */
+} sim_rank_result_t;
+
+typedef struct
+{
+  sim_rank_result_t ranks[SIM_RANKS];
+  uint64_t others_offered; /* in SIM_FLOODED_RANK, by customers other than 0 */
+  uint64_t others_good;
+  uint64_t attempts; /* sent to instances */
+  double capacity;   /* ns of slot time that was there */
+  double seconds;    /* measured */
+} sim_result_t;
+
+/* Runs SCENARIO; the result is freed by sim_clear_result. */
+sim_result_t sim_run_service (const sim_deployment_t *deployment,
+                              const sim_scenario_t *scenario, const sim_policy_t *policy,
+                              uint32_t seed);
+
+/* Frees what RESULT holds. */
+void sim_clear_result (sim_result_t *result);
+
+/* Returns the given QUANTILE of the latencies of RANK in ms; 0 without any. */
+double sim_get_quantile (const sim_rank_result_t *rank, double quantile);
+
+#endif
--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -50,6 +50,15 @@
 void fr_report_result (fr_picker_t *picker, const fb_name_t *instance, fr_result_t result,
                        fb_time_t latency, uint32_t load);
 
+/* The same for a call of RANK, 0 being the most urgent. Calls in flight and latency are kept by
+ * rank, because the calls of a less urgent rank that wait at an instance say nothing about the
+ * wait of a more urgent one. The functions above stand for rank 0. */
+bool fr_pick_ranked (fr_picker_t *picker, fb_str_t service, uint32_t rank, fb_str_t key,
+                     const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
+void fr_begin_ranked (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank);
+void fr_report_ranked (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
+                       fr_result_t result, fb_time_t latency, uint32_t load);
+
 /* Returns the number of instances of SERVICE that may be picked, and of those ejected. */
 size_t fr_count_instances (const fr_picker_t *picker, fb_str_t service);
 size_t fr_count_ejected (const fr_picker_t *picker, fb_str_t service);
--- a/packages/call/include/foxtailrun/call/retry.h
+++ b/packages/call/include/foxtailrun/call/retry.h
@@ -44,4 +44,12 @@
 void fr_report_upstream (fr_throttle_t *throttle, fb_str_t service, uint32_t rank,
                          bool accepted);
 
+/* The same for a call of CUSTOMER: a customer is throttled by what became of its own calls, so
+ * that one that floods does not cost the others theirs. Customers with few calls are counted
+ * together. The functions above stand for a customer without a name. */
+bool fr_admit_customer (fr_throttle_t *throttle, fb_str_t service, uint32_t rank,
+                        fb_str_t customer);
+void fr_report_customer (fr_throttle_t *throttle, fb_str_t service, uint32_t rank,
+                         fb_str_t customer, bool accepted);
+
 #endif
--- a/packages/call/source/admission-limit.c
+++ b/packages/call/source/admission-limit.c
@@ -1,8 +1,9 @@
 /* The adaptive concurrency limit, a baseline: additive increase, multiplicative decrease. */
 #include "admission-state.h"
 
-/* Latency over the fastest one that counts as congestion. */
-#define CONGESTION_RATIO 2.0
+/* Latency in slot times of the same call that counts as congestion: it waited as long as it
+ * ran. */
+#define CONGESTION_RATIO 2
 
 /* Factor of the limit at congestion. */
 #define LIMIT_DECREASE 0.95
@@ -10,19 +11,10 @@
 /* Largest limit, per slot. */
 #define LIMIT_PER_SLOT 8.0
 
-/* Rise of the fastest latency with each sample, so that a lasting change is followed. */
-#define FASTEST_RISE 1.001
-
 void
-fr_adapt_limit (fr_admission_t *admission, fb_time_t latency)
+fr_adapt_limit (fr_admission_t *admission, fb_time_t latency, fb_time_t used)
 {
-  double sample = (double)latency;
-
-  if (admission->fastest == 0 || sample < admission->fastest)
-    admission->fastest = sample;
-  else
-    admission->fastest *= FASTEST_RISE;
-  if (sample > admission->fastest * CONGESTION_RATIO)
+  if (latency > CONGESTION_RATIO * used)
     admission->limit *= LIMIT_DECREASE;
   else
     admission->limit += 1 / admission->limit;
--- a/packages/call/source/admission-queue.c
+++ b/packages/call/source/admission-queue.c
@@ -220,7 +220,8 @@
 
       leave_turns (flow);
       leave_turns (target);
-      target->pass = MAX (target->pass, to->virtual_time);
+      target->pass
+          = MAX (target->pass, to->virtual_time) + MAX (0, flow->pass - from->virtual_time);
       target->started += flow->started;
       while ((entry = g_queue_peek_head (&flow->waiting)) != NULL)
         {
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -6,6 +6,15 @@
  */
 #define AVAILABLE_MIN 0.01
 
+/* Part of the slots held back from the least urgent rank while more urgent ones have traffic,
+ * and the fewest slots with which any is held back. A slot is not taken back from a long call,
+ * so without free slots urgent work waits for the end of one. */
+#define RESERVE_PART 0.2
+#define RESERVE_SLOTS_MIN 5
+
+/* Part of the slots that more urgent ranks use at least for a reserve to be kept. */
+#define RESERVE_USAGE_MIN 0.02
+
 /* Share that FR_POLICY_FAIR gives a rank without one. */
 #define FAIR_SHARE_MIN 0.01
 
@@ -30,13 +39,27 @@
 bool
 fr_is_below_share (const fr_admission_t *admission, const rank_t *rank)
 {
-  double guaranteed = rank->rule.share * admission->slots;
+  return rank->usage < rank->rule.share * admission->slots;
+}
 
-  /* The second condition keeps a rank that was idle from taking every slot at once to make up
-   * for its idle time. */
-  return rank->usage < guaranteed && rank->started < ceil (guaranteed);
+/* Returns the slots that RANK leaves free when it is over its share; the less urgent, the more.
+ */
+static uint32_t
+get_reserve (const fr_admission_t *admission, const rank_t *rank)
+{
+  uint32_t most = (uint32_t)ceil (admission->slots * RESERVE_PART);
+  double urgent = 0;
+
+  if (rank->index == 0 || admission->slots < RESERVE_SLOTS_MIN)
+    return 0;
+  for (uint32_t i = 0; i < rank->index; i++)
+    urgent += ((rank_t *)g_ptr_array_index (admission->ranks, i))->usage;
+  if (urgent < admission->slots * RESERVE_USAGE_MIN)
+    return 0;
+  return most * rank->index / MAX (admission->ranks->len - 1, 1);
 }
 
+/* The most urgent rank that is below its share goes first, then the most urgent one. */
 static rank_t *
 choose_by_share (const fr_admission_t *admission)
 {
@@ -53,6 +76,9 @@
       if (urgent == NULL)
         urgent = rank;
     }
+  if (urgent != NULL
+      && admission->started + get_reserve (admission, urgent) >= admission->slots)
+    return NULL;
   return urgent;
 }
 
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -76,7 +76,6 @@
   uint64_t arrivals;
   fb_time_t usage_time; /* when the usages were brought up to date */
   double limit;         /* FR_POLICY_ADAPTIVE: calls allowed inside */
-  double fastest;       /* FR_POLICY_ADAPTIVE: slowly rising minimum of the latency, ns */
   bool draining;
   bool delivering;
   GQueue events; /* event_t */
@@ -139,7 +138,8 @@
 
 /* admission-limit.c */
 
-/* Moves the limit of FR_POLICY_ADAPTIVE after a call that took LATENCY from its arrival. */
-void fr_adapt_limit (fr_admission_t *admission, fb_time_t latency);
+/* Moves the limit of FR_POLICY_ADAPTIVE after a call that took LATENCY from its arrival and
+ * USED slot time. */
+void fr_adapt_limit (fr_admission_t *admission, fb_time_t latency, fb_time_t used);
 
 #endif
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -75,6 +75,18 @@
          && (double)(entry->deadline - now) < rank->service;
 }
 
+/* Returns whether a call that has waited in a rank over its share would miss its target: its
+ * slot goes to a newer one. */
+static bool
+is_entry_stale (const fr_admission_t *admission, const entry_t *entry, fb_time_t now)
+{
+  const rank_t *rank = entry->flow->rank;
+
+  return admission->policy == FR_POLICY_SHARES && rank->rule.target > 0 && rank->started > 0
+         && (double)(now - entry->arrived) + rank->service > (double)rank->rule.target
+         && !fr_is_below_share (admission, rank);
+}
+
 static void
 start_entry (fr_admission_t *admission, entry_t *entry, fb_time_t now)
 {
@@ -100,6 +112,8 @@
 
       if (is_entry_late (admission, entry, now))
         refuse_entry (admission, entry, FR_REFUSED_LATE);
+      else if (is_entry_stale (admission, entry, now))
+        refuse_entry (admission, entry, FR_REFUSED_FULL);
       else
         start_entry (admission, entry, now);
     }
@@ -297,7 +311,7 @@
   rank->service
       = rank->service > 0 ? rank->service + (used - rank->service) * SERVICE_GAIN : used;
   if (admission->policy == FR_POLICY_ADAPTIVE)
-    fr_adapt_limit (admission, now - entry->arrived);
+    fr_adapt_limit (admission, now - entry->arrived, now - entry->started);
   admission->started--;
   g_hash_table_remove (admission->entries, &id);
   fill_slots (admission);
--- a/packages/call/source/retry-budget.c
+++ b/packages/call/source/retry-budget.c
@@ -9,7 +9,7 @@
 struct fr_retry_budget
 {
   const fb_clock_t *clock;
-  GHashTable *windows; /* service -> fr_window_t of first attempts and retries */
+  fr_windows_t windows; /* by service, of first attempts and retries */
 };
 
 fr_retry_budget_t *
@@ -18,7 +18,7 @@
   fr_retry_budget_t *budget = g_new0 (fr_retry_budget_t, 1);
 
   budget->clock = clock;
-  budget->windows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fr_init_windows (&budget->windows);
   return budget;
 }
 
@@ -27,7 +27,7 @@
 {
   if (budget == NULL)
     return;
-  g_hash_table_destroy (budget->windows);
+  fr_clear_windows (&budget->windows);
   g_free (budget);
 }
 
@@ -35,7 +35,7 @@
 find_window (fr_retry_budget_t *budget, fb_str_t service)
 {
   char *key = fb_copy_text (service);
-  fr_window_t *window = fr_find_window (budget->windows, key);
+  fr_window_t *window = fr_find_window (&budget->windows, key, fb_read_clock (budget->clock));
 
   g_free (key);
   return window;
--- a/packages/call/source/retry-throttle.c
+++ b/packages/call/source/retry-throttle.c
@@ -12,11 +12,14 @@
 /* Longest time without a call let through while calls are offered. */
 #define PROBE_PERIOD (100 * FB_MILLISECOND)
 
+/* Most windows held; calls of further customers are counted with those of the small ones. */
+#define WINDOWS_MAX 10000
+
 struct fr_throttle
 {
   const fb_clock_t *clock;
   GRand *random;
-  GHashTable *windows; /* "rank service" -> fr_window_t of calls ended and calls accepted */
+  fr_windows_t windows; /* by rank, service and customer, of calls ended and accepted */
 };
 
 fr_throttle_t *
@@ -26,7 +29,7 @@
 
   throttle->clock = clock;
   throttle->random = g_rand_new_with_seed (seed);
-  throttle->windows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  fr_init_windows (&throttle->windows);
   return throttle;
 }
 
@@ -35,27 +38,61 @@
 {
   if (throttle == NULL)
     return;
-  g_hash_table_destroy (throttle->windows);
+  fr_clear_windows (&throttle->windows);
   g_rand_free (throttle->random);
   g_free (throttle);
 }
 
+/* Finds the window of all small customers, with CUSTOMER NULL, or of one. */
 static fr_window_t *
-find_window (fr_throttle_t *throttle, fb_str_t service, uint32_t rank)
+find_window (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, const fb_str_t *customer)
 {
-  char *key = g_strdup_printf ("%u %.*s", rank, (int)service.len, service.data);
-  fr_window_t *window = fr_find_window (throttle->windows, key);
+  fb_time_t now = fb_read_clock (throttle->clock);
+  fr_window_t *window;
+  char *key;
 
+  if (customer != NULL && fr_count_windows (&throttle->windows) < WINDOWS_MAX)
+    key = g_strdup_printf ("%u %zu %.*s %.*s", rank, service.len, (int)service.len,
+                           service.data, (int)customer->len, customer->data);
+  else
+    key = g_strdup_printf ("%u %.*s", rank, (int)service.len, service.data);
+  window = fr_find_window (&throttle->windows, key, now);
   g_free (key);
+  fr_move_window (window, now);
   return window;
 }
 
+/* Finds the window that decides about a call of CUSTOMER. */
+static fr_window_t *
+find_deciding (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, fb_str_t customer)
+{
+  fr_window_t *own = find_window (throttle, service, rank, &customer);
+
+  return own->sum.offered >= OFFERED_MIN ? own : find_window (throttle, service, rank, NULL);
+}
+
+/* Counts one call that ended in the window of CUSTOMER, and in that of the small customers as
+ * long as it is one. */
+static void
+count_call (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, fb_str_t customer,
+            bool accepted)
+{
+  fb_time_t now = fb_read_clock (throttle->clock);
+  fr_window_t *deciding = find_deciding (throttle, service, rank, customer);
+  fr_window_t *own;
+
+  fr_add_window (deciding, now, 1, accepted);
+  own = find_window (throttle, service, rank, &customer);
+  if (own->sum.offered < OFFERED_MIN)
+    fr_add_window (own, now, 1, accepted);
+}
+
 bool
-fr_admit_upstream (fr_throttle_t *throttle, fb_str_t service, uint32_t rank)
+fr_admit_customer (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, fb_str_t customer)
 {
-  fr_window_t *window = find_window (throttle, service, rank);
+  fr_window_t *window = find_deciding (throttle, service, rank, customer);
   fb_time_t now = fb_read_clock (throttle->clock);
-  const fr_window_count_t *sum = fr_move_window (window, now);
+  const fr_window_count_t *sum = &window->sum;
   double excess = (double)sum->offered - OFFERED_PER_ACCEPTED * (double)sum->taken;
 
   if (sum->offered < OFFERED_MIN || now - window->last_passed >= PROBE_PERIOD
@@ -65,13 +102,25 @@
       return true;
     }
   /* Calls in flight are not counted before they end, or a slow service would look refusing. */
-  fr_add_window (window, now, 1, 0);
+  count_call (throttle, service, rank, customer, false);
   return false;
 }
 
+void
+fr_report_customer (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, fb_str_t customer,
+                    bool accepted)
+{
+  count_call (throttle, service, rank, customer, accepted);
+}
+
+bool
+fr_admit_upstream (fr_throttle_t *throttle, fb_str_t service, uint32_t rank)
+{
+  return fr_admit_customer (throttle, service, rank, FB_LITERAL (""));
+}
+
 void
 fr_report_upstream (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, bool accepted)
 {
-  fr_add_window (find_window (throttle, service, rank), fb_read_clock (throttle->clock), 1,
-                 accepted ? 1 : 0);
+  fr_report_customer (throttle, service, rank, FB_LITERAL (""), accepted);
 }
--- a/packages/call/source/retry-window.c
+++ b/packages/call/source/retry-window.c
@@ -32,15 +32,47 @@
   window->sum.taken += taken;
 }
 
+void
+fr_init_windows (fr_windows_t *windows)
+{
+  windows->table = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  windows->last_sweep = 0;
+}
+
+void
+fr_clear_windows (fr_windows_t *windows)
+{
+  g_hash_table_destroy (windows->table);
+}
+
+static gboolean
+is_window_empty (void *key, void *value, void *user)
+{
+  return fr_move_window (value, *(const fb_time_t *)user)->offered == 0
+         && ((fr_window_t *)value)->sum.taken == 0;
+}
+
 fr_window_t *
-fr_find_window (GHashTable *windows, const char *key)
+fr_find_window (fr_windows_t *windows, const char *key, fb_time_t now)
 {
-  fr_window_t *window = g_hash_table_lookup (windows, key);
+  fr_window_t *window;
 
+  if (now - windows->last_sweep >= FR_WINDOW)
+    {
+      windows->last_sweep = now;
+      g_hash_table_foreach_remove (windows->table, is_window_empty, &now);
+    }
+  window = g_hash_table_lookup (windows->table, key);
   if (window == NULL)
     {
       window = g_new0 (fr_window_t, 1);
-      g_hash_table_insert (windows, g_strdup (key), window);
+      g_hash_table_insert (windows->table, g_strdup (key), window);
     }
   return window;
 }
+
+size_t
+fr_count_windows (const fr_windows_t *windows)
+{
+  return g_hash_table_size (windows->table);
+}
--- a/packages/call/source/retry-window.h
+++ b/packages/call/source/retry-window.h
@@ -19,16 +19,33 @@
   fr_window_count_t parts[FR_WINDOW_PARTS];
   fr_window_count_t sum;
   int64_t part;          /* number of the present part since the clock's zero */
-  fb_time_t last_passed; /* FR_THROTTLE: when a call was last let through */
+  fb_time_t last_passed; /* throttle: when a call was last let through */
 } fr_window_t;
 
+/* Windows by key. */
+typedef struct
+{
+  GHashTable *table; /* text -> fr_window_t */
+  fb_time_t last_sweep;
+} fr_windows_t;
+
+/* Prepares WINDOWS; free with fr_clear_windows. */
+void fr_init_windows (fr_windows_t *windows);
+
+/* Frees all windows. */
+void fr_clear_windows (fr_windows_t *windows);
+
 /* Drops the parts that are over and returns the sum of the rest. */
 const fr_window_count_t *fr_move_window (fr_window_t *window, fb_time_t now);
 
 /* Adds to the present part. */
 void fr_add_window (fr_window_t *window, fb_time_t now, uint64_t offered, uint64_t taken);
 
-/* Returns the window of KEY, created when missing. */
-fr_window_t *fr_find_window (GHashTable *windows, const char *key);
+/* Returns the window of KEY, created when missing; empty ones are freed from time to time. The
+ * result is valid until the next call. */
+fr_window_t *fr_find_window (fr_windows_t *windows, const char *key, fb_time_t now);
+
+/* Returns the number of windows held. */
+size_t fr_count_windows (const fr_windows_t *windows);
 
 #endif
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -100,7 +100,8 @@
   instance->weight
       = fb_weigh_rendezvous (fb_get_name (&picker->self), fb_get_name (&member->id));
   instance->gone = false;
-  instance->latency = 0;
+  for (int i = 0; i < FC_RANKS_MAX; i++)
+    instance->ranks[i].latency = 0;
   instance->load = 0;
   instance->failures = 0;
   instance->ejections = 0;
@@ -246,14 +247,15 @@
 }
 
 static instance_t *
-pick_two (fr_picker_t *picker, const candidates_t *candidates, fb_time_t now)
+pick_two (fr_picker_t *picker, const candidates_t *candidates, uint32_t rank, fb_time_t now)
 {
   instance_t *first = draw_candidate (picker, candidates, NULL, now);
   instance_t *second = draw_candidate (picker, candidates, first, now);
 
   if (second == NULL)
     return first;
-  return fr_score_instance (second, now) < fr_score_instance (first, now) ? second : first;
+  return fr_score_instance (second, rank, now) < fr_score_instance (first, rank, now) ? second
+                                                                                      : first;
 }
 
 /* The baselines. */
@@ -278,9 +280,23 @@
   return best;
 }
 
+/* Returns RANK within the number of ranks that a configuration may have. */
+static uint32_t
+limit_rank (uint32_t rank)
+{
+  return MIN (rank, FC_RANKS_MAX - 1);
+}
+
+static void
+begin_attempt (instance_t *instance, uint32_t rank)
+{
+  instance->in_flight++;
+  instance->ranks[limit_rank (rank)].in_flight++;
+}
+
 bool
-fr_pick_backend (fr_picker_t *picker, fb_str_t service_name, fb_str_t key,
-                 const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
+fr_pick_ranked (fr_picker_t *picker, fb_str_t service_name, uint32_t rank, fb_str_t key,
+                const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
 {
   service_t *service = find_service (picker, service_name);
   candidates_t candidates;
@@ -292,38 +308,56 @@
   if (candidates.count == 0)
     return false;
   if (picker->policy == FR_PICK_TWO)
-    instance = pick_two (picker, &candidates, fb_read_clock (picker->clock));
+    instance = pick_two (picker, &candidates, limit_rank (rank), fb_read_clock (picker->clock));
   else
     instance = pick_plain (picker, service, &candidates, key);
-  instance->in_flight++;
+  begin_attempt (instance, rank);
   *picked = instance->member.id;
   return true;
 }
 
+bool
+fr_pick_backend (fr_picker_t *picker, fb_str_t service, fb_str_t key, const fb_name_t *excluded,
+                 size_t excluded_count, fb_name_t *picked)
+{
+  return fr_pick_ranked (picker, service, 0, key, excluded, excluded_count, picked);
+}
+
 void
-fr_begin_attempt (fr_picker_t *picker, const fb_name_t *name)
+fr_begin_ranked (fr_picker_t *picker, const fb_name_t *name, uint32_t rank)
 {
   instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
 
   if (instance != NULL)
-    instance->in_flight++;
+    begin_attempt (instance, rank);
 }
 
 void
-fr_report_result (fr_picker_t *picker, const fb_name_t *name, fr_result_t result,
+fr_begin_attempt (fr_picker_t *picker, const fb_name_t *name)
+{
+  fr_begin_ranked (picker, name, 0);
+}
+
+void
+fr_report_ranked (fr_picker_t *picker, const fb_name_t *name, uint32_t rank, fr_result_t result,
                   fb_time_t latency, uint32_t load)
 {
   instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
   fb_time_t now = fb_read_clock (picker->clock);
+  traffic_t *traffic;
 
   if (instance == NULL)
     return;
+  traffic = &instance->ranks[limit_rank (rank)];
   /* A call that began before the instance was known is not counted in flight. */
-  if (instance->in_flight > 0)
-    instance->in_flight--;
+  if (traffic->in_flight > 0)
+    {
+      traffic->in_flight--;
+      instance->in_flight--;
+    }
   if (result == FR_RESULT_GOOD || result == FR_RESULT_FAILED)
     {
-      fr_sample_latency (instance, latency, result == FR_RESULT_FAILED, now);
+      fr_sample_latency (instance, limit_rank (rank), latency, result == FR_RESULT_FAILED, now);
       fr_count_attempt (instance, result == FR_RESULT_FAILED, now);
     }
   if (result == FR_RESULT_GOOD || result == FR_RESULT_REFUSED)
@@ -335,6 +369,13 @@
     g_hash_table_remove (picker->instances, instance->member.id.data);
 }
 
+void
+fr_report_result (fr_picker_t *picker, const fb_name_t *name, fr_result_t result,
+                  fb_time_t latency, uint32_t load)
+{
+  fr_report_ranked (picker, name, 0, result, latency, load);
+}
+
 size_t
 fr_count_instances (const fr_picker_t *picker, fb_str_t service_name)
 {
--- a/packages/call/source/route-score.c
+++ b/packages/call/source/route-score.c
@@ -2,14 +2,15 @@
 #include "route-state.h"
 #include <math.h>
 
-/* Weight of a sample above and below the average: a slowdown is believed at once. */
-#define LATENCY_GAIN_UP 0.3
-#define LATENCY_GAIN_DOWN 0.1
+/* Largest step, in the logarithm, that one more sample moves a latency by. A median moves by
+ * the same step whatever the sample, so that a few long calls do not divert the others. */
+#define LATENCY_STEP 0.05
 
 /* A failed attempt counts as so many times the average latency. */
 #define FAILURE_PENALTY 2.0
 
-/* Longest latency taken as a sample. */
+/* Range of the latencies taken as a sample. */
+#define LATENCY_MIN FB_MICROSECOND
 #define LATENCY_MAX (10 * FB_SECOND)
 
 /* Without samples an average returns to that of the service within this time constant, so that
@@ -19,30 +20,39 @@
 /* A reported load counts for this long. */
 #define LOAD_MEMORY FB_SECOND
 
+/* Largest load that counts: beyond that it is the length of the least urgent queue. */
+#define LOAD_MAX 2000
+
 /* Weight of an idle instance relative to one with every slot in use, which has 1. */
 #define LOAD_BASE 0.5
 
 /* Part that an instance gets at the begin of its slow start. */
 #define WARMTH_MIN 0.1
 
+/* Moves the median MEDIAN of logarithms one step towards SAMPLE; 0 stands for no sample yet. */
+static double
+move_median (double median, double sample)
+{
+  if (median == 0)
+    return sample;
+  return median + CLAMP (sample - median, -LATENCY_STEP, LATENCY_STEP);
+}
+
 void
-fr_sample_latency (instance_t *instance, fb_time_t latency, bool failed, fb_time_t now)
+fr_sample_latency (instance_t *instance, uint32_t rank, fb_time_t latency, bool failed,
+                   fb_time_t now)
 {
-  double sample = (double)CLAMP (latency, 1, LATENCY_MAX);
-
-  if (failed && instance->latency > 0)
-    sample = MIN (MAX (sample, instance->latency * FAILURE_PENALTY), (double)LATENCY_MAX);
-  if (instance->latency == 0)
-    instance->latency = sample;
-  else
-    instance->latency += (sample - instance->latency)
-                         * (sample > instance->latency ? LATENCY_GAIN_UP : LATENCY_GAIN_DOWN);
-  instance->latency_time = now;
-  instance->service->latency
-      = instance->service->latency == 0
-            ? sample
-            : instance->service->latency
-                  + (sample - instance->service->latency) * LATENCY_GAIN_DOWN;
+  double sample = log ((double)CLAMP (latency, LATENCY_MIN, LATENCY_MAX));
+  traffic_t *traffic = &instance->ranks[rank];
+  double *usual = &instance->service->latencies[rank];
+
+  /* A failure is quick; without the penalty it would attract calls. */
+  if (failed && traffic->latency > 0)
+    sample = MIN (MAX (sample, traffic->latency + log (FAILURE_PENALTY)),
+                  log ((double)LATENCY_MAX));
+  traffic->latency = move_median (traffic->latency, sample);
+  traffic->latency_time = now;
+  *usual = move_median (*usual, sample);
 }
 
 bool
@@ -60,17 +70,19 @@
 }
 
 double
-fr_score_instance (const instance_t *instance, fb_time_t now)
+fr_score_instance (const instance_t *instance, uint32_t rank, fb_time_t now)
 {
-  double usual = MAX (instance->service->latency, 1);
-  double latency = usual;
+  const traffic_t *traffic = &instance->ranks[rank];
+  double latency = instance->service->latencies[rank];
   double load = LOAD_BASE;
+  uint32_t ahead = 0;
 
-  if (instance->latency > 0)
-    latency = usual
-              + (instance->latency - usual)
-                    * exp (-(double)(now - instance->latency_time) / (double)LATENCY_MEMORY);
+  for (uint32_t i = 0; i <= rank; i++)
+    ahead += instance->ranks[i].in_flight;
+  if (traffic->latency > 0)
+    latency += (traffic->latency - latency)
+               * exp (-(double)(now - traffic->latency_time) / (double)LATENCY_MEMORY);
   if (now - instance->load_time < LOAD_MEMORY)
-    load += instance->load * (1 - LOAD_BASE) / 1000;
-  return (instance->in_flight + 1) * latency * load;
+    load += MIN (instance->load, LOAD_MAX) * (1 - LOAD_BASE) / 1000;
+  return (ahead + 1) * exp (latency) * load;
 }
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_CALL_ROUTE_STATE_H
 
 #include <foxtailrun/call/picker.h>
+#include <foxtailrun/config/snapshot.h>
 #include <glib.h>
 
 /* Most instances of one service that a node sends to. */
@@ -26,6 +27,14 @@
 
 typedef struct service service_t;
 
+/* What was observed of one rank at one instance. */
+typedef struct
+{
+  uint32_t in_flight;
+  double latency;         /* moving median of the logarithm of ns; 0 before the first sample */
+  fb_time_t latency_time; /* of the last sample */
+} traffic_t;
+
 typedef struct
 {
   fw_member_t member;
@@ -33,10 +42,9 @@
   uint64_t weight; /* rendezvous weight for this node */
   bool gone;       /* left or dead, and kept only for the calls in flight */
   bool member_of_subset;
-  uint32_t in_flight;
-  double latency;         /* moving average in ns; 0 before the first sample */
-  fb_time_t latency_time; /* of the last sample */
-  uint32_t load;          /* per 1,000 slots, as last reported */
+  uint32_t in_flight; /* of all ranks */
+  traffic_t ranks[FC_RANKS_MAX];
+  uint32_t load; /* per 1,000 slots, as last reported */
   fb_time_t load_time;
   fb_time_t joined;  /* start of the slow start */
   uint32_t failures; /* in a row */
@@ -47,10 +55,10 @@
 struct service
 {
   char *name;
-  GPtrArray *instances; /* instance_t that are not gone */
-  GPtrArray *subset;    /* of the above, at most SUBSET_MAX */
-  double latency;       /* average of all instances, ns */
-  uint64_t turn;        /* FR_PICK_ROUND_ROBIN */
+  GPtrArray *instances;           /* instance_t that are not gone */
+  GPtrArray *subset;              /* of the above, at most SUBSET_MAX */
+  double latencies[FC_RANKS_MAX]; /* by rank, over all instances */
+  uint64_t turn;                  /* FR_PICK_ROUND_ROBIN */
 };
 
 struct fr_picker
@@ -86,11 +94,12 @@
 
 /* route-score.c */
 
-/* Takes one sample of the latency; a failure never makes an instance look faster. */
-void fr_sample_latency (instance_t *instance, fb_time_t latency, bool failed, fb_time_t now);
+/* Takes one sample of the latency of RANK; a failure never makes an instance look faster. */
+void fr_sample_latency (instance_t *instance, uint32_t rank, fb_time_t latency, bool failed,
+                        fb_time_t now);
 
-/* Returns the expected cost of one more call on INSTANCE; the lower is better. */
-double fr_score_instance (const instance_t *instance, fb_time_t now);
+/* Returns the expected cost of one more call of RANK on INSTANCE; the lower is better. */
+double fr_score_instance (const instance_t *instance, uint32_t rank, fb_time_t now);
 
 /* Returns the part, 0 to 1, that INSTANCE gets during its slow start. */
 double fr_get_warmth (const instance_t *instance, fb_time_t now);
--- /dev/null
+++ b/packages/call/tests/test-admission.c
@@ -0,0 +1,488 @@
+/* Rules of admission, as scripts of offers and ends on a manual clock. */
+#include <foxtailrun/call/admission.h>
+#include <glib.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define RANKS_MAX 3
+
+typedef struct
+{
+  fr_admission_t *admission;
+  fb_clock_t *clock;
+  fb_counters_t *counters;
+  fr_rank_rule_t ranks[RANKS_MAX];
+  uint32_t slots;
+  size_t rank_count;
+  GString *events;
+} fixture_t;
+
+static void
+on_start (void *call, void *user)
+{
+  fixture_t *fixture = user;
+
+  g_string_append_printf (fixture->events, "s%u ", GPOINTER_TO_UINT (call));
+}
+
+static void
+on_refuse (void *call, fr_refusal_t refusal, void *user)
+{
+  fixture_t *fixture = user;
+
+  g_string_append_printf (fixture->events, "%s%u ", fr_describe_refusal (refusal),
+                          GPOINTER_TO_UINT (call));
+}
+
+/* Runs one word of a script: "oID,RANK,CUSTOMER,WEIGHT,DEADLINE" (ms from now) offers, "fID"
+ * finishes, "cID" cancels, "+MS" passes time, "t" ticks, "d" drains, "SN" sets the slots and
+ * "RN" the number of ranks. */
+static void
+run_word (fixture_t *fixture, const char *word)
+{
+  uint64_t id = strtoull (word + 1, NULL, 10);
+  char **fields;
+
+  switch (word[0])
+    {
+    case 'o':
+      fields = g_strsplit (word + 1, ",", 5);
+      fr_offer_call (fixture->admission, id, GUINT_TO_POINTER (id), (uint32_t)atoi (fields[1]),
+                     fb_wrap_text (fields[2]), atof (fields[3]),
+                     fb_read_clock (fixture->clock) + atoi (fields[4]) * FB_MILLISECOND);
+      g_strfreev (fields);
+      break;
+    case 'f':
+      fr_finish_call (fixture->admission, id);
+      break;
+    case 'c':
+      g_string_append (fixture->events,
+                       fr_cancel_call (fixture->admission, id) ? "yes " : "no ");
+      break;
+    case '+':
+      fb_advance_clock (fixture->clock, (fb_time_t)id * FB_MILLISECOND);
+      break;
+    case 't':
+      fr_tick_admission (fixture->admission);
+      break;
+    case 'd':
+      fr_drain_admission (fixture->admission);
+      break;
+    default:
+      g_assert_true (word[0] == 'S' || word[0] == 'R');
+      if (word[0] == 'S')
+        fixture->slots = (uint32_t)id;
+      else
+        fixture->rank_count = id;
+      fr_set_rules (fixture->admission, fixture->slots, fixture->ranks, fixture->rank_count);
+      break;
+    }
+}
+
+static void
+run_script (fixture_t *fixture, const char *script)
+{
+  char **words = g_strsplit (script, " ", -1);
+
+  for (size_t i = 0; words[i] != NULL; i++)
+    run_word (fixture, words[i]);
+  g_strfreev (words);
+}
+
+typedef struct
+{
+  const char *name;
+  const char *guards; /* against which failure */
+  fr_policy_t policy;
+  uint32_t slots;
+  double share[RANKS_MAX];
+  uint32_t target_ms[RANKS_MAX];
+  uint32_t queue_max;
+  const char *script;
+  const char *events;
+} case_t;
+
+static const case_t cases[] = {
+  { "urgent-first",
+    "least urgent work that arrived earlier goes first",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,1,a,1,900 o2,1,a,1,900 o3,0,a,1,900 f1 f3",
+    "s1 s3 s2 " },
+  { "share-first",
+    "a flood of the most urgent rank starves the others",
+    FR_POLICY_SHARES,
+    1,
+    { 0.5, 0.5 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +1000 o2,0,a,1,9000 o3,1,a,1,9000 f1 +2000 o4,1,a,1,9000 f3",
+    "s1 s3 s2 " },
+  { "share-lent",
+    "slots stay idle for a rank without work",
+    FR_POLICY_SHARES,
+    1,
+    { 0.1, 0.9 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +1000 o2,0,a,1,9000 f1",
+    "s1 s2 " },
+  { "share-used",
+    "a rank gets more than its share because calls instead of time are counted",
+    FR_POLICY_SHARES,
+    2,
+    { 0.5, 0.5 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 o2,1,a,1,9000 +100 f1 o3,0,a,1,9000 +900 o4,0,a,1,9000 o5,1,a,1,9000 f2",
+    "s1 s2 s3 s4 " },
+  { "reserve",
+    "long calls of the least urgent rank hold every slot",
+    FR_POLICY_SHARES,
+    5,
+    { 0.9, 0, 0.01 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +500 o2,2,a,1,9000 o3,2,a,1,9000 +500 o4,2,a,1,9000 o5,2,a,1,9000 "
+    "o6,0,a,1,9000",
+    "s1 s2 s3 s4 s6 " },
+  { "reserve-idle",
+    "slots stay idle for an urgent rank without traffic",
+    FR_POLICY_SHARES,
+    5,
+    { 0.9, 0, 0.01 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +300 f1 o2,2,a,1,9000 o3,2,a,1,9000 o4,2,a,1,9000 o5,2,a,1,9000 "
+    "+100 o6,2,a,1,9000 +5000 t",
+    "s1 s2 s3 s4 s5 s6 " },
+  { "customer-turn",
+    "a customer gains by sending more",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 o2,0,a,1,900 o3,0,a,1,900 o4,0,b,1,900 o5,0,b,1,900 f1 f4 f2 f5",
+    "s1 s4 s2 s5 s3 " },
+  { "customer-idle",
+    "an idle customer saves up turns",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +10 f1 o2,0,b,1,9000 o3,0,b,1,9000 o4,0,b,1,9000 +10 f2 +10 f3 +10 f4 "
+    "o5,0,b,1,9000 o6,0,a,1,9000 o7,0,a,1,9000 o8,0,a,1,9000 o9,0,b,1,9000 +10 f5 +10 f6 +10 f9 "
+    "+10 f7",
+    "s1 s2 s3 s4 s5 s6 s9 s7 s8 " },
+  { "customer-weight",
+    "weights do not matter",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,c,1,9000 o2,0,a,3,9000 o3,0,a,3,9000 o4,0,a,3,9000 o5,0,b,1,9000 o6,0,b,1,9000 "
+    "+1 f1 +1 f2 +1 f5 +1 f3 +1 f4",
+    "s1 s2 s5 s3 s4 s6 " },
+  { "deadline-passed",
+    "a call whose deadline has passed is started",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,0",
+    "deadline1 " },
+  { "deadline-wait",
+    "a call waits although it cannot end in time",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +100 f1 o2,0,a,1,9000 o3,0,a,1,9000 o4,0,a,1,250 o5,0,a,1,350",
+    "s1 s2 deadline4 " },
+  { "deadline-probe",
+    "a wrong average refuses all calls for ever",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 +5000 f1 o2,0,a,1,100",
+    "s1 s2 " },
+  { "deadline-tick",
+    "expired calls keep their place",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,9000 o2,0,a,1,50 +60 t",
+    "s1 deadline2 " },
+  { "deadline-pause",
+    "a call queued before a pause is started after its deadline",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 o2,0,a,1,900 o3,0,a,1,9000 +5000 f1",
+    "s1 deadline2 s3 " },
+  { "queue-largest",
+    "a newcomer is refused in favour of the customer that fills the queue",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    3,
+    "o1,0,a,1,900 o2,0,a,1,900 o3,0,a,1,900 o4,0,a,1,900 o5,0,b,1,900 f1 f5 f2",
+    "s1 queue-full4 s5 s2 s3 " },
+  { "queue-own",
+    "the customer that fills the queue drives out others",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    3,
+    "o1,0,a,1,900 o2,0,b,1,900 o3,0,a,1,900 o4,0,a,1,900 o5,0,a,1,900",
+    "s1 queue-full5 " },
+  { "target",
+    "a rank over its share queues work past its target",
+    FR_POLICY_SHARES,
+    1,
+    { 0.1 },
+    { 150 },
+    0,
+    "o1,0,a,1,9000 +100 f1 o2,0,a,1,9000 +100 o3,0,a,1,9000 o4,0,a,1,9000",
+    "s1 s2 queue-full4 " },
+  { "target-share",
+    "a rank below its share is refused by its target",
+    FR_POLICY_SHARES,
+    1,
+    { 0.9 },
+    { 150 },
+    0,
+    "o1,0,a,1,9000 +100 f1 o2,0,a,1,9000 o3,0,a,1,9000 o4,0,a,1,9000",
+    "s1 s2 " },
+  { "target-waited",
+    "a slot goes to a call that has missed its target",
+    FR_POLICY_SHARES,
+    2,
+    { 0.1 },
+    { 150 },
+    0,
+    "o1,0,a,1,9000 o2,0,a,1,9000 +10 f1 o3,0,a,1,9000 o4,0,a,1,9000 +200 o5,0,a,1,9000 f2",
+    "s1 s2 s3 queue-full4 s5 " },
+  { "drain",
+    "draining drops waiting work or takes new work",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 o2,0,a,1,900 d o3,0,a,1,900 f1",
+    "s1 draining3 s2 " },
+  { "cancel",
+    "a cancelled call starts, or a started one is refused",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 o2,0,a,1,900 c2 c1 c2 f1",
+    "s1 cancelled2 yes no no " },
+  { "more-slots",
+    "new slots stay idle",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 o2,0,a,1,900 o3,0,a,1,900 S2 S1 f1 f2",
+    "s1 s2 s3 " },
+  { "fewer-ranks",
+    "calls of a rank that went away are lost",
+    FR_POLICY_SHARES,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,2,a,1,900 o2,2,a,1,900 o3,1,b,1,900 o4,2,c,1,900 R1 o5,7,a,1,900 o6,0,d,1,900 f1 f3 f4 f6 "
+    "f2 R3 f5",
+    "s1 s3 s4 s6 s2 s5 " },
+  { "fifo",
+    "the baseline looks at ranks",
+    FR_POLICY_FIFO,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,1,a,1,900 o2,1,a,1,900 o3,0,a,1,900 f1",
+    "s1 s2 " },
+  { "strict",
+    "the baseline looks at shares",
+    FR_POLICY_STRICT,
+    1,
+    { 0, 0.9 },
+    { 0 },
+    0,
+    "o1,1,a,1,900 o2,1,a,1,900 o3,0,a,1,900 f1",
+    "s1 s3 " },
+  { "fair",
+    "the baseline looks at urgency",
+    FR_POLICY_FAIR,
+    1,
+    { 0.3, 0.7 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 +10 o2,0,a,1,900 o3,1,a,1,900 f1",
+    "s1 s3 " },
+  { "adaptive",
+    "the baseline's limit never moves",
+    FR_POLICY_ADAPTIVE,
+    1,
+    { 0 },
+    { 0 },
+    0,
+    "o1,0,a,1,900 o2,0,a,1,900 +10 f1 o3,0,a,1,900 o4,0,a,1,900 o5,0,a,1,900",
+    "s1 queue-full2 s3 queue-full5 " },
+};
+
+static void
+run_case (gconstpointer data)
+{
+  const case_t *test = data;
+  fixture_t fixture = { 0 };
+  const fr_admission_hooks_t hooks = { on_start, on_refuse, &fixture };
+
+  fixture.clock = fb_create_manual_clock (FB_SECOND);
+  fixture.counters = fb_create_counters ();
+  fixture.events = g_string_new ("");
+  fixture.slots = test->slots;
+  fixture.rank_count = RANKS_MAX;
+  for (int i = 0; i < RANKS_MAX; i++)
+    fixture.ranks[i] = (fr_rank_rule_t){ test->share[i], test->target_ms[i] * FB_MILLISECOND,
+                                         test->queue_max };
+  fixture.admission = fr_create_admission (test->policy, test->slots, fixture.ranks, RANKS_MAX,
+                                           fixture.clock, fixture.counters, &hooks);
+  run_script (&fixture, test->script);
+  g_assert_cmpstr (fixture.events->str, ==, test->events);
+  fr_destroy_admission (fixture.admission);
+  fb_destroy_counters (fixture.counters);
+  fb_destroy_clock (fixture.clock);
+  g_string_free (fixture.events, TRUE);
+}
+
+/* Calls that hooks make: the odd ones are finished as soon as they start and offer another one,
+ * refused ones cancel or offer again. */
+typedef struct
+{
+  fr_admission_t *admission;
+  uint32_t last;
+  uint32_t started;
+  uint32_t refused;
+  uint32_t inside;
+} reentry_t;
+
+static void
+offer_next (reentry_t *reentry)
+{
+  uint32_t id = ++reentry->last;
+
+  if (id <= 200)
+    fr_offer_call (reentry->admission, id, GUINT_TO_POINTER (id), 0, FB_LITERAL ("a"), 1,
+                   2 * FB_SECOND);
+}
+
+static void
+reenter_start (void *call, void *user)
+{
+  reentry_t *reentry = user;
+
+  g_assert_cmpuint (reentry->inside++, ==, 0);
+  reentry->started++;
+  offer_next (reentry);
+  offer_next (reentry);
+  fr_cancel_call (reentry->admission, reentry->last);
+  fr_finish_call (reentry->admission, GPOINTER_TO_UINT (call));
+  fr_tick_admission (reentry->admission);
+  reentry->inside--;
+}
+
+static void
+reenter_refuse (void *call, fr_refusal_t refusal, void *user)
+{
+  reentry_t *reentry = user;
+
+  g_assert_cmpuint (reentry->inside++, ==, 0);
+  reentry->refused++;
+  offer_next (reentry);
+  reentry->inside--;
+}
+
+/* Guards against hooks that call admission again: nested hooks, lost calls and two hooks for
+ * one call. */
+static void
+test_reentry (void)
+{
+  reentry_t reentry = { 0 };
+  const fr_admission_hooks_t hooks = { reenter_start, reenter_refuse, &reentry };
+  const fr_rank_rule_t rule = { 1, 0, 3 };
+  fb_clock_t *clock = fb_create_manual_clock (FB_SECOND);
+  fb_counters_t *counters = fb_create_counters ();
+
+  reentry.admission
+      = fr_create_admission (FR_POLICY_SHARES, 2, &rule, 1, clock, counters, &hooks);
+  offer_next (&reentry);
+  g_assert_cmpuint (reentry.started + reentry.refused, ==, 200);
+  g_assert_cmpuint (reentry.started, >=, 20);
+  g_assert_cmpuint (reentry.refused, >=, 20);
+  g_assert_cmpuint (fr_count_started (reentry.admission), ==, 0);
+  g_assert_cmpuint (fr_count_waiting (reentry.admission), ==, 0);
+  fr_destroy_admission (reentry.admission);
+  fb_destroy_counters (counters);
+  fb_destroy_clock (clock);
+}
+
+/* Guards against a slot that is freed twice, which would over-use the slots later. */
+static void
+test_finish_twice (void)
+{
+  if (g_test_subprocess ())
+    {
+      fixture_t fixture = { .events = g_string_new ("") };
+      const fr_admission_hooks_t hooks = { on_start, on_refuse, &fixture };
+      const fr_rank_rule_t rule = { 1, 0, 0 };
+
+      fixture.clock = fb_create_manual_clock (0);
+      fixture.admission = fr_create_admission (FR_POLICY_SHARES, 1, &rule, 1, fixture.clock,
+                                               fb_create_counters (), &hooks);
+      run_script (&fixture, "o1,0,a,1,900 o2,0,a,1,900 f1 f1");
+      return;
+    }
+  g_test_trap_subprocess (NULL, 0, 0);
+  g_test_trap_assert_failed ();
+  g_test_trap_assert_stderr ("*entry != NULL*");
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      char *path = g_strdup_printf ("/admission/%s", cases[i].name);
+
+      g_test_add_data_func (path, &cases[i], run_case);
+      g_free (path);
+    }
+  g_test_add_func ("/admission/reentry", test_reentry);
+  g_test_add_func ("/admission/finish-twice", test_finish_twice);
+  return g_test_run ();
+}
