Test picker, retries and at-most-once records

Change: table tests of each rule. A ticket that is known never to have run now runs although its number is below the record that is dropped for it.

--- a/packages/call/source/once-record.c
+++ b/packages/call/source/once-record.c
@@ -166,8 +166,9 @@
     return find_state (record, request_digest, answer);
   if (ticket->serial < once->low_water)
     return FR_ONCE_UNKNOWN;
-  if (g_hash_table_size (once->records) >= once->max_records
-      && (!drop_record (once) || ticket->serial < once->low_water))
+  /* From here on it is known that the serial never ran, even if the low-water mark passes it.
+   */
+  if (g_hash_table_size (once->records) >= once->max_records && !drop_record (once))
     return FR_ONCE_UNKNOWN;
   record = g_new0 (record_t, 1);
   record->serial = ticket->serial;
--- a/packages/call/source/retry-throttle.c
+++ b/packages/call/source/retry-throttle.c
@@ -68,23 +68,30 @@
 {
   fr_window_t *own = find_window (throttle, service, rank, &customer);
 
-  return own->sum.offered >= OFFERED_MIN ? own : find_window (throttle, service, rank, NULL);
+  return own->apart ? own : find_window (throttle, service, rank, NULL);
 }
 
-/* Counts one call that ended in the window of CUSTOMER, and in that of the small customers as
- * long as it is one. */
+/* Counts one call of CUSTOMER that ended. A small customer is counted twice, alone and with the
+ * others; when it is small no longer, the others are rid of it. */
 static void
 count_call (fr_throttle_t *throttle, fb_str_t service, uint32_t rank, fb_str_t customer,
             bool accepted)
 {
   fb_time_t now = fb_read_clock (throttle->clock);
-  fr_window_t *deciding = find_deciding (throttle, service, rank, customer);
-  fr_window_t *own;
+  fr_window_t *own = find_window (throttle, service, rank, &customer);
+  fr_window_t *small;
 
-  fr_add_window (deciding, now, 1, accepted);
-  own = find_window (throttle, service, rank, &customer);
+  fr_add_window (own, now, 1, accepted);
+  if (own->apart)
+    return;
+  small = find_window (throttle, service, rank, NULL);
+  if (small == own)
+    return;
+  fr_add_window (small, now, 1, accepted);
   if (own->sum.offered < OFFERED_MIN)
-    fr_add_window (own, now, 1, accepted);
+    return;
+  own->apart = true;
+  fr_subtract_window (small, own);
 }
 
 bool
--- a/packages/call/source/retry-window.c
+++ b/packages/call/source/retry-window.c
@@ -16,6 +16,8 @@
       window->sum.taken -= oldest->taken;
       *oldest = (fr_window_count_t){ 0, 0 };
     }
+  if (window->sum.offered == 0)
+    window->apart = false;
   return &window->sum;
 }
 
@@ -32,6 +34,18 @@
   window->sum.taken += taken;
 }
 
+void
+fr_subtract_window (fr_window_t *whole, const fr_window_t *part)
+{
+  for (size_t i = 0; i < FR_WINDOW_PARTS; i++)
+    {
+      whole->parts[i].offered -= part->parts[i].offered;
+      whole->parts[i].taken -= part->parts[i].taken;
+    }
+  whole->sum.offered -= part->sum.offered;
+  whole->sum.taken -= part->sum.taken;
+}
+
 void
 fr_init_windows (fr_windows_t *windows)
 {
--- a/packages/call/source/retry-window.h
+++ b/packages/call/source/retry-window.h
@@ -4,6 +4,7 @@
 
 #include <foxtailrun/base/clock.h>
 #include <glib.h>
+#include <stdbool.h>
 
 #define FR_WINDOW (10 * FB_SECOND)
 #define FR_WINDOW_PARTS 10
@@ -20,6 +21,7 @@
   fr_window_count_t sum;
   int64_t part;          /* number of the present part since the clock's zero */
   fb_time_t last_passed; /* throttle: when a call was last let through */
+  bool apart; /* throttle: counted apart from the small customers until it is empty */
 } fr_window_t;
 
 /* Windows by key. */
@@ -41,6 +43,10 @@
 /* Adds to the present part. */
 void fr_add_window (fr_window_t *window, fb_time_t now, uint64_t offered, uint64_t taken);
 
+/* Takes what PART counts out of WHOLE, where it was counted too; both were moved to the same
+ * time. */
+void fr_subtract_window (fr_window_t *whole, const fr_window_t *part);
+
 /* Returns the window of KEY, created when missing; empty ones are freed from time to time. The
  * result is valid until the next call. */
 fr_window_t *fr_find_window (fr_windows_t *windows, const char *key, fb_time_t now);
--- /dev/null
+++ b/packages/call/tests/test-picker.c
@@ -0,0 +1,372 @@
+/* Rules of the picker, from many picks with fixed seeds. */
+#include <foxtailrun/call/picker.h>
+#include <glib.h>
+
+#define PICKS 4000
+
+static const fb_str_t service = FB_LITERAL ("service");
+
+typedef struct
+{
+  fb_clock_t *clock;
+  fr_picker_t *picker;
+} fixture_t;
+
+static fixture_t
+create_fixture (fr_pick_policy_t policy)
+{
+  fixture_t fixture;
+  fb_name_t self = fb_make_name ("entry");
+  fb_name_t zone = fb_make_name ("zone-0");
+
+  fixture.clock = fb_create_manual_clock (100 * FB_SECOND);
+  fixture.picker = fr_create_picker (policy, &self, &zone, 7, fixture.clock);
+  return fixture;
+}
+
+static void
+destroy_fixture (fixture_t *fixture)
+{
+  fr_destroy_picker (fixture->picker);
+  fb_destroy_clock (fixture->clock);
+}
+
+static fb_name_t
+make_id (int number)
+{
+  char text[16];
+
+  g_snprintf (text, sizeof text, "node-%03d", number);
+  return fb_make_name (text);
+}
+
+static void
+update (fixture_t *fixture, int number, int zone, int region, fw_member_state_t state)
+{
+  fw_member_t member = { .id = make_id (number), .state = state };
+  char text[16];
+
+  g_snprintf (text, sizeof text, "zone-%d", zone);
+  member.zone = fb_make_name (text);
+  g_snprintf (text, sizeof text, "region-%d", region);
+  member.region = fb_make_name (text);
+  member.service = fb_make_name (service.data);
+  fr_update_instance (fixture->picker, &member);
+}
+
+/* Adds COUNT instances of one zone, past their slow start. */
+static void
+add_instances (fixture_t *fixture, int first, int count, int zone)
+{
+  for (int i = first; i < first + count; i++)
+    update (fixture, i, zone, 0, FW_ALIVE);
+  fb_advance_clock (fixture->clock, 11 * FB_SECOND);
+}
+
+static void
+report (fixture_t *fixture, int number, fr_result_t result, fb_time_t latency, uint32_t load)
+{
+  fb_name_t id = make_id (number);
+
+  fr_begin_attempt (fixture->picker, &id);
+  fr_report_result (fixture->picker, &id, result, latency, load);
+}
+
+/* Picks PICKS times for RANK, ending each call at once without news, and counts by number; -1
+ * when nothing was picked. */
+static void
+count_picks (fixture_t *fixture, uint32_t rank, int *counts, size_t size)
+{
+  for (size_t i = 0; i < size; i++)
+    counts[i] = 0;
+  for (int i = 0; i < PICKS; i++)
+    {
+      fb_name_t picked;
+      guint number;
+
+      g_assert_true (fr_pick_ranked (fixture->picker, service, rank, FB_LITERAL ("key"), NULL,
+                                     0, &picked));
+      number = (guint)g_ascii_strtoull (picked.data + 5, NULL, 10);
+      g_assert_cmpuint (number, <, size);
+      counts[number]++;
+      fr_report_ranked (fixture->picker, &picked, rank, FR_RESULT_LOST, 0, 0);
+    }
+}
+
+/* Guards against nodes that connect to the whole fleet, or that cannot leave their zone. */
+static void
+test_subset (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_RENDEZVOUS);
+  fw_member_t self = { .id = fb_make_name ("entry"), .region = fb_make_name ("region-0") };
+  int zones[8] = { 0 };
+
+  fr_update_instance (fixture.picker, &self);
+  for (int i = 0; i < 160; i++)
+    update (&fixture, i, i % 8, i % 8 / 4, FW_ALIVE);
+  g_assert_cmpuint (fr_count_instances (fixture.picker, service), ==, 16);
+  /* Excluding each picked one visits the whole subset. */
+  for (size_t i = 0; i <= 16; i++)
+    {
+      static fb_name_t picked[17];
+      bool found
+          = fr_pick_backend (fixture.picker, service, FB_LITERAL (""), picked, i, &picked[i]);
+
+      g_assert_cmpint (found, ==, i < 16);
+      if (found)
+        zones[g_ascii_strtoull (picked[i].data + 5, NULL, 10) % 8]++;
+    }
+  g_assert_cmpint (zones[0], ==, 10);
+  g_assert_cmpint (zones[1] + zones[2] + zones[3], ==, 4);
+  g_assert_cmpint (zones[4] + zones[5] + zones[6] + zones[7], ==, 2);
+  destroy_fixture (&fixture);
+}
+
+typedef struct
+{
+  const char *name;
+  int local;
+  int remote;
+  uint32_t local_load;
+  bool stale; /* the report is older than its memory */
+  bool spills;
+} zone_case_t;
+
+/* Guards against traffic that leaves its zone without need, and against a zone that is
+ * overloaded while others are idle. */
+static void
+test_zones (void)
+{
+  static const zone_case_t cases[] = {
+    { "enough", 2, 2, 500, false, false },   { "too-few", 1, 2, 500, false, true },
+    { "all-full", 2, 2, 1000, false, true }, { "stale-report", 2, 2, 1000, true, false },
+    { "none", 0, 2, 0, false, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture = create_fixture (FR_PICK_TWO);
+      int counts[4];
+
+      add_instances (&fixture, 0, cases[i].local, 0);
+      add_instances (&fixture, 2, cases[i].remote, 1);
+      for (int j = 0; j < cases[i].local; j++)
+        report (&fixture, j, FR_RESULT_REFUSED, 0, cases[i].local_load);
+      if (cases[i].stale)
+        fb_advance_clock (fixture.clock, 2 * FB_SECOND);
+      count_picks (&fixture, 0, counts, 4);
+      g_test_message ("%s", cases[i].name);
+      g_assert_cmpint (counts[2] + counts[3] > 0, ==, cases[i].spills);
+      destroy_fixture (&fixture);
+    }
+}
+
+/* Guards against calls to instances that are leaving or dead, and against suspect ones that are
+ * picked while others live or not at all. */
+static void
+test_states (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_TWO);
+  fb_name_t excluded = make_id (3);
+  fb_name_t picked;
+  int counts[4];
+
+  add_instances (&fixture, 0, 4, 0);
+  update (&fixture, 0, 0, 0, FW_LEAVING);
+  update (&fixture, 1, 0, 0, FW_DEAD);
+  update (&fixture, 2, 0, 0, FW_SUSPECT);
+  count_picks (&fixture, 0, counts, 4);
+  g_assert_cmpint (counts[3], ==, PICKS);
+  g_assert_true (fr_pick_backend (fixture.picker, service, service, &excluded, 1, &picked));
+  g_assert_cmpstr (picked.data, ==, "node-002");
+  update (&fixture, 2, 0, 0, FW_DEAD);
+  g_assert_false (fr_pick_backend (fixture.picker, service, service, &excluded, 1, &picked));
+  /* It has gone and its call ends late. */
+  picked = make_id (2);
+  fr_report_result (fixture.picker, &picked, FR_RESULT_GOOD, FB_MILLISECOND, 0);
+  fr_report_result (fixture.picker, &picked, FR_RESULT_GOOD, FB_MILLISECOND, 0);
+  g_assert_cmpuint (fr_count_instances (fixture.picker, service), ==, 1);
+  destroy_fixture (&fixture);
+}
+
+/* Guards against a returned instance whose old calls in flight are forgotten or never end. */
+static void
+test_return (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_LEAST);
+  fb_name_t id = make_id (0);
+  int counts[2];
+
+  add_instances (&fixture, 0, 2, 0);
+  fr_begin_attempt (fixture.picker, &id);
+  update (&fixture, 0, 0, 0, FW_DEAD);
+  update (&fixture, 0, 0, 0, FW_ALIVE);
+  count_picks (&fixture, 0, counts, 2);
+  g_assert_cmpint (counts[1], ==, PICKS);
+  fr_report_result (fixture.picker, &id, FR_RESULT_LOST, 0, 0);
+  id = make_id (1);
+  fr_begin_attempt (fixture.picker, &id);
+  count_picks (&fixture, 0, counts, 2);
+  g_assert_cmpint (counts[0], ==, PICKS);
+  destroy_fixture (&fixture);
+}
+
+typedef struct
+{
+  const char *name;
+  int instances;
+  int failing;  /* instances that fail */
+  int failures; /* in a row, each */
+  fr_result_t result;
+  size_t ejected;
+} eject_case_t;
+
+/* Guards against ejection of too many, of the last one, or for refusals and single failures. */
+static void
+test_ejection (void)
+{
+  static const eject_case_t cases[] = {
+    { "four", 6, 1, 4, FR_RESULT_FAILED, 0 },
+    { "five", 6, 1, 5, FR_RESULT_FAILED, 1 },
+    { "refused", 6, 1, 50, FR_RESULT_REFUSED, 0 },
+    { "lost", 6, 1, 50, FR_RESULT_LOST, 0 },
+    { "third-of-6", 6, 6, 50, FR_RESULT_FAILED, 2 },
+    { "third-of-5", 5, 5, 50, FR_RESULT_FAILED, 1 },
+    { "third-of-4", 4, 4, 50, FR_RESULT_FAILED, 1 },
+    { "last-of-1", 1, 1, 50, FR_RESULT_FAILED, 0 },
+    { "last-of-2", 2, 2, 50, FR_RESULT_FAILED, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture = create_fixture (FR_PICK_TWO);
+
+      add_instances (&fixture, 0, cases[i].instances, 0);
+      for (int j = 0; j < cases[i].failing; j++)
+        for (int k = 0; k < cases[i].failures; k++)
+          report (&fixture, j, cases[i].result, FB_MILLISECOND, 0);
+      g_test_message ("%s", cases[i].name);
+      g_assert_cmpuint (fr_count_ejected (fixture.picker, service), ==, cases[i].ejected);
+      destroy_fixture (&fixture);
+    }
+}
+
+/* Guards against an ejected instance that is picked, never returns, or returns for good
+ * although it still fails; and against failures that are not in a row. */
+static void
+test_ejection_end (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_TWO);
+  int counts[3];
+
+  add_instances (&fixture, 0, 3, 0);
+  for (int i = 0; i < 20; i++)
+    report (&fixture, 0, i % 5 == 4 ? FR_RESULT_GOOD : FR_RESULT_FAILED, FB_MILLISECOND, 0);
+  g_assert_cmpuint (fr_count_ejected (fixture.picker, service), ==, 0);
+  for (int i = 0; i < 5; i++)
+    report (&fixture, 0, FR_RESULT_FAILED, FB_MILLISECOND, 0);
+  count_picks (&fixture, 0, counts, 3);
+  g_assert_cmpint (counts[0], ==, 0);
+  fb_advance_clock (fixture.clock, 5 * FB_SECOND);
+  g_assert_cmpuint (fr_count_ejected (fixture.picker, service), ==, 0);
+  report (&fixture, 0, FR_RESULT_FAILED, FB_MILLISECOND, 0);
+  fb_advance_clock (fixture.clock, 9 * FB_SECOND);
+  g_assert_cmpuint (fr_count_ejected (fixture.picker, service), ==, 1);
+  fb_advance_clock (fixture.clock, 2 * FB_SECOND);
+  report (&fixture, 0, FR_RESULT_GOOD, FB_MILLISECOND, 0);
+  report (&fixture, 0, FR_RESULT_FAILED, FB_MILLISECOND, 0);
+  g_assert_cmpuint (fr_count_ejected (fixture.picker, service), ==, 0);
+  destroy_fixture (&fixture);
+}
+
+/* Guards against a cold instance that gets its full part, or a returned one that gets none. */
+static void
+test_slow_start (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_TWO);
+  int counts[4];
+
+  add_instances (&fixture, 0, 3, 0);
+  update (&fixture, 3, 0, 0, FW_ALIVE);
+  count_picks (&fixture, 0, counts, 4);
+  g_assert_cmpint (counts[3], >, PICKS / 100);
+  g_assert_cmpint (counts[3], <, PICKS / 10);
+  fb_advance_clock (fixture.clock, 10 * FB_SECOND);
+  count_picks (&fixture, 0, counts, 4);
+  g_assert_cmpint (counts[3], >, PICKS / 5);
+  destroy_fixture (&fixture);
+}
+
+/* Guards against picks that ignore latency, load or calls in flight, that let quick failures
+ * attract calls, and that let calls of one rank divert those of a more urgent one. */
+static void
+test_score (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_TWO);
+  fb_name_t id = make_id (0);
+  int counts[2];
+
+  add_instances (&fixture, 0, 2, 0);
+  for (int i = 0; i < 100; i++)
+    {
+      report (&fixture, 0, FR_RESULT_GOOD, 20 * FB_MILLISECOND, 0);
+      report (&fixture, 1, FR_RESULT_GOOD, 10 * FB_MILLISECOND, 0);
+    }
+  count_picks (&fixture, 0, counts, 2);
+  g_assert_cmpint (counts[0], ==, 0);
+  report (&fixture, 1, FR_RESULT_GOOD, 10 * FB_MILLISECOND, 4000);
+  report (&fixture, 0, FR_RESULT_GOOD, 20 * FB_MILLISECOND, 0);
+  count_picks (&fixture, 0, counts, 2);
+  g_assert_cmpint (counts[1], ==, 0);
+  fb_advance_clock (fixture.clock, 60 * FB_SECOND);
+  for (int i = 0; i < 3; i++)
+    fr_begin_ranked (fixture.picker, &id, 2);
+  count_picks (&fixture, 2, counts, 2);
+  g_assert_cmpint (counts[0], ==, 0);
+  count_picks (&fixture, 1, counts, 2);
+  g_assert_cmpint (counts[0], >, PICKS / 5);
+  fr_report_ranked (fixture.picker, &id, 2, FR_RESULT_LOST, 0, 0);
+  for (int i = 0; i < 4; i++)
+    {
+      report (&fixture, 0, FR_RESULT_FAILED, FB_MICROSECOND, 0);
+      report (&fixture, 1, FR_RESULT_GOOD, 15 * FB_MILLISECOND, 0);
+    }
+  count_picks (&fixture, 0, counts, 2);
+  g_assert_cmpint (counts[0], ==, 0);
+  destroy_fixture (&fixture);
+}
+
+/* Guards against baselines that are not what they are called. */
+static void
+test_baselines (void)
+{
+  fixture_t fixture = create_fixture (FR_PICK_ROUND_ROBIN);
+  int counts[4];
+
+  add_instances (&fixture, 0, 4, 0);
+  count_picks (&fixture, 0, counts, 4);
+  for (int i = 0; i < 4; i++)
+    g_assert_cmpint (counts[i], ==, PICKS / 4);
+  destroy_fixture (&fixture);
+  fixture = create_fixture (FR_PICK_RENDEZVOUS);
+  add_instances (&fixture, 0, 4, 0);
+  count_picks (&fixture, 0, counts, 4);
+  g_assert_cmpint (MAX (MAX (counts[0], counts[1]), MAX (counts[2], counts[3])), ==, PICKS);
+  destroy_fixture (&fixture);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/picker/subset", test_subset);
+  g_test_add_func ("/picker/zones", test_zones);
+  g_test_add_func ("/picker/states", test_states);
+  g_test_add_func ("/picker/return", test_return);
+  g_test_add_func ("/picker/ejection", test_ejection);
+  g_test_add_func ("/picker/ejection-end", test_ejection_end);
+  g_test_add_func ("/picker/slow-start", test_slow_start);
+  g_test_add_func ("/picker/score", test_score);
+  g_test_add_func ("/picker/baselines", test_baselines);
+  return g_test_run ();
+}
--- /dev/null
+++ b/packages/call/tests/test-retry.c
@@ -0,0 +1,147 @@
+/* Retry budget, the table of allowed retries, and the adaptive throttle. */
+#include <foxtailrun/call/retry.h>
+#include <glib.h>
+
+static const fb_str_t service = FB_LITERAL ("service");
+
+/* Guards against a second run of a call that may have run, and against retries elsewhere of a
+ * call that belongs to one node. */
+static void
+test_may_retry (void)
+{
+  static const struct
+  {
+    fw_outcome_t outcome;
+    bool repeatable;
+    bool has_ticket;
+    bool allowed;
+  } cases[] = {
+    { FW_ANSWERED, false, false, false },    { FW_ANSWERED, true, false, false },
+    { FW_NOT_RUN, false, false, true },      { FW_NOT_RUN, true, false, true },
+    { FW_UNKNOWN, false, false, false },     { FW_UNKNOWN, true, false, true },
+    { FW_FAILED, false, false, false },      { FW_FAILED, true, false, true },
+    { FW_ANSWERED, false, true, false },     { FW_NOT_RUN, false, true, false },
+    { FW_UNKNOWN, false, true, false },      { FW_FAILED, false, true, false },
+    { FW_NOT_RUN, true, true, false },       { FW_UNKNOWN, true, true, false },
+    { (fw_outcome_t)0, true, false, false }, { (fw_outcome_t)9, true, false, false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    g_assert_cmpint (fr_may_retry (cases[i].outcome, cases[i].repeatable, cases[i].has_ticket),
+                     ==, cases[i].allowed);
+}
+
+static int
+take_all (fr_retry_budget_t *budget)
+{
+  int taken = 0;
+
+  while (taken < 100000 && fr_take_retry (budget, service))
+    taken++;
+  return taken;
+}
+
+/* Guards against retry storms, against quiet services that cannot retry, and against a budget
+ * that is saved up or shared between services. */
+static void
+test_budget (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (500 * FB_SECOND);
+  fr_retry_budget_t *budget = fr_create_retry_budget (clock);
+
+  g_assert_cmpint (take_all (budget), ==, 10);
+  for (int i = 0; i < 1000; i++)
+    fr_earn_retry (budget, service);
+  g_assert_cmpint (take_all (budget), ==, 100);
+  g_assert_true (fr_take_retry (budget, FB_LITERAL ("other")));
+  fb_advance_clock (clock, 9 * FB_SECOND);
+  g_assert_cmpint (take_all (budget), ==, 0);
+  fb_advance_clock (clock, FB_SECOND);
+  g_assert_cmpint (take_all (budget), ==, 10);
+  fb_advance_clock (clock, 1000 * FB_SECOND);
+  g_assert_cmpint (take_all (budget), ==, 10);
+  fr_destroy_retry_budget (budget);
+  fb_destroy_clock (clock);
+}
+
+/* Offers COUNT calls of CUSTOMER at 1,000 a second, of which every ACCEPT-th sent one is
+ * accepted (0: none), and returns how many were sent. */
+static int
+offer_calls (fr_throttle_t *throttle, fb_clock_t *clock, uint32_t rank, const char *customer,
+             int count, int accept)
+{
+  int sent = 0;
+
+  for (int i = 0; i < count; i++)
+    {
+      fb_advance_clock (clock, FB_MILLISECOND);
+      if (!fr_admit_customer (throttle, service, rank, fb_wrap_text (customer)))
+        continue;
+      sent++;
+      fr_report_customer (throttle, service, rank, fb_wrap_text (customer),
+                          accept > 0 && i % accept == 0);
+    }
+  return sent;
+}
+
+/* Guards against floods that pass the entry node, against a throttle that never opens again,
+ * and against calls in flight that count as refused. */
+static void
+test_throttle (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (500 * FB_SECOND);
+  fr_throttle_t *throttle = fr_create_throttle (3, clock);
+  int sent;
+
+  for (int i = 0; i < 1000; i++)
+    g_assert_true (fr_admit_upstream (throttle, service, 0));
+  g_assert_cmpint (offer_calls (throttle, clock, 0, "a", 5000, 1), ==, 5000);
+  offer_calls (throttle, clock, 1, "a", 20000, 0);
+  sent = offer_calls (throttle, clock, 1, "a", 10000, 0);
+  /* One probe in 100 ms, and the draw lets through few more. */
+  g_assert_cmpint (sent, >=, 90);
+  g_assert_cmpint (sent, <, 200);
+  g_assert_cmpint (offer_calls (throttle, clock, 0, "a", 100, 1), ==, 100);
+  offer_calls (throttle, clock, 1, "a", 30000, 1);
+  g_assert_cmpint (offer_calls (throttle, clock, 1, "a", 1000, 1), ==, 1000);
+  fr_destroy_throttle (throttle);
+  fb_destroy_clock (clock);
+}
+
+/* Guards against a customer that floods and costs others their calls, and against a flood of
+ * many small customers that passes. */
+static void
+test_throttle_customers (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (500 * FB_SECOND);
+  fr_throttle_t *throttle = fr_create_throttle (3, clock);
+  int sent = 0;
+
+  for (int i = 0; i < 10; i++)
+    {
+      offer_calls (throttle, clock, 0, "flooder", 900, 0);
+      g_assert_cmpint (offer_calls (throttle, clock, 0, "other", 100, 1), ==, 100);
+      g_assert_cmpint (offer_calls (throttle, clock, 0, "small", 1, 1), ==, 1);
+    }
+  for (int i = 0; i < 20000; i++)
+    {
+      char name[16];
+
+      g_snprintf (name, sizeof name, "small-%d", i % 10000);
+      sent += offer_calls (throttle, clock, 0, name, 1, 0);
+    }
+  g_assert_cmpint (sent, <, 1000);
+  fr_destroy_throttle (throttle);
+  fb_destroy_clock (clock);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/retry/may-retry", test_may_retry);
+  g_test_add_func ("/retry/budget", test_budget);
+  g_test_add_func ("/throttle/rank", test_throttle);
+  g_test_add_func ("/throttle/customers", test_throttle_customers);
+  return g_test_run ();
+}
