Keep a refused ticket refused

Cause: a call with a ticket that admission refused was told as not run although an earlier copy of the request could have run, or a late copy could still run. Ruled out: checking the records only when a slot is free, since the refusal comes before that. Change: fr_refuse_once answers from the records and marks the ticket, fr_abandon_once marks it too; another request under a used ticket is told as unknown. Tests: the case that expected a second run after an abandoned one now expects the refusal to stay, which is stricter; test_refuse covers the rest. Conclusion: not run, once told for a ticket, stays true.

--- a/packages/call/include/foxtailrun/call/once.h
+++ b/packages/call/include/foxtailrun/call/once.h
@@ -23,6 +23,8 @@
   FR_ONCE_RUNNING,  /* a first use is running; its answer will serve this one too */
   FR_ONCE_ANSWERED, /* the recorded answer is returned */
   FR_ONCE_UNKNOWN,  /* it ran or may have run, and no answer is recorded */
+  FR_ONCE_REFUSED,  /* refused as not run before: it never ran and never will */
+  FR_ONCE_MISMATCH, /* the ticket was used for another request */
   FR_ONCE_FOREIGN,  /* not issued by this process; it may have run elsewhere */
   FR_ONCE_INVALID /* not a ticket of this process: wrong nonce or serial never issued; it never
                      ran */
@@ -46,10 +48,7 @@
 void fr_issue_ticket (fr_once_t *once, char text[FR_TICKET_MAX]);
 
 /* Begins or finds the use of TICKET. With FR_ONCE_ANSWERED, *ANSWER borrows the recorded bytes
- * until the next call. A request digest that differs from the first use's gives
- * FR_ONCE_INVALID. When every record is running, the call is not run and nothing is recorded:
- * the result is FR_ONCE_UNKNOWN, and the same ticket may run later. A MAX_RECORDS above the
- * calls that admission holds (slots and queues) keeps that from happening. */
+ * until the next call. */
 fr_once_state_t fr_begin_once (fr_once_t *once, const fr_ticket_t *ticket,
                                uint64_t request_digest, fb_bytes_t *answer);
 
@@ -57,11 +56,17 @@
  * unknown. */
 void fr_end_once (fr_once_t *once, const fr_ticket_t *ticket, fb_bytes_t answer);
 
-/* Takes back a use that FR_ONCE_RUN began and that provably never reached the backend server,
- * so that the same ticket may run later; it counts as run when the low-water mark has passed it
- * meanwhile. */
+/* Ends a use that FR_ONCE_RUN began and that provably never reached the backend server. The
+ * ticket counts as refused from then on: a late copy of the request must not make "not run"
+ * untrue. */
 void fr_abandon_once (fr_once_t *once, const fr_ticket_t *ticket);
 
+/* Refuses the use of TICKET. Returns FR_ONCE_REFUSED when the caller may be told that it was
+ * not run, which the records then keep true; otherwise what is known of an earlier use, as
+ * fr_begin_once. Never FR_ONCE_RUN. */
+fr_once_state_t fr_refuse_once (fr_once_t *once, const fr_ticket_t *ticket,
+                                uint64_t request_digest, fb_bytes_t *answer);
+
 /* Returns records held and bytes of answers held. */
 size_t fr_count_once (const fr_once_t *once);
 size_t fr_size_once (const fr_once_t *once);
--- a/packages/call/source/once-record.c
+++ b/packages/call/source/once-record.c
@@ -11,6 +11,7 @@
   uint64_t serial;
   uint64_t request_digest;
   bool running;
+  bool refused;    /* told as not run */
   uint8_t *answer; /* NULL when none is held */
   size_t answer_len;
   GList link; /* in answered, while an answer is held */
@@ -137,8 +138,10 @@
 static fr_once_state_t
 find_state (const record_t *record, uint64_t request_digest, fb_bytes_t *answer)
 {
+  if (record->refused)
+    return FR_ONCE_REFUSED;
   if (record->request_digest != request_digest)
-    return FR_ONCE_INVALID;
+    return FR_ONCE_MISMATCH;
   if (record->running)
     return FR_ONCE_RUNNING;
   if (record->answer == NULL)
@@ -147,9 +150,11 @@
   return FR_ONCE_ANSWERED;
 }
 
-fr_once_state_t
-fr_begin_once (fr_once_t *once, const fr_ticket_t *ticket, uint64_t request_digest,
-               fb_bytes_t *answer)
+/* Finds what is known of TICKET, or with FR_ONCE_RUN a new record in *CREATED, which counts as
+ * running. */
+static fr_once_state_t
+find_or_create (fr_once_t *once, const fr_ticket_t *ticket, uint64_t request_digest,
+                fb_bytes_t *answer, record_t **created)
 {
   uint64_t nonce;
   record_t *record;
@@ -175,9 +180,40 @@
   record->request_digest = request_digest;
   record->running = true;
   g_hash_table_insert (once->records, &record->serial, record);
+  *created = record;
   return FR_ONCE_RUN;
 }
 
+static void
+mark_refused (fr_once_t *once, record_t *record)
+{
+  record->running = false;
+  record->refused = true;
+  g_tree_insert (once->completed, &record->serial, record);
+}
+
+fr_once_state_t
+fr_begin_once (fr_once_t *once, const fr_ticket_t *ticket, uint64_t request_digest,
+               fb_bytes_t *answer)
+{
+  record_t *created;
+
+  return find_or_create (once, ticket, request_digest, answer, &created);
+}
+
+fr_once_state_t
+fr_refuse_once (fr_once_t *once, const fr_ticket_t *ticket, uint64_t request_digest,
+                fb_bytes_t *answer)
+{
+  record_t *created;
+  fr_once_state_t state = find_or_create (once, ticket, request_digest, answer, &created);
+
+  if (state != FR_ONCE_RUN)
+    return state;
+  mark_refused (once, created);
+  return FR_ONCE_REFUSED;
+}
+
 /* Returns the running record of TICKET; a use that was not begun is a programming error. */
 static record_t *
 find_running (const fr_once_t *once, const fr_ticket_t *ticket)
@@ -209,9 +245,7 @@
 void
 fr_abandon_once (fr_once_t *once, const fr_ticket_t *ticket)
 {
-  record_t *record = find_running (once, ticket);
-
-  g_hash_table_remove (once->records, &record->serial);
+  mark_refused (once, find_running (once, ticket));
 }
 
 size_t
--- a/packages/call/tests/test-once.c
+++ b/packages/call/tests/test-once.c
@@ -111,12 +111,40 @@
   assert_state (once, &ticket, FR_ONCE_ANSWERED, "first");
   assert_state (once, &other, FR_ONCE_UNKNOWN, "");
   /* Another request under the same ticket gets no answer that is not its own. */
-  g_assert_cmpint (fr_begin_once (once, &ticket, 8, &answer), ==, FR_ONCE_INVALID);
+  g_assert_cmpint (fr_begin_once (once, &ticket, 8, &answer), ==, FR_ONCE_MISMATCH);
   g_assert_cmpuint (answer.len, ==, 0);
   ticket = issue (once);
   assert_state (once, &ticket, FR_ONCE_RUN, "");
   fr_abandon_once (once, &ticket);
-  assert_state (once, &ticket, FR_ONCE_RUN, "");
+  assert_state (once, &ticket, FR_ONCE_REFUSED, "");
+  fr_destroy_once (once);
+}
+
+/* Guards against a late copy of a request that runs after "not run" was told, and against "not
+ * run" told for a ticket that ran. */
+static void
+test_refuse (void)
+{
+  fr_once_t *once = create_once ("node-a", 42, 2, 1000);
+  fr_ticket_t unused = issue (once);
+  fr_ticket_t ran = run_ticket (once, "done");
+  fr_ticket_t running = issue (once);
+  fr_ticket_t more = issue (once);
+  fb_bytes_t answer;
+
+  g_assert_cmpint (fr_refuse_once (once, &unused, 7, &answer), ==, FR_ONCE_REFUSED);
+  assert_state (once, &unused, FR_ONCE_REFUSED, "");
+  g_assert_cmpint (fr_refuse_once (once, &ran, 7, &answer), ==, FR_ONCE_ANSWERED);
+  g_assert_cmpmem (answer.data, answer.len, "done", 4);
+  g_assert_cmpint (fr_refuse_once (once, &ran, 8, &answer), ==, FR_ONCE_MISMATCH);
+  assert_state (once, &running, FR_ONCE_RUN, "");
+  g_assert_cmpint (fr_refuse_once (once, &running, 7, &answer), ==, FR_ONCE_RUNNING);
+  /* The record of the refusal made room: whether that ticket ran is no longer known. */
+  assert_state (once, &unused, FR_ONCE_UNKNOWN, "");
+  assert_state (once, &more, FR_ONCE_RUN, "");
+  /* With only running records there is no room to keep a refusal true. */
+  unused = issue (once);
+  g_assert_cmpint (fr_refuse_once (once, &unused, 7, &answer), ==, FR_ONCE_UNKNOWN);
   fr_destroy_once (once);
 }
 
@@ -221,9 +249,8 @@
   fr_end_once (once, &tickets[1], wrap ("1"));
   assert_state (once, &tickets[0], FR_ONCE_RUN, "");
   assert_state (once, &tickets[1], FR_ONCE_UNKNOWN, "");
-  /* Abandoned below the low-water mark, a ticket cannot be told from one that ran. */
   fr_abandon_once (once, &tickets[0]);
-  assert_state (once, &tickets[0], FR_ONCE_UNKNOWN, "");
+  assert_state (once, &tickets[0], FR_ONCE_REFUSED, "");
   fr_destroy_once (once);
 }
 
@@ -250,6 +277,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/once/parse", test_parse);
   g_test_add_func ("/once/life", test_life);
+  g_test_add_func ("/once/refuse", test_refuse);
   g_test_add_func ("/once/foreign", test_foreign);
   g_test_add_func ("/once/bytes-bound", test_bytes_bound);
   g_test_add_func ("/once/records-bound", test_records_bound);
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -267,36 +267,32 @@
   return fb_hash_str ((fb_str_t){ (const char *)call->body.data, call->body.len }, digest);
 }
 
-/* Starts a call with a ticket unless the ticket was used before. */
+/* Answers a call with a ticket from what is known of the ticket's use. */
 static void
-start_once (served_t *served)
+answer_known (served_t *served, fr_once_state_t state, fb_bytes_t recorded, const char *refusal)
 {
-  fn_backend_t *backend = served->backend;
-  fb_bytes_t recorded = { NULL, 0 };
-  fr_once_state_t state = fr_begin_once (backend->once, &served->ticket,
-                                         digest_request (&served->call), &recorded);
   fw_call_t answer = { 0 };
 
-  if (state == FR_ONCE_RUN)
-    {
-      send_to_backend (served);
-      return;
-    }
-  fr_finish_call (backend->admission, served->handle);
   switch (state)
     {
     case FR_ONCE_RUNNING:
       served->state = CALL_JOINED;
       return;
     case FR_ONCE_ANSWERED:
-      fb_add_counter (backend->replayed, 1);
+      fb_add_counter (served->backend->replayed, 1);
       if (unpack_answer (recorded, &answer))
         answer_call (served, &answer);
       else
         answer_outcome (served, FW_UNKNOWN, 504, "recorded answer is not readable");
       return;
+    case FR_ONCE_REFUSED:
+      answer_outcome (served, FW_NOT_RUN, 503, refusal);
+      return;
     case FR_ONCE_INVALID:
-      answer_outcome (served, FW_UNKNOWN, 422, "ticket was not issued for this request");
+      answer_outcome (served, FW_NOT_RUN, 422, "ticket was not issued");
+      return;
+    case FR_ONCE_MISMATCH:
+      answer_outcome (served, FW_UNKNOWN, 422, "ticket was used for another request");
       return;
     default:
       answer_outcome (served, FW_UNKNOWN, 504, "ticket may have run, its answer is not held");
@@ -304,6 +300,42 @@
     }
 }
 
+/* Starts a call with a ticket unless the ticket was used before. */
+static void
+start_once (served_t *served)
+{
+  fn_backend_t *backend = served->backend;
+  fb_bytes_t recorded;
+  fr_once_state_t state = fr_begin_once (backend->once, &served->ticket,
+                                         digest_request (&served->call), &recorded);
+
+  if (state == FR_ONCE_RUN)
+    {
+      send_to_backend (served);
+      return;
+    }
+  fr_finish_call (backend->admission, served->handle);
+  answer_known (served, state, recorded, "ticket was refused before");
+}
+
+/* Refuses a call that was not started. With a ticket, "not run" is told only when no earlier
+ * use ran, and the ticket never runs later. */
+static void
+refuse_served (served_t *served, uint32_t status, const char *reason)
+{
+  fb_bytes_t recorded;
+  fr_once_state_t state;
+
+  if (!served->has_ticket)
+    {
+      answer_outcome (served, FW_NOT_RUN, status, reason);
+      return;
+    }
+  state = fr_refuse_once (served->backend->once, &served->ticket,
+                          digest_request (&served->call), &recorded);
+  answer_known (served, state, recorded, reason);
+}
+
 static void
 start_call (void *call, void *user)
 {
@@ -321,7 +353,7 @@
   served_t *served = call;
   uint32_t status = refusal == FR_REFUSED_FULL ? 429 : 503;
 
-  answer_outcome (served, FW_NOT_RUN, status, fr_describe_refusal (refusal));
+  refuse_served (served, status, fr_describe_refusal (refusal));
 }
 
 /* Takes over the ranks and slots of the snapshot in force when they changed. */
@@ -425,30 +457,34 @@
   return served;
 }
 
-/* Queues a copy of CALL for a slot. */
-static uint64_t
-offer_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered, void *user)
+/* Queues SERVED for a slot. */
+static void
+offer_served (served_t *served)
 {
+  fn_backend_t *backend = served->backend;
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
-  served_t *served = copy_call (backend, call);
-  uint64_t handle = served->handle;
   uint32_t rank = (uint32_t)fc_count_ranks (snapshot) - 1;
 
-  served->answered = answered;
-  served->user = user;
-  served->has_ticket = call->ticket.len > 0;
-  if (served->has_ticket && fr_parse_ticket (call->ticket, &served->ticket) != FB_OK)
-    {
-      g_hash_table_insert (backend->calls, &served->handle, served);
-      answer_outcome (served, FW_NOT_RUN, 422, "malformed ticket");
-      return 0;
-    }
-  fc_find_rank (snapshot, call->rank, &rank);
-  g_hash_table_insert (backend->calls, &served->handle, served);
-  fr_offer_call (backend->admission, handle, served, rank, served->call.customer,
-                 fc_weigh_customer (snapshot, call->customer), served->deadline);
-  return g_hash_table_contains (backend->calls, &handle) ? handle : 0;
+  update_rules (backend, snapshot);
+  fc_find_rank (snapshot, served->call.rank, &rank);
+  fr_offer_call (backend->admission, served->handle, served, rank, served->call.customer,
+                 fc_weigh_customer (snapshot, served->call.customer), served->deadline);
+}
+
+/* Answers a call that needs a ticket with a new one. */
+static void
+send_ticket (served_t *served)
+{
+  char ticket[FR_TICKET_MAX];
+  fw_call_t answer = { .outcome = FW_NOT_RUN,
+                       .status = 428,
+                       .reason = FB_LITERAL ("repeat the request with the ticket"),
+                       .header_count = 1 };
+
+  fr_issue_ticket (served->backend->once, ticket);
+  answer.headers[0] = (fw_header_t){ FB_LITERAL ("foxtailrun-ticket"), fb_wrap_text (ticket) };
+  answer_call (served, &answer);
 }
 
 static fb_status_t
@@ -526,28 +562,24 @@
                void *user)
 {
   const char *obstacle = find_obstacle (backend, call);
-  fw_call_t answer = { 0 };
-  char ticket[FR_TICKET_MAX];
+  bool wants_ticket = fb_equal_str (call->ticket, FB_LITERAL ("new"))
+                      || (!obstacle && call->ticket.len == 0 && needs_ticket (backend, call));
+  served_t *served = copy_call (backend, call);
+  uint64_t handle = served->handle;
 
-  if (obstacle)
-    {
-      fn_refuse_call (backend, &answer, 503, obstacle);
-      answered (&answer, user);
-      return 0;
-    }
-  update_rules (backend, fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION)));
-  if (fb_equal_str (call->ticket, FB_LITERAL ("new"))
-      || (call->ticket.len == 0 && needs_ticket (backend, call)))
-    {
-      fr_issue_ticket (backend->once, ticket);
-      fn_refuse_call (backend, &answer, 428, "repeat the request with the ticket");
-      answer.header_count = 1;
-      answer.headers[0]
-          = (fw_header_t){ FB_LITERAL ("foxtailrun-ticket"), fb_wrap_text (ticket) };
-      answered (&answer, user);
-      return 0;
-    }
-  return offer_call (backend, call, answered, user);
+  served->answered = answered;
+  served->user = user;
+  served->has_ticket = !wants_ticket && call->ticket.len > 0;
+  g_hash_table_insert (backend->calls, &served->handle, served);
+  if (served->has_ticket && fr_parse_ticket (call->ticket, &served->ticket) != FB_OK)
+    answer_outcome (served, FW_NOT_RUN, 422, "malformed ticket");
+  else if (obstacle)
+    refuse_served (served, 503, obstacle);
+  else if (wants_ticket)
+    send_ticket (served);
+  else
+    offer_served (served);
+  return g_hash_table_contains (backend->calls, &handle) ? handle : 0;
 }
 
 void
@@ -586,14 +618,3 @@
   backend->draining = true;
   backend->closed = backend->closed || final;
 }
-
-void
-fn_refuse_call (fn_backend_t *backend, fw_call_t *answer, uint32_t status, const char *reason)
-{
-  fb_add_counter (backend->refused, 1);
-  *answer = (fw_call_t){ .kind = FW_ANSWER,
-                         .outcome = FW_NOT_RUN,
-                         .status = status,
-                         .reason = fb_wrap_text (reason),
-                         .load = fr_get_load (backend->admission) };
-}
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -102,11 +102,6 @@
 /* From now on refuses calls without a ticket; with FINAL, all. */
 void fn_drain_backend (fn_backend_t *backend, bool final);
 
-/* Sets ANSWER to a refusal that is provably not run, with STATUS, REASON and this node's load.
- */
-void fn_refuse_call (fn_backend_t *backend, fw_call_t *answer, uint32_t status,
-                     const char *reason);
-
 /* calls: the bus between the entry nodes and the nodes beside backend servers. */
 typedef struct fn_calls fn_calls_t;
 
