--- a/packages/config/include/foxtailrun/config/delta.h
+++ b/packages/config/include/foxtailrun/config/delta.h
@@ -6,7 +6,7 @@
 #include <foxtailrun/base/string.h>
 
 /* Returns DOCUMENT as a zstd frame that uses BASE, which may be empty, as prefix; free with
- * g_free. */
+ * g_free. The two must not overlap in memory, or nothing of BASE is used. */
 uint8_t *fc_encode_delta (fb_bytes_t base, fb_bytes_t document, size_t *length);
 
 /* Restores a document of at most FC_DOCUMENT_MAX bytes from FRAME and the same BASE into
--- a/packages/config/source/check-route.c
+++ b/packages/config/source/check-route.c
@@ -7,10 +7,10 @@
 check_methods (const fc_checker_t *checker, const fc_row_t *row, fc_methods_t *methods,
                GString *text)
 {
-  const fc_toml_t *list = fc_get_value (row, "methods")->node;
+  const fc_value_t *list = fc_get_value (row, "methods");
 
   *methods = 0;
-  for (const fc_toml_t *node = list ? list->child : NULL; node; node = node->next)
+  for (const fc_toml_t *node = NULL; (node = fc_next_string (list, node));)
     {
       fc_methods_t bit = fc_get_method_bit (node->text);
 
@@ -23,7 +23,7 @@
       g_string_append_printf (text, "%s%.*s", text->len ? "," : "", (int)node->text.len,
                               node->text.data);
     }
-  if (!list || list->count == 0)
+  if (!list->node || list->node->count == 0)
     *methods = FC_METHODS_ALL;
 }
 
--- a/packages/config/source/check-row.c
+++ b/packages/config/source/check-row.c
@@ -26,9 +26,10 @@
     return fb_copy_text (node->source);
   if (len > QUOTE_MAX)
     len = QUOTE_MAX;
+  while (len > 0 && len < node->source.len
+         && ((unsigned char)node->source.data[len] & 0xC0) == 0x80)
+    len--; /* not within a UTF-8 sequence */
   piece = g_strndup (node->source.data, len);
-  /* A cut inside a character leaves an invalid end. */
-  *g_utf8_find_prev_char (piece, piece + strlen (piece) + 1) = '\0';
   quote = g_strdup_printf ("%s...", piece);
   g_free (piece);
   return quote;
@@ -119,17 +120,6 @@
   return number >= field->min && number <= field->max;
 }
 
-static bool
-is_string_array (const fc_toml_t *node)
-{
-  if (node->kind != FC_TOML_ARRAY)
-    return false;
-  for (const fc_toml_t *child = node->child; child; child = child->next)
-    if (child->kind != FC_TOML_STRING)
-      return false;
-  return true;
-}
-
 static bool
 take_value (fc_value_t *value, const fc_toml_t *node)
 {
@@ -154,7 +144,7 @@
     case FC_TYPE_REFERENCES:
     case FC_TYPE_METHODS:
     case FC_TYPE_ENDPOINTS:
-      if (!is_string_array (node))
+      if (node->kind != FC_TOML_ARRAY)
         return false;
       break;
     default:
@@ -167,6 +157,29 @@
   return true;
 }
 
+const fc_toml_t *
+fc_next_string (const fc_value_t *list, const fc_toml_t *node)
+{
+  if (node)
+    node = node->next;
+  else if (list->node)
+    node = list->node->child;
+  while (node && node->kind != FC_TOML_STRING)
+    node = node->next;
+  return node;
+}
+
+/* Reports the elements of LIST, an array, that are no strings. */
+static void
+check_elements (const fc_row_t *row, const fc_value_t *list, fc_problems_t *problems)
+{
+  if (!list->node || list->node->kind != FC_TOML_ARRAY)
+    return;
+  for (const fc_toml_t *node = list->node->child; node; node = node->next)
+    if (node->kind != FC_TOML_STRING)
+      fc_add_node_problem (problems, row, list->field->key, node, NULL);
+}
+
 static fc_value_t *
 find_value (fc_row_t *row, fb_str_t key)
 {
@@ -277,6 +290,7 @@
       given[value - row->values] = true;
       if (!take_value (value, node))
         fc_add_node_problem (problems, row, value->field->key, node, NULL);
+      check_elements (row, value, problems);
     }
   for (size_t i = 0; i < row->count; i++)
     if (!given[i] && !row->values[i].field->fallback)
--- a/packages/config/source/check-row.h
+++ b/packages/config/source/check-row.h
@@ -31,13 +31,18 @@
 
 /* Checks TABLE, called PATH in messages, against SECTION of SCHEMA and fills ROW; what is wrong
  * is added to PROBLEMS and left at its default. Elements of arrays are only checked to be
- * strings. At the top level, whose path is "", the sections are checked to be tables. */
+ * strings; see fc_next_string. At the top level, whose path is "", the sections are checked to
+ * be tables. */
 void fc_check_row (fc_row_t *row, const fc_schema_t *schema, const char *section,
                    const char *path, const fc_toml_t *table, fc_problems_t *problems);
 
 /* Returns the value of KEY, which must be in the schema; owned by ROW. */
 const fc_value_t *fc_get_value (const fc_row_t *row, const char *key);
 
+/* Steps through the strings of LIST, an array value that may be left out; NODE starts as NULL.
+ */
+const fc_toml_t *fc_next_string (const fc_value_t *list, const fc_toml_t *node);
+
 /* Returns the child of TABLE called KEY, or NULL; TABLE may be NULL. */
 const fc_toml_t *fc_find_child (const fc_toml_t *table, const char *key);
 
--- a/packages/config/source/check-service.c
+++ b/packages/config/source/check-service.c
@@ -14,7 +14,7 @@
   g_free (key);
 }
 
-/* Resolves LIST, a checked array of strings, into SERVICE's dependencies. */
+/* Resolves the strings of LIST, an array, into SERVICE's dependencies. */
 static void
 resolve_dependencies (const fc_checker_t *checker, size_t service, const fc_toml_t *list)
 {
@@ -28,6 +28,8 @@
     {
       size_t index;
 
+      if (node->kind != FC_TOML_STRING)
+        continue; /* reported with the row */
       if (!fc_find_name (snapshot->service_names, node->text, &index))
         report_dependency (checker, service, node, "the name of a service");
       else if (!g_hash_table_add (seen, GSIZE_TO_POINTER (index)))
--- a/packages/config/source/check-text.c
+++ b/packages/config/source/check-text.c
@@ -16,7 +16,8 @@
   if (text.len == 0 || text.len > FB_NAME_MAX)
     return false;
   for (size_t i = 0; i < text.len; i++)
-    if (!g_ascii_isalnum (text.data[i]) && !memchr ("._-", text.data[i], 3))
+    if (!g_ascii_isalnum (text.data[i]) && text.data[i] != '.' && text.data[i] != '_'
+        && text.data[i] != '-')
       return false;
   return true;
 }
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -140,12 +140,12 @@
 static void
 check_seeds (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
 {
-  const fc_toml_t *list;
+  const fc_value_t *list;
   fc_row_t row;
 
   check_section (&row, root, "seeds", problems);
-  list = fc_get_value (&row, "nodes")->node;
-  for (const fc_toml_t *node = list ? list->child : NULL; node; node = node->next)
+  list = fc_get_value (&row, "nodes");
+  for (const fc_toml_t *node = NULL; (node = fc_next_string (list, node));)
     {
       fc_endpoint_t seed;
 
--- a/packages/config/source/toml-parse.cc
+++ b/packages/config/source/toml-parse.cc
@@ -196,7 +196,7 @@
       document.lines.push_back (i + 1);
 }
 
-// Reduces "[error] toml::function: message" and the lines below it to the message.
+// Reduces "toml::function: message" to the message.
 std::string
 shorten (const char *what)
 {
@@ -205,6 +205,8 @@
   size_t colon = start == std::string::npos ? start : message.find (": ", start);
   if (colon != std::string::npos)
     message.erase (0, colon + 2);
+  if (!message.empty () && message.back () == '.')
+    message.pop_back ();
   return message.empty () ? "a value is malformed" : message;
 }
 
