--- a/packages/config/source/check-text.c
+++ b/packages/config/source/check-text.c
@@ -16,11 +16,9 @@
   if (text.len == 0 || text.len > FB_NAME_MAX)
     return false;
   for (size_t i = 0; i < text.len; i++)
-    {
-      char c = text.data[i];
-      if (!g_ascii_isalnum (c) && c != '.' && c != '_' && c != '-')
-        return false;
-    }
+    if (!g_ascii_isalnum (text.data[i]) && text.data[i] != '.' && text.data[i] != '_'
+        && text.data[i] != '-')
+      return false;
   return true;
 }
 
