--- a/packages/member/source/member-table.c
+++ b/packages/member/source/member-table.c
@@ -26,6 +26,7 @@
   own->suspicions = fb_find_counter (counters, "member_suspicions_total", "");
   own->deaths = fb_find_counter (counters, "member_deaths_total", "");
   own->refutations = fb_find_counter (counters, "member_refutations_total", "");
+  own->conflicts = fb_find_counter (counters, "member_id_conflicts_total", "");
   own->pauses = fb_find_counter (counters, "member_pauses_total", "");
   own->divergences = fb_find_counter (counters, "member_divergences_total", "");
   own->health = fb_find_counter (counters, "member_health", "");
--- a/packages/member/source/member-table.h
+++ b/packages/member/source/member-table.h
@@ -77,7 +77,8 @@
 typedef struct
 {
   fb_counter_t *received, *received_bytes, *sent, *sent_bytes, *malformed, *refused;
-  fb_counter_t *probes_failed, *suspicions, *deaths, *refutations, *pauses, *divergences;
+  fb_counter_t *probes_failed, *suspicions, *deaths, *refutations, *conflicts, *pauses,
+      *divergences;
   fb_counter_t *health, *states[FW_DEAD + 1];
 } fm_counters_t;
 
@@ -113,6 +114,7 @@
   fb_time_t next_gossip;
   fb_time_t next_dead_probe;
   fb_time_t next_correction;
+  fb_time_t next_conflict;
   guint dead_cursor;
   guint gossip_cursor;
   uint64_t sequence;
--- a/packages/member/source/member-update.c
+++ b/packages/member/source/member-update.c
@@ -40,14 +40,26 @@
   report_change (table, entry, &previous);
 }
 
+/* Least time between two refutations of another process that speaks under this node's id: the
+ * two would answer each other without end, at the cost of the whole fleet. */
+#define CONFLICT_PERIOD FB_SECOND
+
 /* An update about this node is only ever a reason to raise the own incarnation above it. */
 static void
 refute_update (fm_table_t *table, const fw_member_t *update)
 {
   const fw_member_t *self = &table->self->member;
+  fb_time_t now = fb_read_clock (table->clock);
 
   if (!fw_is_override (update, self))
     return;
+  if (update->state == FW_ALIVE || update->state == FW_LEAVING)
+    {
+      fb_add_counter (table->counters.conflicts, 1);
+      if (now < table->next_conflict)
+        return;
+      table->next_conflict = now + CONFLICT_PERIOD;
+    }
   if (update->incarnation >= FM_INCARNATION_MAX)
     {
       fb_add_counter (table->counters.refused, 1);
--- a/packages/member/tests/fixture-fleet.c
+++ b/packages/member/tests/fixture-fleet.c
@@ -9,40 +9,6 @@
 /* Time between the pings of a node that knows nobody. */
 #define SEED_PERIOD FB_SECOND
 
-/* What a table last said about one member. */
-typedef struct
-{
-  bool known;
-  uint64_t incarnation;
-  fw_member_state_t state;
-  fb_time_t dead_since;
-} seen_t;
-
-typedef struct
-{
-  fleet_t *fleet;
-  size_t index;
-  fleet_state_t state;
-  bool leaving;
-  unsigned generation; /* of the address */
-  uint64_t first_incarnation;
-  fm_table_t *table;
-  fb_counters_t *counters;
-  fb_time_t next_host_list;
-  fb_time_t next_seeds;
-  seen_t seen[FX_NODES_MAX];
-} fleet_node_t;
-
-struct fleet
-{
-  fx_network_t *network;
-  GRand *random;
-  uint32_t seed;
-  size_t count;
-  bool forbid_false_deaths;
-  fleet_node_t nodes[FX_NODES_MAX];
-};
-
 void
 fleet_fail (fleet_t *fleet, const char *format, ...)
 {
@@ -304,30 +270,6 @@
   g_free (fleet);
 }
 
-fx_network_t *
-fleet_get_network (fleet_t *fleet)
-{
-  return fleet->network;
-}
-
-fm_table_t *
-fleet_get_table (fleet_t *fleet, size_t node)
-{
-  return fleet->nodes[node].table;
-}
-
-fleet_state_t
-fleet_get_state (const fleet_t *fleet, size_t node)
-{
-  return fleet->nodes[node].state;
-}
-
-bool
-fleet_is_leaving (const fleet_t *fleet, size_t node)
-{
-  return fleet->nodes[node].leaving;
-}
-
 void
 fleet_start (fleet_t *fleet, size_t index, bool moved)
 {
@@ -393,18 +335,6 @@
   handle_check (node, fleet);
 }
 
-void
-fleet_run (fleet_t *fleet, fb_time_t duration)
-{
-  fx_run (fleet->network, duration);
-}
-
-void
-fleet_forbid_false_deaths (fleet_t *fleet, bool forbid)
-{
-  fleet->forbid_false_deaths = forbid;
-}
-
 static bool
 is_view_right (const fleet_node_t *viewer, const fleet_node_t *subject)
 {
--- a/packages/member/tests/fixture-fleet.h
+++ b/packages/member/tests/fixture-fleet.h
@@ -15,26 +15,50 @@
 
 typedef struct fleet fleet_t;
 
+/* What a table last said about one member. */
+typedef struct
+{
+  bool known;
+  uint64_t incarnation;
+  fw_member_state_t state;
+  fb_time_t dead_since;
+} seen_t;
+
+typedef struct
+{
+  fleet_t *fleet;
+  size_t index;
+  fleet_state_t state;
+  bool leaving;
+  unsigned generation; /* of the address */
+  uint64_t first_incarnation;
+  fm_table_t *table;
+  fb_counters_t *counters;
+  fb_time_t next_host_list;
+  fb_time_t next_seeds;
+  seen_t seen[FX_NODES_MAX];
+} fleet_node_t;
+
+struct fleet
+{
+  fx_network_t *network;
+  GRand *random;
+  uint32_t seed;
+  size_t count;
+  bool forbid_false_deaths; /* a death seen of a process that runs fails the test */
+  fleet_node_t nodes[FX_NODES_MAX];
+};
+
 /* Creates COUNT nodes that are down; SEED decides everything random. */
 fleet_t *fleet_create (size_t count, uint32_t seed);
 void fleet_destroy (fleet_t *fleet);
 
-fx_network_t *fleet_get_network (fleet_t *fleet);
-fm_table_t *fleet_get_table (fleet_t *fleet, size_t node);
-fleet_state_t fleet_get_state (const fleet_t *fleet, size_t node);
-bool fleet_is_leaving (const fleet_t *fleet, size_t node);
-
 /* Starts a process with a new incarnation at the same or, when MOVED, at another address. */
 void fleet_start (fleet_t *fleet, size_t node, bool moved);
 void fleet_kill (fleet_t *fleet, size_t node);
 void fleet_pause (fleet_t *fleet, size_t node);
 void fleet_resume (fleet_t *fleet, size_t node);
 void fleet_leave (fleet_t *fleet, size_t node);
-void fleet_run (fleet_t *fleet, fb_time_t duration);
-
-/* While set, a death seen of a process that runs fails the test. */
-void fleet_forbid_false_deaths (fleet_t *fleet, bool forbid);
-
 /* Returns whether every table that runs holds exactly the running members as alive or leaving,
  * and all digests are equal; otherwise describes a difference in WHY. */
 bool fleet_is_converged (fleet_t *fleet, char *why, size_t size);
--- a/packages/member/tests/test-member-random.c
+++ b/packages/member/tests/test-member-random.c
@@ -37,7 +37,7 @@
     {
       if (waited > CONVERGE_MAX)
         fleet_fail (fleet, "%s: %s after %ld s", phase, why, (long)(waited / FB_SECOND));
-      fleet_run (fleet, FX_TICK);
+      fx_run (fleet->network, FX_TICK);
       waited += FX_TICK;
     }
   return waited;
@@ -54,7 +54,7 @@
         fleet_fail (fleet, "node-%02d does not hold node-%02zu %s after %ld ms",
                     fleet_find_unaware (fleet, node, state), node, fw_describe_state (state),
                     (long)(waited / FB_MILLISECOND));
-      fleet_run (fleet, FX_TICK);
+      fx_run (fleet->network, FX_TICK);
       waited += FX_TICK;
     }
   return waited;
@@ -69,15 +69,14 @@
   faults.duplicate = g_rand_double_range (random, 0, 0.2);
   faults.delay_max
       = g_rand_int_range (random, 2, g_rand_boolean (random) ? 50 : 1500) * FB_MILLISECOND;
-  fx_set_faults (fleet_get_network (fleet), &faults);
+  fx_set_faults (fleet->network, &faults);
 }
 
 static void
 partition_nodes (fleet_t *fleet, GRand *random, size_t count, unsigned groups)
 {
   for (size_t i = 0; i < count; i++)
-    fx_set_group (fleet_get_network (fleet), i,
-                  (unsigned)g_rand_int_range (random, 0, (gint32)groups));
+    fx_set_group (fleet->network, i, (unsigned)g_rand_int_range (random, 0, (gint32)groups));
 }
 
 static void
@@ -85,7 +84,7 @@
 {
   bool moved = g_rand_int_range (random, 0, 4) == 0;
 
-  switch (fleet_get_state (fleet, node))
+  switch (fleet->nodes[node].state)
     {
     case FLEET_DOWN:
       fleet_start (fleet, node, moved);
@@ -111,7 +110,7 @@
           fleet_leave (fleet, node);
           break;
         default:
-          fm_raise_incarnation (fleet_get_table (fleet, node));
+          fm_raise_incarnation (fleet->nodes[node].table);
           break;
         }
       break;
@@ -135,8 +134,8 @@
       else
         disturb_node (fleet, random, (size_t)g_rand_int_range (random, 0, (gint32)count));
       /* Short and long waits, some beyond the retention of the dead. */
-      fleet_run (fleet,
-                 g_rand_int_range (random, 10, i % 8 == 7 ? 70000 : 5000) * FB_MILLISECOND);
+      fx_run (fleet->network,
+              g_rand_int_range (random, 10, i % 8 == 7 ? 70000 : 5000) * FB_MILLISECOND);
     }
 }
 
@@ -145,13 +144,13 @@
 {
   fx_faults_t faults = { .delay_min = FB_MILLISECOND, .delay_max = 20 * FB_MILLISECOND };
 
-  fx_set_faults (fleet_get_network (fleet), &faults);
+  fx_set_faults (fleet->network, &faults);
   partition_nodes (fleet, random, count, 1);
   for (size_t i = 0; i < count; i++)
     {
-      if (fleet_get_state (fleet, i) == FLEET_PAUSED)
+      if (fleet->nodes[i].state == FLEET_PAUSED)
         fleet_resume (fleet, i);
-      if (fleet_get_state (fleet, i) == FLEET_DOWN && g_rand_boolean (random))
+      if (fleet->nodes[i].state == FLEET_DOWN && g_rand_boolean (random))
         fleet_start (fleet, i, false);
     }
 }
@@ -166,25 +165,25 @@
   fb_time_t waited;
 
   for (size_t i = 0; i < count; i++)
-    if (fleet_get_state (fleet, i) == FLEET_UP && fleet_is_leaving (fleet, i))
+    if (fleet->nodes[i].state == FLEET_UP && fleet->nodes[i].leaving)
       fleet_kill (fleet, i);
   for (size_t i = 0; i < count; i++)
-    if (fleet_get_state (fleet, i) == FLEET_DOWN)
+    if (fleet->nodes[i].state == FLEET_DOWN)
       fleet_start (fleet, i, false);
   run_until_converged (fleet, "restart");
-  fleet_run (fleet, 10 * FB_SECOND);
-  fleet_forbid_false_deaths (fleet, true);
-  fleet_run (fleet, 20 * FB_SECOND);
+  fx_run (fleet->network, 10 * FB_SECOND);
+  fleet->forbid_false_deaths = true;
+  fx_run (fleet->network, 20 * FB_SECOND);
   fleet_leave (fleet, leaver);
   waited = run_until_aware (fleet, leaver, FW_LEAVING, LEAVE_MAX);
   leave_seen = MAX (leave_seen, waited);
-  fleet_run (fleet, g_rand_int_range (random, 0, 2000) * FB_MILLISECOND);
+  fx_run (fleet->network, g_rand_int_range (random, 0, 2000) * FB_MILLISECOND);
   fleet_kill (fleet, victim);
   waited = run_until_aware (fleet, victim, FW_DEAD, KILL_MAX);
   kill_seen = MAX (kill_seen, waited);
   kill_sum += waited;
   run_until_converged (fleet, "kill");
-  fleet_run (fleet, 20 * FB_SECOND);
+  fx_run (fleet->network, 20 * FB_SECOND);
   g_assert_cmpint (run_until_converged (fleet, "rest"), ==, 0);
 }
 
