--- a/packages/member/source/member-probe.c
+++ b/packages/member/source/member-probe.c
@@ -58,6 +58,7 @@
   probe->active = true;
   probe->indirect = false;
   probe->id = target->member.id;
+  probe->incarnation = target->member.incarnation;
   probe->sequence = ++table->sequence;
   probe->indirect_at = now + table->options.ack_timeout * multiplier;
   probe->ends = now + table->options.probe_period * multiplier;
@@ -89,7 +90,10 @@
 {
   fm_entry_t *target = fm_find_entry (table, &table->probe.id);
 
-  if (!target || target->member.state == FW_DEAD)
+  /* A member that came back under a higher incarnation did not fail the ping to its
+   * predecessor. */
+  if (!target || target->member.state == FW_DEAD
+      || target->member.incarnation != table->probe.incarnation)
     {
       table->probe.active = false;
       return;
--- a/packages/member/source/member-table.h
+++ b/packages/member/source/member-table.h
@@ -58,6 +58,7 @@
   bool active;
   bool indirect; /* the indirect pings were sent */
   fb_name_t id;
+  uint64_t incarnation; /* of the target when the probe started */
   uint64_t sequence;
   fb_time_t indirect_at;
   fb_time_t ends;
--- a/packages/member/tests/test-member-table.c
+++ b/packages/member/tests/test-member-table.c
@@ -465,7 +465,8 @@
 }
 
 /* Guards against a probe that ends on the word of another process at the target's address, that
- * never asks helpers, or that ignores them. */
+ * never asks helpers or ignores them, and that blames a restarted member for its predecessor.
+ */
 static void
 test_probe (void)
 {
@@ -473,9 +474,12 @@
   {
     bool direct;
     bool wrong_id;
+    bool restarted;
     fw_member_state_t expected;
-  } cases[]
-      = { { true, false, FW_ALIVE }, { true, true, FW_SUSPECT }, { false, false, FW_ALIVE } };
+  } cases[] = { { true, false, false, FW_ALIVE },
+                { true, true, false, FW_SUSPECT },
+                { false, false, false, FW_ALIVE },
+                { true, true, true, FW_ALIVE } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -498,6 +502,12 @@
         ack.sender = make_member (50, 5, FW_ALIVE);
       if (!cases[i].direct)
         ack.target = target;
+      if (cases[i].restarted)
+        {
+          fw_member_t restarted = *fm_find_member (bed.table, &target);
+          restarted.incarnation++;
+          deliver_update (&bed, FW_GOSSIP, restarted);
+        }
       deliver (&bed, &ack);
       run_bed (&bed, 600 * FB_MILLISECOND);
       g_assert_cmpint (fm_find_member (bed.table, &target)->state, ==, cases[i].expected);
