--- a/packages/foxtailrund/tests/test-process-drain.c
+++ b/packages/foxtailrund/tests/test-process-drain.c
@@ -122,7 +122,7 @@
     { "GET", "/version", NULL, 200, "\"number\":1" },
     { "GET", "/members", NULL, 200, "node-6" },
     { "GET", "/routes", NULL, 200, "/prices" },
-    { "GET", "/metrics", NULL, 200, "foxtailrun_source_calls" },
+    { "GET", "/metrics", NULL, 200, "foxtailrun_source_calls " },
     { "GET", "/nothing", NULL, 404, "unknown path" },
     { "GET", "/drain", FLEET_KEY, 405, "method" },
     { "POST", "/drain", NULL, 401, "key" },
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -112,6 +112,8 @@
 
   for (int i = 0; i < CANCEL_BATCH && (request = find_cancelled (server)); i++)
     report_cancel (request);
+  if (server->requests.length == 0)
+    uv_timer_stop (timer);
 }
 
 static int
@@ -142,6 +144,9 @@
   request->guard = guard;
   request->link.data = request;
   g_queue_push_tail_link (&server->requests, &request->link);
+  if (!uv_is_active ((uv_handle_t *)&server->cancel_check))
+    uv_timer_start (&server->cancel_check, check_cancelled, CANCEL_CHECK_PERIOD_MS,
+                    CANCEL_CHECK_PERIOD_MS);
   server->handler (request, server->user);
   return 0;
 }
@@ -269,8 +274,6 @@
   server->accept.hosts = server->config.hosts;
   uv_timer_init (fk_get_loop (kernel), &server->cancel_check);
   server->cancel_check.data = server;
-  uv_timer_start (&server->cancel_check, check_cancelled, CANCEL_CHECK_PERIOD_MS,
-                  CANCEL_CHECK_PERIOD_MS);
   error = start_listener (server, address, port);
   if (error == 0)
     return server;
--- a/packages/kernel/include/foxtailrun/kernel/kernel.h
+++ b/packages/kernel/include/foxtailrun/kernel/kernel.h
@@ -53,6 +53,12 @@
 fk_timer_t *fk_create_timer (fk_kernel_t *kernel, fb_time_t period, fk_callback_fn_t callback,
                              void *user);
 
+/* Stops TIMER until fk_resume_timer, so that an idle process is not woken. */
+void fk_pause_timer (fk_timer_t *timer);
+
+/* Starts a periodic TIMER again if it is paused. */
+void fk_resume_timer (fk_timer_t *timer);
+
 /* Calls CALLBACK once after DELAY ns; destroy with fk_destroy_timer. */
 fk_timer_t *fk_create_timeout (fk_kernel_t *kernel, fb_time_t delay, fk_callback_fn_t callback,
                                void *user);
--- a/packages/kernel/source/kernel-timer.c
+++ b/packages/kernel/source/kernel-timer.c
@@ -6,6 +6,7 @@
   uv_timer_t handle;
   fk_callback_fn_t callback;
   void *user;
+  uint64_t period_ms;
 };
 
 static void
@@ -22,6 +23,13 @@
   g_free (handle->data);
 }
 
+/* Returns DURATION in milliseconds, rounded up. */
+static uint64_t
+round_up (fb_time_t duration)
+{
+  return (uint64_t)((duration + FB_MILLISECOND - 1) / FB_MILLISECOND);
+}
+
 static fk_timer_t *
 start_timer (fk_kernel_t *kernel, fb_time_t delay, fb_time_t period, fk_callback_fn_t callback,
              void *user)
@@ -32,9 +40,8 @@
   timer->user = user;
   uv_timer_init (fk_get_loop (kernel), &timer->handle);
   timer->handle.data = timer;
-  uv_timer_start (&timer->handle, fire_timer,
-                  (uint64_t)((delay + FB_MILLISECOND - 1) / FB_MILLISECOND),
-                  (uint64_t)((period + FB_MILLISECOND - 1) / FB_MILLISECOND));
+  timer->period_ms = round_up (period);
+  uv_timer_start (&timer->handle, fire_timer, round_up (delay), timer->period_ms);
   return timer;
 }
 
@@ -50,6 +57,19 @@
   return start_timer (kernel, delay, 0, callback, user);
 }
 
+void
+fk_pause_timer (fk_timer_t *timer)
+{
+  uv_timer_stop (&timer->handle);
+}
+
+void
+fk_resume_timer (fk_timer_t *timer)
+{
+  if (!uv_is_active ((uv_handle_t *)&timer->handle))
+    uv_timer_start (&timer->handle, fire_timer, timer->period_ms, timer->period_ms);
+}
+
 void
 fk_destroy_timer (fk_timer_t *timer)
 {
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -126,9 +126,10 @@
 static void
 append_counter (const char *name, const char *labels, uint64_t value, void *user)
 {
-  g_string_append_printf (
-      user, *labels ? "%s{%s} %" G_GUINT64_FORMAT "\n" : "%s%s %" G_GUINT64_FORMAT "\n", name,
-      labels, value);
+  g_string_append_printf (user,
+                          *labels ? "foxtailrun_%s{%s} %" G_GUINT64_FORMAT "\n"
+                                  : "foxtailrun_%s%s %" G_GUINT64_FORMAT "\n",
+                          name, labels, value);
 }
 
 static void
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -407,6 +407,8 @@
       end_running (served, &answer);
     }
   g_ptr_array_free (late, TRUE);
+  if (g_hash_table_size (backend->calls) == 0)
+    fk_pause_timer (backend->tick);
 }
 
 /* Returns why CALL cannot be taken, or NULL. */
@@ -549,11 +551,10 @@
                                             fk_get_clock (kernel), counters, &hooks);
   backend->once = fr_create_once (&fn_get_settings (kernel)->id, fn_get_start_id (kernel),
                                   secret, ONCE_RECORDS_MAX, ONCE_BYTES_MAX);
-  backend->started = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"started\"");
-  backend->refused = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"refused\"");
-  backend->replayed
-      = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"replayed\"");
-  backend->unknown = fb_find_counter (counters, "foxtailrun_backend_calls", "end=\"unknown\"");
+  backend->started = fb_find_counter (counters, "backend_calls", "end=\"started\"");
+  backend->refused = fb_find_counter (counters, "backend_calls", "end=\"refused\"");
+  backend->replayed = fb_find_counter (counters, "backend_calls", "end=\"replayed\"");
+  backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
 }
 
@@ -571,6 +572,7 @@
   served->user = user;
   served->has_ticket = !wants_ticket && call->ticket.len > 0;
   g_hash_table_insert (backend->calls, &served->handle, served);
+  fk_resume_timer (backend->tick);
   if (served->has_ticket && fr_parse_ticket (call->ticket, &served->ticket) != FB_OK)
     answer_outcome (served, FW_NOT_RUN, 422, "malformed ticket");
   else if (obstacle)
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -197,8 +197,7 @@
 
   calls->kernel = kernel;
   calls->open = g_hash_table_new_full (hash_remote, equal_remote, g_free, NULL);
-  calls->malformed
-      = fb_find_counter (fk_get_counters (kernel), "foxtailrun_malformed_call_messages", "");
+  calls->malformed = fb_find_counter (fk_get_counters (kernel), "malformed_call_messages", "");
   fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), forget_member, calls);
   fk_register_service (kernel, FN_CALLS, &vtable, calls);
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -262,13 +262,12 @@
   for (size_t i = 0; i < G_N_ELEMENTS (outcomes); i++)
     {
       char *labels = g_strdup_printf ("outcome=\"%s\"", fw_describe_outcome (outcomes[i]));
-      entry->outcomes[outcomes[i]]
-          = fb_find_counter (counters, "foxtailrun_entry_calls", labels);
+      entry->outcomes[outcomes[i]] = fb_find_counter (counters, "entry_calls", labels);
       g_free (labels);
     }
-  entry->retries = fb_find_counter (counters, "foxtailrun_entry_retries", "");
-  entry->throttled = fb_find_counter (counters, "foxtailrun_entry_throttled", "");
-  entry->unmatched = fb_find_counter (counters, "foxtailrun_entry_unmatched_answers", "");
+  entry->retries = fb_find_counter (counters, "entry_retries", "");
+  entry->throttled = fb_find_counter (counters, "entry_throttled", "");
+  entry->unmatched = fb_find_counter (counters, "entry_unmatched_answers", "");
 }
 
 void
--- a/packages/node/source/node-membership.c
+++ b/packages/node/source/node-membership.c
@@ -5,7 +5,8 @@
 #include <sodium.h>
 
 #define WATCHERS_MAX 4
-#define TICK_PERIOD (50 * FB_MILLISECOND)
+/* The same period as the distribution, so that both run in one wake-up of the process. */
+#define TICK_PERIOD (100 * FB_MILLISECOND)
 
 /* Seeds are pinged again until at least one other member is known. */
 #define SEED_PERIOD (1 * FB_SECOND)
--- a/packages/node/source/node-source.c
+++ b/packages/node/source/node-source.c
@@ -175,7 +175,7 @@
   fn_source_t *source = g_new0 (fn_source_t, 1);
 
   source->kernel = kernel;
-  source->calls = fb_find_counter (fk_get_counters (kernel), "foxtailrun_source_calls", "");
+  source->calls = fb_find_counter (fk_get_counters (kernel), "source_calls", "");
   fk_register_service (kernel, FN_SOURCE, &vtable, source);
 }
 
--- a/packages/transport/include/foxtailrun/transport/bus.h
+++ b/packages/transport/include/foxtailrun/transport/bus.h
@@ -37,8 +37,9 @@
 
 typedef struct ft_bus ft_bus_t;
 
-/* Binds a ROUTER to ADDRESS and PORT; HOOKS is copied. NULL with the error logged when it
- * cannot. */
+/* Binds a ROUTER to ADDRESS and PORT; HOOKS is copied. Bytes of frames are counted as
+ * bus_sent_bytes and bus_received_bytes under the label NAME. NULL with the error logged when
+ * it cannot. */
 ft_bus_t *ft_create_bus (fk_kernel_t *kernel, const char *name, const fb_name_t *address,
                          uint16_t port, const ft_bus_hooks_t *hooks);
 
@@ -58,7 +59,4 @@
 /* Closes the connection to a peer that is gone. */
 void ft_disconnect (ft_bus_t *bus, const fb_name_t *address, uint16_t port);
 
-/* Returns bytes sent and received in frames since creation. */
-void ft_get_traffic (const ft_bus_t *bus, uint64_t *sent, uint64_t *received);
-
 #endif
--- a/packages/transport/source/transport-bus.c
+++ b/packages/transport/source/transport-bus.c
@@ -15,6 +15,7 @@
 #define IDLE_LIMIT (60 * FB_SECOND)
 
 #define SWEEP_PERIOD (50 * FB_MILLISECOND)
+#define IDLE_PERIOD (5 * FB_SECOND)
 
 typedef struct
 {
@@ -43,9 +44,10 @@
   ft_bus_hooks_t hooks;
   ft_socket_t *router;
   GHashTable *peers; /* "address:port" to peer_t */
-  fk_timer_t *sweep;
-  uint64_t sent;
-  uint64_t received;
+  fk_timer_t *sweep; /* runs while messages wait for a connection */
+  fk_timer_t *idle;
+  fb_counter_t *sent;
+  fb_counter_t *received;
   uint64_t monitor_count;
 };
 
@@ -64,7 +66,7 @@
     return false;
   /* The second frame belongs to a message already accepted, so that it cannot be refused. */
   ft_write_socket (peer->dealer, body, false);
-  bus->sent += header.len + body.len;
+  fb_add_counter (bus->sent, header.len + body.len);
   return true;
 }
 
@@ -100,7 +102,7 @@
   flush_pending (peer);
   if (frames->count != 2)
     return;
-  bus->received += frames->frame[0].len + frames->frame[1].len;
+  fb_add_counter (bus->received, frames->frame[0].len + frames->frame[1].len);
   bus->hooks.answered (&peer->address, peer->port, frames->frame[0], frames->frame[1],
                        bus->hooks.user);
 }
@@ -130,7 +132,7 @@
     return;
   from.len = (uint8_t)frames->frame[0].len;
   memcpy (from.data, frames->frame[0].data, from.len);
-  bus->received += frames->frame[1].len + frames->frame[2].len;
+  fb_add_counter (bus->received, frames->frame[1].len + frames->frame[2].len);
   bus->hooks.requested (&from, frames->frame[1], frames->frame[2], bus->hooks.user);
 }
 
@@ -223,9 +225,8 @@
   return peer;
 }
 
-/* Reports messages whose wait for a connection is over and closes idle connections. */
 static void
-sweep_peers (void *user)
+close_idle_peers (void *user)
 {
   ft_bus_t *bus = user;
   fb_time_t now = fb_read_clock (fk_get_clock (bus->kernel));
@@ -236,27 +237,52 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       peer_t *peer = value;
-      flush_pending (peer);
       if (g_queue_is_empty (&peer->pending) && now - peer->last_used > IDLE_LIMIT)
         g_hash_table_iter_remove (&iter);
     }
-  for (bool found = true; found;)
+}
+
+/* Takes a message whose wait for a connection is over; stores whether others wait on. */
+static pending_t *
+take_expired (ft_bus_t *bus, fb_time_t now, bool *waiting)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  *waiting = false;
+  g_hash_table_iter_init (&iter, bus->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      peer_t *peer = value;
+      pending_t *oldest = g_queue_peek_head (&peer->pending);
+      if (oldest && oldest->expires <= now)
+        return g_queue_pop_head (&peer->pending);
+      *waiting |= oldest != NULL;
+    }
+  return NULL;
+}
+
+static void
+sweep_pending (void *user)
+{
+  ft_bus_t *bus = user;
+  fb_time_t now = fb_read_clock (fk_get_clock (bus->kernel));
+  GHashTableIter iter;
+  gpointer value;
+  pending_t *expired;
+  bool waiting;
+
+  g_hash_table_iter_init (&iter, bus->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    flush_pending (value);
+  /* The hook may add or remove peers, so that each search starts anew. */
+  while ((expired = take_expired (bus, now, &waiting)))
     {
-      found = false;
-      g_hash_table_iter_init (&iter, bus->peers);
-      while (!found && g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          peer_t *peer = value;
-          pending_t *oldest = g_queue_peek_head (&peer->pending);
-          if (!oldest || oldest->expires > now)
-            continue;
-          g_queue_pop_head (&peer->pending);
-          /* The hook may add or remove peers, so that the visit starts again after it. */
-          bus->hooks.not_sent (oldest->tag, bus->hooks.user);
-          free_pending (oldest);
-          found = true;
-        }
+      bus->hooks.not_sent (expired->tag, bus->hooks.user);
+      free_pending (expired);
     }
+  if (!waiting)
+    fk_pause_timer (bus->sweep);
 }
 
 ft_bus_t *
@@ -267,10 +293,15 @@
   int linger = LINGER_MS;
   ft_bus_t *bus = g_new0 (ft_bus_t, 1);
   void *router;
+  char *labels;
 
   bus->kernel = kernel;
   bus->name = g_strdup (name);
   bus->hooks = *hooks;
+  labels = g_strdup_printf ("bus=\"%s\"", name);
+  bus->sent = fb_find_counter (fk_get_counters (kernel), "bus_sent_bytes", labels);
+  bus->received = fb_find_counter (fk_get_counters (kernel), "bus_received_bytes", labels);
+  g_free (labels);
   bus->context = zmq_ctx_new ();
   bus->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_peer);
   router = zmq_socket (bus->context, ZMQ_ROUTER);
@@ -286,7 +317,8 @@
       return NULL;
     }
   bus->router = ft_create_socket (kernel, router, receive_request, bus);
-  bus->sweep = fk_create_timer (kernel, SWEEP_PERIOD, sweep_peers, bus);
+  bus->sweep = fk_create_timer (kernel, SWEEP_PERIOD, sweep_pending, bus);
+  bus->idle = fk_create_timer (kernel, IDLE_PERIOD, close_idle_peers, bus);
   return bus;
 }
 
@@ -296,6 +328,7 @@
   if (!bus)
     return;
   fk_destroy_timer (bus->sweep);
+  fk_destroy_timer (bus->idle);
   g_hash_table_destroy (bus->peers);
   ft_destroy_socket (bus->router);
   zmq_ctx_term (bus->context);
@@ -320,6 +353,7 @@
   pending->header = g_bytes_new (header.data, header.len);
   pending->body = g_bytes_new (body.data, body.len);
   g_queue_push_tail (&peer->pending, pending);
+  fk_resume_timer (bus->sweep);
 }
 
 void
@@ -329,7 +363,7 @@
     return;
   ft_write_socket (bus->router, header, true);
   ft_write_socket (bus->router, body, false);
-  bus->sent += header.len + body.len;
+  fb_add_counter (bus->sent, header.len + body.len);
 }
 
 void
@@ -346,10 +380,3 @@
   g_hash_table_remove (bus->peers, key);
   g_free (key);
 }
-
-void
-ft_get_traffic (const ft_bus_t *bus, uint64_t *sent, uint64_t *received)
-{
-  *sent = bus->sent;
-  *received = bus->received;
-}
--- a/packages/transport/source/transport-udp.c
+++ b/packages/transport/source/transport-udp.c
@@ -62,9 +62,9 @@
   udp->kernel = kernel;
   udp->receive = receive;
   udp->user = user;
-  udp->sent = fb_find_counter (counters, "foxtailrun_gossip_sent_bytes", "");
-  udp->received = fb_find_counter (counters, "foxtailrun_gossip_received_bytes", "");
-  udp->dropped = fb_find_counter (counters, "foxtailrun_gossip_dropped_datagrams", "");
+  udp->sent = fb_find_counter (counters, "gossip_sent_bytes", "");
+  udp->received = fb_find_counter (counters, "gossip_received_bytes", "");
+  udp->dropped = fb_find_counter (counters, "gossip_dropped_datagrams", "");
   uv_udp_init (fk_get_loop (kernel), &udp->handle);
   udp->handle.data = udp;
   if (parse_address (address, port, &bound))
