--- a/packages/member/source/member-table.c
+++ b/packages/member/source/member-table.c
@@ -134,6 +134,7 @@
   table->random = g_rand_new_with_seed (seed);
   table->sequence = g_rand_int (table->random);
   table->matched_at = now;
+  table->last_tick = now;
   /* Nodes that start together probe at different times. */
   table->next_probe
       = now + (fb_time_t)(g_rand_double (table->random) * table->options.probe_period);
@@ -158,7 +159,7 @@
 fm_tick (fm_table_t *table)
 {
   fb_time_t now = fb_read_clock (table->clock);
-  fb_time_t gap = table->last_tick ? now - table->last_tick : 0;
+  fb_time_t gap = now - table->last_tick;
 
   table->last_tick = now;
   if (gap > PAUSE_MIN)
--- a/packages/member/source/member-table.h
+++ b/packages/member/source/member-table.h
@@ -92,7 +92,7 @@
   GRand *random;
   fm_entry_t *self;
   fb_version_t version;
-  fb_time_t last_tick; /* 0 before the first */
+  fb_time_t last_tick; /* or the creation */
 
   GHashTable *by_id;    /* fb_name_t in the entry -> fm_entry_t, owned */
   GPtrArray *sorted;    /* all entries by id */
