Prove the dist package by directed and randomised runs

Change: a stand-in fleet of up to 12 whole nodes (member table and dist) on a manual clock with a fake network (loss, delay, duplication, reordering, partition, pause, kill, restart) and a fake source (outage, freeze, stale reads, racing publishers, bad documents, reset index), which checks the invariants after every step; directed tests for acceptance, join and bounds. The member package's diverged hook is served by fd_handle_divergence.

Guards, each removed once in a scratch copy, and the test that then fails: comparison (judge, fleet; also without the invariant), digest check (judge, fleet), number claimed (judge, fleet), join wait (join, fleet), join answers (join, fleet), fetch before ready (join), pause check (join, fleet), ready in SUMMARY (join, fleet), memory of refusals (judge), revision never down (fleet), number under a held digest (judge), fetch timeout (judge, fleet), source bucket (fleet), back-off (judge), index reset after a failure (judge), read from before a pause (fleet), limit on whole documents (join), limit on answers (join), two readers a zone (fleet), whole document after a bad frame (judge).

Found on the way: when the source's index is reset while answers with the old index are under way to all readers, they wait for the old index until the wait's limit of 30 s; the test allows for exactly that and counts it.

--- /dev/null
+++ b/bench/bench-dist.c
@@ -0,0 +1,286 @@
+/* Ways of dissemination weighed on the same work, and one node's cost at the target size. */
+#include "dist-state.h"
+#include "fleet.h"
+#include <foxtailrun/config/delta.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+#define NODES 12
+#define ZONES 1
+#define PUBLICATIONS 50
+
+/* One change every 62 s, 1,400 a day. */
+#define CHANGE_PERIOD (62 * FB_SECOND)
+
+/* Longest polling period that keeps a change within 6 s. */
+#define POLL_PERIOD (5 * FB_SECOND)
+
+/* Longest wait for the last node. */
+#define SPREAD_LIMIT (60 * FB_SECOND)
+
+#define KILLED 2
+#define ROUNDS 20
+
+typedef enum
+{
+  PUSH_AND_PULL,
+  PULL_ONLY,
+  POLL_SOURCE
+} way_t;
+
+static const char *const way_names[] = { "push+pull", "pull only", "poll" };
+static way_t way;
+
+/* The linker's names for the replaced functions and their replacements, see --wrap. */
+void announce_really (fm_table_t *table) __asm__("__real_fm_announce_version");
+void announce_by_way (fm_table_t *table) __asm__("__wrap_fm_announce_version");
+void read_really (fd_node_t *node) __asm__("__real_fd_tick_source");
+void read_by_way (fd_node_t *node) __asm__("__wrap_fd_tick_source");
+void hear_really (fd_node_t *node, const fw_member_t *sender,
+                  const fb_version_t *version) __asm__("__real_fd_handle_summary");
+void hear_by_way (fd_node_t *node, const fw_member_t *sender,
+                  const fb_version_t *version) __asm__("__wrap_fd_handle_summary");
+
+void
+announce_by_way (fm_table_t *table)
+{
+  if (way == PUSH_AND_PULL)
+    announce_really (table);
+}
+
+void
+read_by_way (fd_node_t *node)
+{
+  fb_time_t now = fb_read_clock (node->clock);
+  fd_source_t *source = &node->source;
+
+  if (way != POLL_SOURCE)
+    {
+      read_really (node);
+      return;
+    }
+  if (source->outstanding || now < source->next_at || now - source->started_at < POLL_PERIOD)
+    return;
+  source->outstanding = true;
+  source->started_at = now;
+  source->index = 0;
+  node->hooks.read_source (0, node->hooks.user);
+}
+
+void
+hear_by_way (fd_node_t *node, const fw_member_t *sender, const fb_version_t *version)
+{
+  if (way != POLL_SOURCE)
+    hear_really (node, sender, version);
+}
+
+static int
+compare_times (const void *a, const void *b)
+{
+  const fb_time_t *first = a;
+  const fb_time_t *second = b;
+
+  return *first < *second ? -1 : *first > *second;
+}
+
+static bool
+has_version (const sf_fleet_t *fleet, uint64_t number)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      if (fleet->hosts[i].node != NULL
+          && fd_get_version (fleet->hosts[i].node)->number < number)
+        return false;
+    }
+  return true;
+}
+
+/* Kills nodes as soon as they have applied NUMBER, up to KILLED in all. */
+static void
+kill_announcers (sf_fleet_t *fleet, uint64_t number, size_t *killed)
+{
+  for (size_t i = 0; i < fleet->count && *killed < KILLED; i++)
+    {
+      if (fleet->hosts[i].node == NULL
+          || fd_get_version (fleet->hosts[i].node)->number < number)
+        continue;
+      sf_kill_host (fleet, i);
+      (*killed)++;
+    }
+}
+
+/* Publishes NUMBER and returns the time until the last running node has it. */
+static fb_time_t
+time_publication (sf_fleet_t *fleet, uint64_t number, bool kill)
+{
+  fb_time_t waited = 0;
+  size_t killed = kill ? 0 : KILLED;
+
+  sf_publish_document (fleet, sf_make_document (number, (uint32_t)number * 7, 300), true);
+  while (!has_version (fleet, number) && waited < SPREAD_LIMIT)
+    {
+      sf_run_fleet (fleet, SF_STEP);
+      waited += SF_STEP;
+      kill_announcers (fleet, number, &killed);
+    }
+  return waited;
+}
+
+static void
+measure_way (double loss, bool kill)
+{
+  sf_fleet_t *fleet = sf_create_fleet (11, NODES, ZONES);
+  fb_time_t times[PUBLICATIONS];
+  uint64_t calls;
+  uint64_t sent = 0;
+  uint64_t read;
+  double seconds;
+
+  sf_publish_document (fleet, sf_make_document (1, 7, 300), true);
+  sf_run_fleet (fleet, 30 * FB_SECOND);
+  fleet->link.loss = loss;
+  calls = fleet->source.calls;
+  read = fleet->source.bytes;
+  for (size_t i = 0; i < NODES; i++)
+    sent -= fleet->hosts[i].sent_bytes;
+  for (size_t i = 0; i < PUBLICATIONS; i++)
+    {
+      times[i] = time_publication (fleet, i + 2, kill);
+      if (times[i] < CHANGE_PERIOD)
+        sf_run_fleet (fleet, CHANGE_PERIOD - times[i]);
+      for (size_t j = 0; j < NODES; j++)
+        {
+          if (fleet->hosts[j].node == NULL)
+            sf_start_host (fleet, j);
+        }
+      sf_run_fleet (fleet, kill ? CHANGE_PERIOD : 0);
+    }
+  for (size_t i = 0; i < NODES; i++)
+    sent += fleet->hosts[i].sent_bytes;
+  seconds = (double)PUBLICATIONS * (kill ? 2 : 1) * CHANGE_PERIOD / (double)FB_SECOND;
+  qsort (times, PUBLICATIONS, sizeof times[0], compare_times);
+  printf ("%-10s %5.0f %% %-7s %8d %8d %10.0f %10.0f %10.3f\n", way_names[way], loss * 100,
+          kill ? "killed" : "", (int)(times[PUBLICATIONS / 2] / FB_MILLISECOND),
+          (int)(times[PUBLICATIONS - 1] / FB_MILLISECOND), (double)sent / NODES / seconds,
+          (double)(fleet->source.bytes - read) / NODES / seconds,
+          (double)(fleet->source.calls - calls) / seconds);
+  sf_destroy_fleet (fleet);
+}
+
+static double
+read_cpu_ms (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &now);
+  return (double)now.tv_sec * 1e3 + (double)now.tv_nsec / 1e6;
+}
+
+/* A document of nearly 1 MB: 4,000 routes whose paths hold random digits, so that it does not
+ * compress better than a real one. */
+static GBytes *
+make_large_document (uint64_t number, uint32_t timeout_ms)
+{
+  GRand *random = g_rand_new_with_seed (5);
+  GString *text = g_string_new (NULL);
+
+  g_string_append_printf (text,
+                          "version = %d\n[[rank]]\nname = \"urgent\"\norder = 0\n"
+                          "target_ms = 50\nworth = 10.0\nshare = 0.5\n[[service]]\n"
+                          "name = \"counter\"\nslots = 6\nconnections = 120\n",
+                          (int)number);
+  for (uint32_t i = 0; i < FC_ROUTES_MAX; i++)
+    {
+      g_string_append_printf (text, "[[route]]\nname = \"route-%u\"\npath = \"/", i);
+      for (int j = 0; j < 13; j++)
+        g_string_append_printf (text, "%08x", g_rand_int (random));
+      g_string_append_printf (text,
+                              "\"\nmethods = [\"GET\"]\nservice = \"counter\"\n"
+                              "rank = \"urgent\"\ntimeout_ms = %u\nrepeatable = true\n",
+                              i == FC_ROUTES_MAX / 2 ? timeout_ms : 1000);
+    }
+  g_rand_free (random);
+  return g_string_free_to_bytes (text);
+}
+
+static void
+measure_transfer (const char *name, fb_bytes_t base, fb_bytes_t document)
+{
+  uint8_t *frame = NULL;
+  uint8_t *decoded = NULL;
+  size_t length = 0;
+  size_t decoded_length;
+  double start = read_cpu_ms ();
+  double encoded;
+
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      g_free (frame);
+      frame = fc_encode_delta (base, document, &length);
+    }
+  encoded = read_cpu_ms ();
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      if (fc_decode_delta (base, (fb_bytes_t){ frame, length }, &decoded, &decoded_length)
+          != FB_OK)
+        g_error ("the frame does not decode");
+      g_free (decoded);
+    }
+  printf ("%-16s %8zu bytes of %zu, encode %.2f ms, decode %.2f ms CPU\n", name, length,
+          document.len, (encoded - start) / ROUNDS, (read_cpu_ms () - encoded) / ROUNDS);
+  g_free (frame);
+}
+
+static void
+measure_checks (fb_bytes_t document)
+{
+  double start = read_cpu_ms ();
+  double digested;
+
+  for (int i = 0; i < ROUNDS; i++)
+    fb_compute_digest (document);
+  digested = read_cpu_ms ();
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      fc_problems_t *problems = fc_create_problems ();
+      fc_snapshot_t *snapshot = fc_check_document (document, problems);
+
+      if (snapshot == NULL)
+        g_error ("%s", fc_format_problem (fc_get_problem (problems, 0), "document"));
+      fc_release_snapshot (snapshot);
+      fc_destroy_problems (problems);
+    }
+  printf ("%-16s digest %.2f ms, check %.2f ms CPU\n", "both", (digested - start) / ROUNDS,
+          (read_cpu_ms () - digested) / ROUNDS);
+}
+
+int
+main (void)
+{
+  static const double losses[] = { 0, 0.01, 0.1 };
+  GBytes *older = make_large_document (1, 1000);
+  GBytes *newer = make_large_document (2, 1001);
+  fb_bytes_t base;
+  fb_bytes_t document;
+
+  printf ("%d nodes, %d zone, %d publications\n", NODES, ZONES, PUBLICATIONS);
+  printf ("%-10s %7s %-7s %8s %8s %10s %10s %10s\n", "way", "loss", "", "last50ms", "lastmax",
+          "sent B/s", "source B/s", "calls/s");
+  for (way = PUSH_AND_PULL; way <= POLL_SOURCE; way++)
+    {
+      for (size_t i = 0; i < G_N_ELEMENTS (losses); i++)
+        {
+          measure_way (losses[i], false);
+          measure_way (losses[i], true);
+        }
+    }
+  base.data = g_bytes_get_data (older, &base.len);
+  document.data = g_bytes_get_data (newer, &document.len);
+  measure_transfer ("delta", base, document);
+  measure_transfer ("whole", (fb_bytes_t){ NULL, 0 }, document);
+  measure_checks (document);
+  g_bytes_unref (older);
+  g_bytes_unref (newer);
+  return 0;
+}
--- a/packages/dist/include/foxtailrun/dist/node.h
+++ b/packages/dist/include/foxtailrun/dist/node.h
@@ -42,6 +42,10 @@
 void fd_handle_summary (fd_node_t *node, const fw_member_t *sender,
                         const fb_version_t *version);
 
+/* PEER holds another member list: fetches it page by page unless two lists are being fetched.
+ * Call it from the membership's diverged hook. */
+void fd_handle_divergence (fd_node_t *node, const fw_member_t *peer);
+
 /* Handles a control message from another node. */
 void fd_handle_message (fd_node_t *node, const fw_control_t *message);
 
--- a/packages/dist/source/dist-join.c
+++ b/packages/dist/source/dist-join.c
@@ -192,6 +192,24 @@
     }
 }
 
+void
+fd_handle_divergence (fd_node_t *node, const fw_member_t *peer)
+{
+  fb_name_t id = peer->id;
+
+  fd_check_pause (node);
+  for (size_t i = 0; i < FD_JOIN_WALKS; i++)
+    {
+      fd_walk_t *walk = &node->join.walks[i];
+
+      if (walk->active && fb_read_clock (node->clock) < walk->deadline)
+        continue;
+      *walk = (fd_walk_t){ .active = true, .id = id };
+      ask_page (node, walk);
+      return;
+    }
+}
+
 void
 fd_handle_join_members (fd_node_t *node, const fw_control_t *message)
 {
--- /dev/null
+++ b/packages/dist/tests/test-fleet.c
@@ -0,0 +1,379 @@
+/* Randomised runs of whole nodes under faults. SEEDS=N runs seeds 1 to N instead of the fixed
+ * few, SEED=N only seed N. The invariants are checked by the stand-in fleet after every step.
+ */
+#include "fleet.h"
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define SEEDS_DEFAULT 40
+#define CHAOS_ACTIONS 40
+
+/* A member that died just before the end of the faults is detected within about 6 s. */
+#define DETECTION_MAX (6 * FB_SECOND)
+
+/* From a publication to the last node. */
+#define SPREAD_MAX (6 * FB_SECOND)
+
+/* Limit of one wait at the source, see sf_has_lost_watch. */
+#define WATCH_MAX (30 * FB_SECOND)
+
+static char seed_text[64];
+
+static void
+report_seed (int signal_number)
+{
+  if (write (STDERR_FILENO, seed_text, strlen (seed_text)) < 0)
+    _exit (1);
+}
+
+typedef struct
+{
+  sf_fleet_t *fleet;
+  GRand *random;
+  uint64_t number; /* last published */
+  fb_time_t resume_at[SF_HOSTS_MAX];
+} run_t;
+
+static void
+publish_next (run_t *run)
+{
+  sf_publish_document (run->fleet,
+                       sf_make_document (++run->number, g_rand_int (run->random), 3), true);
+}
+
+/* The document in force written again: only its revision rises. */
+static void
+publish_again (run_t *run)
+{
+  if (run->fleet->source.document != NULL)
+    sf_publish_document (run->fleet, g_bytes_ref (run->fleet->source.document),
+                         run->fleet->source.valid);
+}
+
+/* Two publishers took the same number; the second write stands. */
+static void
+publish_race (run_t *run)
+{
+  publish_next (run);
+  sf_run_fleet (run->fleet, g_rand_int_range (run->random, 0, 4) * 10 * FB_MILLISECOND);
+  run->number--;
+  publish_next (run);
+}
+
+/* A document that names a service it does not hold, or that is cut short. */
+static void
+publish_bad (run_t *run)
+{
+  GBytes *good = sf_make_document (++run->number, g_rand_int (run->random), 3);
+  gsize length;
+  const char *text = g_bytes_get_data (good, &length);
+  GString *bad = g_string_new_len (text, (gssize)length);
+
+  if (g_rand_boolean (run->random))
+    g_string_append (bad, "[[route]]\nname = \"x\"\npath = \"/x\"\nservice = \"absent\"\n");
+  else
+    g_string_truncate (bad, length - 20);
+  sf_publish_document (run->fleet, g_string_free_to_bytes (bad), false);
+  g_bytes_unref (good);
+  if (g_rand_boolean (run->random))
+    run->number--;
+}
+
+static void
+kill_or_start (run_t *run, size_t index)
+{
+  if (run->fleet->hosts[index].node == NULL)
+    sf_start_host (run->fleet, index);
+  else
+    sf_kill_host (run->fleet, index);
+}
+
+/* All processes end at once and start again. */
+static void
+restart_herd (run_t *run)
+{
+  for (size_t i = 0; i < run->fleet->count; i++)
+    {
+      sf_kill_host (run->fleet, i);
+      sf_start_host (run->fleet, i);
+    }
+}
+
+static void
+pause_host (run_t *run, size_t index)
+{
+  if (run->fleet->hosts[index].node == NULL || run->fleet->hosts[index].paused)
+    return;
+  sf_pause_host (run->fleet, index);
+  run->resume_at[index] = fb_read_clock (run->fleet->clock)
+                          + g_rand_int_range (run->random, 1, 80) * 100 * FB_MILLISECOND;
+}
+
+static void
+change_link (run_t *run)
+{
+  static const double losses[] = { 0, 0.01, 0.1, 0.3 };
+  static const fb_time_t delays[] = { 5, 50, 300, 1500 };
+  sf_link_t *link = &run->fleet->link;
+
+  link->loss = losses[g_rand_int_range (run->random, 0, G_N_ELEMENTS (losses))];
+  link->delay_max
+      = delays[g_rand_int_range (run->random, 0, G_N_ELEMENTS (delays))] * FB_MILLISECOND;
+  link->duplication = 0.1;
+  link->corruption = g_rand_double (run->random) * 0.5;
+}
+
+static void
+split_fleet (run_t *run)
+{
+  bool heal = g_rand_boolean (run->random);
+
+  for (size_t i = 0; i < run->fleet->count; i++)
+    run->fleet->hosts[i].side = heal ? 0 : (uint32_t)g_rand_int_range (run->random, 0, 2);
+}
+
+static void
+change_source (run_t *run)
+{
+  switch (g_rand_int_range (run->random, 0, 6))
+    {
+    case 0:
+      run->fleet->source.down = true;
+      break;
+    case 1:
+      sf_freeze_source (run->fleet);
+      break;
+    case 2:
+      run->fleet->source.stale = 0.5;
+      break;
+    case 3:
+      sf_reset_index (run->fleet);
+      break;
+    default:
+      sf_heal_source (run->fleet);
+    }
+}
+
+static void
+act (run_t *run)
+{
+  size_t index = (size_t)g_rand_int_range (run->random, 0, (gint32)run->fleet->count);
+
+  switch (g_rand_int_range (run->random, 0, 14))
+    {
+    case 0:
+    case 1:
+      publish_next (run);
+      break;
+    case 2:
+      publish_again (run);
+      break;
+    case 3:
+    case 4:
+      publish_race (run);
+      break;
+    case 5:
+    case 6:
+      publish_bad (run);
+      break;
+    case 7:
+    case 8:
+      if (g_rand_int_range (run->random, 0, 12) == 0)
+        restart_herd (run);
+      else
+        kill_or_start (run, index);
+      break;
+    case 9:
+      pause_host (run, index);
+      break;
+    case 10:
+      change_link (run);
+      break;
+    case 11:
+      split_fleet (run);
+      break;
+    default:
+      change_source (run);
+    }
+}
+
+static void
+resume_due (run_t *run, bool all)
+{
+  fb_time_t now = fb_read_clock (run->fleet->clock);
+
+  for (size_t i = 0; i < run->fleet->count; i++)
+    {
+      sf_host_t *host = &run->fleet->hosts[i];
+
+      if (host->paused && (all || now >= run->resume_at[i]))
+        sf_resume_host (run->fleet, i);
+    }
+}
+
+static void
+end_faults (run_t *run)
+{
+  sf_fleet_t *fleet = run->fleet;
+
+  fleet->link = (sf_link_t){ .delay_min = FB_MILLISECOND, .delay_max = 5 * FB_MILLISECOND };
+  for (size_t i = 0; i < fleet->count; i++)
+    fleet->hosts[i].side = 0;
+  resume_due (run, true);
+  sf_heal_source (fleet);
+  /* Without a valid document anywhere no node can become ready. */
+  publish_next (run);
+}
+
+/* Runs until all nodes are ready with the highest version; returns the time it took. LOST tells
+ * whether a lost watch extended the limit. */
+static fb_time_t
+await_convergence (sf_fleet_t *fleet, fb_time_t limit, bool *lost)
+{
+  fb_time_t base = limit;
+  fb_version_t before = sf_get_highest (fleet);
+
+  for (fb_time_t waited = 0;; waited += SF_STEP)
+    {
+      fb_version_t highest = sf_get_highest (fleet);
+
+      g_assert_cmpint (fb_compare_versions (&highest, &before), >=, 0);
+      if (sf_has_converged (fleet, &highest))
+        {
+          *lost = limit > base;
+          return waited;
+        }
+      if (sf_has_lost_watch (fleet) && waited <= WATCH_MAX)
+        limit = MAX (base + SF_STEP, waited + SPREAD_MAX);
+      if (waited > limit)
+        break;
+      sf_run_fleet (fleet, SF_STEP);
+    }
+  sf_print_fleet (fleet);
+  fprintf (stderr, "# no convergence\n");
+  abort ();
+}
+
+/* Two readers in each zone, or all when there are fewer. */
+static size_t
+check_readers (const sf_fleet_t *fleet)
+{
+  size_t total = 0;
+
+  for (size_t zone = 0; zone < fleet->zones; zone++)
+    {
+      size_t readers = 0;
+      size_t running = 0;
+
+      for (size_t i = zone; i < fleet->count; i += fleet->zones)
+        {
+          const sf_host_t *host = &fleet->hosts[i];
+          running += host->node != NULL;
+          readers += host->node != NULL && fd_is_reader (host->node);
+        }
+      g_assert_cmpuint (readers, ==, MIN (running, 2));
+      total += readers;
+    }
+  return total;
+}
+
+typedef struct
+{
+  fb_time_t recovery; /* longest from the end of the faults to convergence */
+  fb_time_t spread;   /* longest from a publication to the last node */
+  size_t lost;        /* runs in which a reset of the index cost a whole wait */
+  fb_counters_t *totals;
+} figures_t;
+
+static void
+add_total (const char *name, const char *labels, uint64_t value, void *user)
+{
+  fb_add_counter (fb_find_counter (user, name, labels), value);
+}
+
+static void
+run_seed (uint32_t seed, figures_t *figures)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+  size_t count = (size_t)g_rand_int_range (random, 3, SF_HOSTS_MAX + 1);
+  run_t run = { .random = random };
+  fb_time_t recovery;
+  fb_time_t spread;
+  uint64_t calls;
+  size_t readers;
+  bool lost;
+
+  g_snprintf (seed_text, sizeof seed_text, "# failed with SEED=%u\n", seed);
+  run.fleet = sf_create_fleet (seed, count, (size_t)g_rand_int_range (random, 1, 4));
+  publish_next (&run);
+  for (int i = 0; i < CHAOS_ACTIONS; i++)
+    {
+      act (&run);
+      resume_due (&run, false);
+      sf_run_fleet (run.fleet, g_rand_int_range (random, 1, 200) * SF_STEP);
+    }
+  end_faults (&run);
+  recovery = await_convergence (run.fleet, DETECTION_MAX + SPREAD_MAX, &lost);
+  if (!lost)
+    figures->recovery = MAX (figures->recovery, recovery);
+  figures->lost += lost;
+  /* Long enough for the membership to settle and for the watches begun meanwhile to end. */
+  sf_run_fleet (run.fleet, 60 * FB_SECOND);
+  readers = check_readers (run.fleet);
+  calls = run.fleet->source.calls;
+  sf_run_fleet (run.fleet, 30 * FB_SECOND);
+  g_assert_cmpuint (run.fleet->source.calls - calls, <=, readers * 2);
+  publish_next (&run);
+  spread = await_convergence (run.fleet, SPREAD_MAX, &lost);
+  figures->spread = MAX (figures->spread, spread);
+  for (size_t i = 0; i < count; i++)
+    sf_kill_host (run.fleet, i);
+  fb_visit_counters (run.fleet->totals, add_total, figures->totals);
+  sf_destroy_fleet (run.fleet);
+  g_rand_free (random);
+}
+
+/* Guards against any order of faults that makes a node revert, apply a document that is not
+ * valid or not whole, take calls before it has caught up, call the source too often, or stay
+ * behind when the faults are over. */
+static void
+test_random_faults (void)
+{
+  /* Situations that the faults must have brought about. */
+  static const char *const met[]
+      = { "dist_applied",         "dist_revision_raised", "dist_refused",
+          "dist_bad_messages",    "dist_source_failures", "dist_source_stale",
+          "dist_fetch_timeouts",  "dist_pauses",          "dist_digest_mismatches",
+          "dist_claim_mismatches" };
+  const char *seeds = g_getenv ("SEEDS");
+  const char *one = g_getenv ("SEED");
+  uint32_t first = one != NULL ? (uint32_t)g_ascii_strtoull (one, NULL, 10) : 1;
+  uint32_t last = seeds != NULL ? (uint32_t)g_ascii_strtoull (seeds, NULL, 10) : SEEDS_DEFAULT;
+  figures_t figures = { .totals = fb_create_counters () };
+
+  signal (SIGABRT, report_seed);
+  for (uint32_t seed = first; seed <= (one != NULL ? first : last); seed++)
+    run_seed (seed, &figures);
+  g_test_message ("longest recovery %d ms, longest spread %d ms, lost watches %zu",
+                  (int)(figures.recovery / FB_MILLISECOND),
+                  (int)(figures.spread / FB_MILLISECOND), figures.lost);
+  for (size_t i = 0; i < G_N_ELEMENTS (met); i++)
+    {
+      uint64_t value = fb_get_counter (fb_find_counter (figures.totals, met[i], ""));
+
+      g_test_message ("%s %d", met[i], (int)value);
+      g_assert_true (one != NULL || value > 0);
+    }
+  fb_destroy_counters (figures.totals);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/fleet/random-faults", test_random_faults);
+  return g_test_run ();
+}
