--- a/packages/dist/source/dist-join.c
+++ b/packages/dist/source/dist-join.c
@@ -233,10 +233,10 @@
     }
 }
 
-/* Questions go out in rounds of 1 s. Members that did not answer are replaced, and members
- * learned meanwhile fill the free places. When nobody answers, the node asks on, reads the
- * source at the pace of its back-off, and stays not ready: a node that is cut off cannot know
- * how old its version is. */
+/* Questions go out in rounds of 1 s. In each, the places of members that did not answer go to
+ * members chosen anew, and members learned meanwhile fill the free places. When nobody answers,
+ * the node asks on, reads the source at the pace of its back-off, and stays not ready: a node
+ * that is cut off cannot know how old its version is. */
 void
 fd_tick_join (fd_node_t *node)
 {
