--- a/packages/member/source/member-table.h
+++ b/packages/member/source/member-table.h
@@ -58,6 +58,7 @@
   bool active;
   bool indirect; /* the indirect pings were sent */
   fb_name_t id;
+  uint64_t incarnation; /* of the target when the probe started */
   uint64_t sequence;
   fb_time_t indirect_at;
   fb_time_t ends;
@@ -77,7 +78,8 @@
 typedef struct
 {
   fb_counter_t *received, *received_bytes, *sent, *sent_bytes, *malformed, *refused;
-  fb_counter_t *probes_failed, *suspicions, *deaths, *refutations, *pauses, *divergences;
+  fb_counter_t *probes_failed, *suspicions, *deaths, *refutations, *conflicts, *pauses,
+      *divergences;
   fb_counter_t *health, *states[FW_DEAD + 1];
 } fm_counters_t;
 
@@ -113,6 +115,7 @@
   fb_time_t next_gossip;
   fb_time_t next_dead_probe;
   fb_time_t next_correction;
+  fb_time_t next_conflict;
   guint dead_cursor;
   guint gossip_cursor;
   uint64_t sequence;
