Add the operators' commands check, schema and diff

Cause: operators need to see every problem of a file, every key, and what a new document changes before they publish it.

Change: package foxtailrun with one file a subcommand and a table of subcommands in commands.c. "check" lists all problems of a document or a settings file (text or JSON), "schema" prints the schema table (text, JSON or Markdown), "diff" compares two documents element by element by tables of fields and marks risky changes. Exit status 0, 1 for wrong arguments, 2 for problems, 3 when the result cannot be written. The tests run the commands in their own process with output in memory.

--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -91,7 +91,7 @@
   { "platform", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the platform's configuration service and host list" },
   { "platform", "port", FC_TYPE_INTEGER, "", "0", 1, PORT_MAX, NULL,
-    "HTTP port of the platform; not read when left out" },
+    "HTTP port of the platform; required with [platform]" },
 
   { "seeds", "nodes", FC_TYPE_ENDPOINTS, "", "[]", 0, 0,
     "at most 32 different \"IP:PORT\" or \"[IPv6]:PORT\"",
--- /dev/null
+++ b/packages/foxtailrun/source/command.h
@@ -0,0 +1,73 @@
+/* Subcommands of foxtailrun and what they share. */
+#ifndef FOXTAILRUN_COMMAND_H
+#define FOXTAILRUN_COMMAND_H
+
+#include <foxtailrun/config/problem.h>
+#include <foxtailrun/config/snapshot.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdio.h>
+
+/* Exit statuses. */
+#define CMD_EXIT_OK 0
+#define CMD_EXIT_USAGE 1    /* wrong arguments */
+#define CMD_EXIT_PROBLEMS 2 /* a file has problems or cannot be read */
+#define CMD_EXIT_OUTPUT 3   /* the result could not be written */
+
+/* Where a command writes to; borrowed. */
+typedef struct
+{
+  FILE *out; /* results */
+  FILE *err; /* wrong arguments, and problems that prevent a result */
+} cmd_io_t;
+
+typedef struct cmd_command cmd_command_t;
+
+/* One subcommand; each is a constant in its own file cmd-NAME.c, listed in commands.c. */
+struct cmd_command
+{
+  const char *name;
+  const char *summary; /* one phrase */
+  /* Runs the command; ARGV[0] is its name. Returns the exit status. */
+  int (*run) (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io);
+};
+
+extern const cmd_command_t cmd_check;
+extern const cmd_command_t cmd_diff;
+extern const cmd_command_t cmd_schema;
+
+/* All subcommands in order of name, ended by NULL. */
+extern const cmd_command_t *const cmd_commands[];
+
+/* Runs foxtailrun with the arguments of main and returns the exit status. */
+int cmd_run (int argc, char **argv, const cmd_io_t *io);
+
+/* Parses ARGV by argtable's TABLE of COUNT entries, of which the first two are --help and
+ * --version (see CMD_STANDARD_OPTIONS) and the last is an arg_end. Returns true when the
+ * command is to go on; otherwise what was asked for or is wrong has been written and *STATUS is
+ * the exit status. */
+bool cmd_parse_arguments (const cmd_command_t *command, int argc, char **argv, void **table,
+                          size_t count, const cmd_io_t *io, int *status);
+
+/* The first two entries of every table of arguments. */
+#define CMD_STANDARD_OPTIONS                                                                   \
+  arg_lit0 (NULL, "help", "print this help and exit"),                                         \
+      arg_lit0 (NULL, "version", "print the version and exit")
+
+/* Most errors in arguments that are reported. */
+#define CMD_ERRORS_MAX 10
+
+/* Writes PROBLEMS of FILE, one a line, and their number. */
+void cmd_print_problems (const fc_problems_t *problems, const char *file, FILE *out);
+
+/* Returns PROBLEMS as an array of objects; the caller owns the reference. */
+json_t *cmd_pack_problems (const fc_problems_t *problems);
+
+/* Writes VALUE with a final newline and drops the reference. */
+void cmd_print_json (json_t *value, FILE *out);
+
+/* Reads and checks the document in FILE; on problems they are written to IO and NULL is
+ * returned. */
+fc_snapshot_t *cmd_load_document (const char *file, const cmd_io_t *io);
+
+#endif
--- /dev/null
+++ b/packages/foxtailrun/source/main.c
@@ -0,0 +1,14 @@
+/* The operators' command. */
+#include "command.h"
+
+int
+main (int argc, char **argv)
+{
+  const cmd_io_t io = { stdout, stderr };
+  int status = cmd_run (argc, argv, &io);
+
+  /* A result that was cut short, as on a full disk, must not pass for success. */
+  if (fflush (stdout) != 0 && status == CMD_EXIT_OK)
+    status = CMD_EXIT_OUTPUT;
+  return status;
+}
--- /dev/null
+++ b/packages/foxtailrun/tests/test-commands.c
@@ -0,0 +1,361 @@
+/* The operators' commands, run in this process with their output in memory. */
+#include "command.h"
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <string.h>
+
+#define GOOD                                                                                   \
+  "version = 3\n[[rank]]\nname = \"fast\"\norder = 0\n[[service]]\nname = \"shop\"\n"          \
+  "slots = 9\nconnections = 120\n[[route]]\nname = \"buy\"\npath = \"/buy\"\n"                 \
+  "service = \"shop\"\nrank = \"fast\"\n"
+
+#define SETTINGS                                                                               \
+  "[node]\nid = \"n1\"\nzone = \"z1\"\nregion = \"r1\"\n[listen]\naddress = \"10.0.0.1\"\n"
+
+typedef struct
+{
+  int status;
+  char *out;
+  char *err;
+} result_t;
+
+/* Runs foxtailrun with the words of ARGUMENTS. */
+static result_t
+run_command (const char *arguments)
+{
+  char *line = g_strdup_printf ("foxtailrun %s", arguments);
+  char **argv = g_strsplit (g_strchomp (line), " ", -1);
+  size_t out_size;
+  size_t err_size;
+  result_t result;
+  cmd_io_t io
+      = { open_memstream (&result.out, &out_size), open_memstream (&result.err, &err_size) };
+
+  result.status = cmd_run ((int)g_strv_length (argv), argv, &io);
+  fclose (io.out);
+  fclose (io.err);
+  g_strfreev (argv);
+  g_free (line);
+  return result;
+}
+
+static void
+clear_result (result_t *result)
+{
+  free (result->out);
+  free (result->err);
+}
+
+/* Changes to a new folder that holds the files named below. */
+static void
+enter_folder (void)
+{
+  static const struct
+  {
+    const char *name;
+    const char *content;
+  } files[] = {
+    { "good.toml", GOOD },
+    { "bad.toml", "version = 3\ncolour = 1\n" },
+    { "settings.toml", SETTINGS },
+  };
+  char *folder = g_dir_make_tmp (NULL, NULL);
+
+  g_assert_cmpint (g_chdir (folder), ==, 0);
+  for (size_t i = 0; i < G_N_ELEMENTS (files); i++)
+    g_assert_true (g_file_set_contents (files[i].name, files[i].content, -1, NULL));
+  g_free (folder);
+}
+
+static void
+leave_folder (void)
+{
+  static const char *const names[]
+      = { "good.toml", "bad.toml", "settings.toml", "before.toml", "after.toml" };
+  char *folder = g_get_current_dir ();
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    g_unlink (names[i]);
+  g_assert_cmpint (g_chdir ("/"), ==, 0);
+  g_assert_cmpint (g_rmdir (folder), ==, 0);
+  g_free (folder);
+}
+
+#define HELP_HINT(name) "foxtailrun " name ": see foxtailrun " name " --help\n"
+
+typedef struct
+{
+  const char *arguments;
+  int status;
+  const char *out; /* whole, or its start when it ends in "*" */
+  const char *err;
+} output_case_t;
+
+static const output_case_t output_cases[] = {
+  { "", 1, "", "Usage: foxtailrun COMMAND [ARGUMENTS]\n*" },
+  { "--help", 0, "Usage: foxtailrun COMMAND [ARGUMENTS]\n*", "" },
+  { "--version", 0, "foxtailrun 0.1.0\n", "" },
+  { "check --version", 0, "foxtailrun 0.1.0\n", "" },
+  { "schema --version", 0, "foxtailrun 0.1.0\n", "" },
+  { "diff --version", 0, "foxtailrun 0.1.0\n", "" },
+  { "check --help", 0,
+    "Usage: foxtailrun check [--help] [--version] [--json] [--settings] FILE\n*", "" },
+  { "schema --help", 0,
+    "Usage: foxtailrun schema [--help] [--version] [--json] [--markdown] [--settings]\n*", "" },
+  { "diff --help", 0, "Usage: foxtailrun diff [--help] [--version] [--json] A B\n*", "" },
+  { "steal", 1, "", "foxtailrun: unknown command \"steal\"; see foxtailrun --help\n" },
+  { "check", 1, "", "foxtailrun check: missing option FILE\n" HELP_HINT ("check") },
+  { "check good.toml bad.toml", 1, "",
+    "foxtailrun check: excess option bad.toml\n" HELP_HINT ("check") },
+  { "schema --yaml", 1, "",
+    "foxtailrun schema: invalid option \"--yaml\"\n" HELP_HINT ("schema") },
+  { "diff good.toml", 1, "", "foxtailrun diff: missing option B\n" HELP_HINT ("diff") },
+  { "check good.toml", 0,
+    "good.toml: good document, version 3, digest 90aa1e52c68c, ranks 1, services 1, routes 1, "
+    "customers 0, objectives 0\n",
+    "" },
+  { "check bad.toml", 2,
+    "bad.toml:2: colour: found an unknown key, allowed: one of version, rank, service, route, "
+    "customer, objective\nbad.toml: 1 problem\n",
+    "" },
+  { "check none.toml", 2,
+    "none.toml: file: found No such file or directory, allowed: a readable file\n"
+    "none.toml: 1 problem\n",
+    "" },
+  { "check --settings settings.toml", 0, "settings.toml: good settings of node n1 in zone z1\n",
+    "" },
+  { "check --settings good.toml", 2, "good.toml: listen.address: found nothing*", "" },
+  { "check settings.toml", 2, "settings.toml: version: found nothing*", "" },
+  { "check --json bad.toml", 2,
+    "{\n  \"file\": \"bad.toml\",\n  \"good\": false,\n  \"problems\": [\n    {\n"
+    "      \"line\": 2,\n      \"key\": \"colour\",\n      \"found\": \"an unknown key\",\n"
+    "      \"allowed\": \"one of version, rank, service, route, customer, objective\"\n"
+    "    }\n  ]\n}\n",
+    "" },
+  { "check --json good.toml", 0,
+    "{\n  \"file\": \"good.toml\",\n  \"good\": true,\n  \"problems\": [],\n  \"version\": 3,\n"
+    "  \"digest\": \"90aa1e52c68c*",
+    "" },
+  { "diff good.toml good.toml", 0, "changes: 0, risky: 0\n", "" },
+  { "diff good.toml bad.toml", 2, "", "bad.toml:2: colour: found an unknown key*" },
+  { "diff --json none.toml good.toml", 2, "", "none.toml: file: found No such file*" },
+  { "diff --json good.toml good.toml", 0, "[]\n", "" },
+  { "schema", 0,
+    "top level\n  version       number of the publication, increased with each one\n"
+    "                integer, required: an integer from 1 to 9007199254740991\n\n[[rank]]\n*",
+    "" },
+  { "schema --json --settings", 0,
+    "[\n  {\n    \"section\": \"node\",\n    \"key\": \"id\",\n    \"type\": \"string\",\n*",
+    "" },
+};
+
+/* Guards against a wrong exit status, output on the wrong stream, and a command without help.
+ */
+static void
+test_output (void)
+{
+  enter_folder ();
+  for (size_t i = 0; i < G_N_ELEMENTS (output_cases); i++)
+    {
+      result_t result = run_command (output_cases[i].arguments);
+      const char *expected[] = { output_cases[i].out, output_cases[i].err };
+      char *actual[] = { result.out, result.err };
+
+      for (int j = 0; j < 2; j++)
+        {
+          size_t length = strlen (expected[j]);
+
+          if (length > 0 && expected[j][length - 1] == '*')
+            actual[j][MIN (strlen (actual[j]), length - 1)] = '\0';
+          else
+            length++;
+          char *text = g_strndup (expected[j], length - 1);
+          g_assert_cmpstr (actual[j], ==, text);
+          g_free (text);
+        }
+      g_assert_cmpint (result.status, ==, output_cases[i].status);
+      clear_result (&result);
+    }
+  leave_folder ();
+}
+
+#define HEAD "[[rank]]\nname = \"fast\"\norder = 0\nshare = 0.5\n"
+#define SHOP "[[service]]\nname = \"shop\"\nslots = 9\nconnections = 120\n"
+#define STOCK "[[service]]\nname = \"stock\"\nslots = 4\nconnections = 9\n"
+#define BUY "[[route]]\nname = \"buy\"\npath = \"/buy\"\nservice = \"shop\"\nrank = \"fast\"\n"
+
+typedef struct
+{
+  const char *before;
+  const char *after;
+  const char *out;
+} diff_case_t;
+
+static const diff_case_t diff_cases[] = {
+  { HEAD, HEAD "# comment\n", "" },
+  { HEAD SHOP STOCK, HEAD STOCK SHOP, "" },
+  { "", HEAD, "rank fast: added, order 0, target_ms 1000, worth 1, share 0.5\n" },
+  { HEAD, "",
+    "rank fast: removed, order 0, target_ms 1000, worth 1, share 0.5\n"
+    "  risk: its guaranteed share of slot time is gone\n" },
+  { "[[rank]]\nname = \"x\"\norder = 0\n", "",
+    "rank x: removed, order 0, target_ms 1000, worth 1, share 0\n" },
+  { HEAD, "[[rank]]\nname = \"fast\"\norder = 2\nshare = 0.6\nworth = 1.5\n",
+    "rank fast: order 0 -> 2\nrank fast: worth 1 -> 1.5\nrank fast: share 0.5 -> 0.6\n" },
+  { HEAD, "[[rank]]\nname = \"fast\"\norder = 0\nshare = 0.4\ntarget_ms = 7\n",
+    "rank fast: target_ms 1000 -> 7\nrank fast: share 0.5 -> 0.4\n"
+    "  risk: the rank is guaranteed less slot time during a flood\n" },
+  { SHOP, SHOP "depends_on = [\"stock\"]\n" STOCK,
+    "service shop: depends_on [] -> [stock]\n"
+    "service stock: added, slots 4, connections 9, depends_on []\n" },
+  { SHOP STOCK, STOCK,
+    "service shop: removed, slots 9, connections 120, depends_on []\n"
+    "  risk: its instances receive no more calls\n" },
+  { SHOP, "[[service]]\nname = \"shop\"\nslots = 10\nconnections = 9\n",
+    "service shop: slots 9 -> 10\nservice shop: connections 120 -> 9\n" },
+  { SHOP, "[[service]]\nname = \"shop\"\nslots = 8\nconnections = 120\n",
+    "service shop: slots 9 -> 8\n  risk: each instance runs fewer calls at once\n" },
+  { HEAD SHOP, HEAD SHOP BUY,
+    "route buy: added, path /buy, methods all, service shop, rank fast, timeout_ms 1000, "
+    "repeatable false, retries 1\n" },
+  { HEAD SHOP BUY, HEAD SHOP,
+    "route buy: removed, path /buy, methods all, service shop, rank fast, timeout_ms 1000, "
+    "repeatable false, retries 1\n  risk: requests for its path no longer match it\n" },
+  { HEAD SHOP BUY, HEAD SHOP BUY "repeatable = true\ntimeout_ms = 5\nretries = 0\n",
+    "route buy: timeout_ms 1000 -> 5\nroute buy: repeatable false -> true\n"
+    "  risk: a call may run more than once\nroute buy: retries 1 -> 0\n" },
+  { HEAD SHOP BUY "repeatable = true\n", HEAD SHOP BUY,
+    "route buy: repeatable true -> false\n  risk: callers must send a ticket\n" },
+  { HEAD SHOP BUY, HEAD SHOP BUY "methods = [\"GET\"]\n",
+    "route buy: methods all -> GET\n"
+    "  risk: requests with a method that was removed no longer match this route\n" },
+  { HEAD SHOP BUY "methods = [\"GET\", \"POST\"]\n",
+    HEAD SHOP BUY "methods = [\"POST\", \"GET\"]\n", "" },
+  { HEAD SHOP BUY "methods = [\"GET\"]\n", HEAD SHOP BUY "methods = [\"POST\", \"GET\"]\n",
+    "route buy: methods GET -> GET,POST\n" },
+  { HEAD SHOP BUY "methods = [\"GET\", \"PUT\"]\n",
+    HEAD SHOP BUY "methods = [\"POST\", \"GET\"]\n",
+    "route buy: methods GET,PUT -> GET,POST\n"
+    "  risk: requests with a method that was removed no longer match this route\n" },
+  { HEAD SHOP STOCK BUY,
+    HEAD SHOP STOCK
+    "[[route]]\nname = \"buy\"\npath = \"/b\"\nservice = \"stock\"\nrank = \"fast\"\n",
+    "route buy: path /buy -> /b\n"
+    "  risk: requests for the earlier path no longer match this route\n"
+    "route buy: service shop -> stock\n"
+    "  risk: tickets issued before were for instances of the earlier service\n" },
+  { "[[customer]]\nname = \"c\"\n", "[[customer]]\nname = \"c\"\nweight = 2\n",
+    "customer c: weight 1 -> 2\n" },
+  { HEAD SHOP,
+    HEAD SHOP
+    "[[objective]]\nservice = \"shop\"\nrank = \"fast\"\ntarget_ms = 9\nratio = 0.5\n",
+    "objective shop/fast: added, target_ms 9, ratio 0.5\n" },
+};
+
+/* Guards against a change that is left out, is reported where there is none, or is risky
+ * without being marked so. */
+static void
+test_diff (void)
+{
+  enter_folder ();
+  for (size_t i = 0; i < G_N_ELEMENTS (diff_cases); i++)
+    {
+      char *before = g_strconcat ("version = 1\n", diff_cases[i].before, NULL);
+      char *after = g_strconcat ("version = 2\n", diff_cases[i].after, NULL);
+      result_t result;
+      GString *expected = g_string_new ("document: version 1 -> 2\n");
+      unsigned risks = 0;
+      unsigned changes = 1;
+
+      for (const char *line = diff_cases[i].out; *line; line = strchr (line, '\n') + 1)
+        {
+          if (g_str_has_prefix (line, "  risk"))
+            risks++;
+          else
+            changes++;
+        }
+      g_string_append_printf (expected, "%schanges: %u, risky: %u\n", diff_cases[i].out,
+                              changes, risks);
+      g_assert_true (g_file_set_contents ("before.toml", before, -1, NULL));
+      g_assert_true (g_file_set_contents ("after.toml", after, -1, NULL));
+      result = run_command ("diff before.toml after.toml");
+      g_assert_cmpstr (result.err, ==, "");
+      g_assert_cmpstr (result.out, ==, expected->str);
+      g_assert_cmpint (result.status, ==, 0);
+      clear_result (&result);
+      g_string_free (expected, TRUE);
+      g_free (after);
+      g_free (before);
+    }
+  leave_folder ();
+}
+
+/* Guards against a lower version, which nodes do not apply, that is not marked as risky, and
+ * against JSON that differs from the text. */
+static void
+test_diff_json (void)
+{
+  result_t result;
+
+  enter_folder ();
+  g_assert_true (g_file_set_contents ("before.toml", "version = 4\n", -1, NULL));
+  g_assert_true (g_file_set_contents ("after.toml", "version = 3\n" HEAD, -1, NULL));
+  result = run_command ("diff --json before.toml after.toml");
+  g_assert_cmpstr (
+      result.out, ==,
+      "[\n  {\n    \"kind\": \"document\",\n    \"name\": \"\",\n    \"key\": \"version\",\n"
+      "    \"before\": \"4\",\n    \"after\": \"3\",\n"
+      "    \"risk\": \"nodes keep the document with the higher version\"\n  },\n"
+      "  {\n    \"kind\": \"rank\",\n    \"name\": \"fast\",\n    \"key\": null,\n"
+      "    \"before\": null,\n"
+      "    \"after\": \"order 0, target_ms 1000, worth 1, share 0.5\",\n    \"risk\": null\n  }\n"
+      "]\n");
+  clear_result (&result);
+  leave_folder ();
+}
+
+/* Guards against examples with problems, and against a page whose tables or example output are
+ * not those of the program. */
+static void
+test_pages (void)
+{
+  static const struct
+  {
+    const char *arguments;
+    int status;
+    bool on_page;
+  } cases[] = {
+    { "check examples/kwaebibirem.toml", 0, false },
+    { "check examples/roue-bebe.toml", 0, false },
+    { "check --settings examples/node.toml", 0, false },
+    { "check examples/faulty.toml", 2, true },
+    { "schema --markdown", 0, true },
+    { "schema --markdown --settings", 0, true },
+  };
+  char *page;
+
+  g_assert_cmpint (g_chdir (FOXTAILRUN_ROOT), ==, 0);
+  g_assert_true (g_file_get_contents ("docs/configuration.md", &page, NULL, NULL));
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      result_t result = run_command (cases[i].arguments);
+
+      g_assert_cmpstr (result.err, ==, "");
+      g_assert_cmpint (result.status, ==, cases[i].status);
+      if (cases[i].on_page && !strstr (page, result.out))
+        g_error ("docs/configuration.md lacks the output of foxtailrun %s", cases[i].arguments);
+      clear_result (&result);
+    }
+  g_free (page);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/foxtailrun/output", test_output);
+  g_test_add_func ("/foxtailrun/diff", test_diff);
+  g_test_add_func ("/foxtailrun/diff-json", test_diff_json);
+  g_test_add_func ("/foxtailrun/pages", test_pages);
+  return g_test_run ();
+}
