--- a/packages/dist/source/dist-join.c
+++ b/packages/dist/source/dist-join.c
@@ -192,6 +192,24 @@
     }
 }
 
+void
+fd_handle_divergence (fd_node_t *node, const fw_member_t *peer)
+{
+  fb_name_t id = peer->id;
+
+  fd_check_pause (node);
+  for (size_t i = 0; i < FD_JOIN_WALKS; i++)
+    {
+      fd_walk_t *walk = &node->join.walks[i];
+
+      if (walk->active && fb_read_clock (node->clock) < walk->deadline)
+        continue;
+      *walk = (fd_walk_t){ .active = true, .id = id };
+      ask_page (node, walk);
+      return;
+    }
+}
+
 void
 fd_handle_join_members (fd_node_t *node, const fw_control_t *message)
 {
@@ -215,10 +233,10 @@
     }
 }
 
-/* Questions go out in rounds of 1 s. Members that did not answer are replaced, and members
- * learned meanwhile fill the free places. When nobody answers, the node asks on, reads the
- * source at the pace of its back-off, and stays not ready: a node that is cut off cannot know
- * how old its version is. */
+/* Questions go out in rounds of 1 s. In each, the places of members that did not answer go to
+ * members chosen anew, and members learned meanwhile fill the free places. When nobody answers,
+ * the node asks on, reads the source at the pace of its back-off, and stays not ready: a node
+ * that is cut off cannot know how old its version is. */
 void
 fd_tick_join (fd_node_t *node)
 {
--- a/packages/foxtailrun/source/cmd-apply.c
+++ b/packages/foxtailrun/source/cmd-apply.c
@@ -15,6 +15,7 @@
 
 typedef struct
 {
+  const cmd_io_t *io;
   const char *file;
   const char *folder;
   fx_target_t node;
@@ -24,15 +25,15 @@
 
 /* Replaces FOLDER/config.toml by DOCUMENT in one step. */
 static bool
-publish_document (const char *folder, fb_bytes_t document)
+publish_document (const apply_t *apply, fb_bytes_t document)
 {
-  char *path = g_build_filename (folder, "config.toml", NULL);
+  char *path = g_build_filename (apply->folder, "config.toml", NULL);
   GError *error = NULL;
   bool good = g_file_set_contents_full (path, (const char *)document.data, (gssize)document.len,
                                         G_FILE_SET_CONTENTS_CONSISTENT, 0644, &error);
 
   if (!good)
-    fprintf (stderr, "foxtailrun: cannot publish to %s: %s\n", path, error->message);
+    fprintf (apply->io->err, "foxtailrun: cannot publish to %s: %s\n", path, error->message);
   g_clear_error (&error);
   g_free (path);
   return good;
@@ -81,7 +82,7 @@
 
 /* Prints "zone HELD/ALL" for each zone. */
 static void
-print_progress (const GArray *reports, const char *digest)
+print_progress (const GArray *reports, const char *digest, FILE *out)
 {
   GHashTable *zones = g_hash_table_new (g_str_hash, g_str_equal);
   GList *names;
@@ -101,9 +102,10 @@
           all++;
           held += holds_document (report, digest) ? 1 : 0;
         }
-      printf ("%s%s %zu/%zu", zone == names ? "" : ", ", (const char *)zone->data, held, all);
+      fprintf (out, "%s%s %zu/%zu", zone == names ? "" : ", ", (const char *)zone->data, held,
+               all);
     }
-  printf ("\n");
+  fprintf (out, "\n");
   g_list_free (names);
   g_hash_table_destroy (zones);
 }
@@ -125,7 +127,7 @@
 }
 
 static void
-print_missing (const GArray *reports, const char *digest)
+print_missing (const GArray *reports, const char *digest, FILE *out)
 {
   for (guint i = 0; i < reports->len; i++)
     {
@@ -133,10 +135,10 @@
       if (!fx_is_serving (report) || holds_document (report, digest))
         continue;
       if (report->reached)
-        printf ("missing: %s holds version %" G_GUINT64_FORMAT "%s\n", report->id.data,
-                report->number, report->ready ? "" : " and is not ready");
+        fprintf (out, "missing: %s holds version %" G_GUINT64_FORMAT "%s\n", report->id.data,
+                 report->number, report->ready ? "" : " and is not ready");
       else
-        printf ("missing: %s does not answer\n", report->id.data);
+        fprintf (out, "missing: %s does not answer\n", report->id.data);
     }
 }
 
@@ -147,7 +149,7 @@
   gint64 begin = g_get_monotonic_time ();
   gint64 limit = begin + (gint64)apply->timeout_s * G_USEC_PER_SEC;
   size_t shown = SIZE_MAX;
-  int code = FX_EXIT_SPREADING;
+  int code = CMD_EXIT_SPREADING;
 
   for (;;)
     {
@@ -159,27 +161,29 @@
       bool late = g_get_monotonic_time () >= limit;
 
       if (reports && held != shown)
-        print_progress (reports, digest);
+        print_progress (reports, digest, apply->io->out);
       shown = held;
       if (complete)
         {
-          printf ("version %" G_GUINT64_FORMAT " is in force on %zu nodes after %.1f s\n",
-                  number, held, (double)(g_get_monotonic_time () - begin) / G_USEC_PER_SEC);
-          code = EXIT_SUCCESS;
+          fprintf (apply->io->out,
+                   "version %" G_GUINT64_FORMAT " is in force on %zu nodes after %.1f s\n",
+                   number, held, (double)(g_get_monotonic_time () - begin) / G_USEC_PER_SEC);
+          code = CMD_EXIT_OK;
         }
       else if (refusal)
         {
-          printf ("refused: %s\n", refusal);
-          code = FX_EXIT_REFUSED;
+          fprintf (apply->io->out, "refused: %s\n", refusal);
+          code = CMD_EXIT_REFUSED;
         }
       else if (late && reports)
         {
-          printf ("still spreading after %u s: %zu of %zu nodes\n", apply->timeout_s, held,
-                  all);
-          print_missing (reports, digest);
+          fprintf (apply->io->out, "still spreading after %u s: %zu of %zu nodes\n",
+                   apply->timeout_s, held, all);
+          print_missing (reports, digest, apply->io->out);
         }
       else if (late)
-        printf ("node %s:%u does not answer\n", apply->node.address.data, apply->node.port);
+        fprintf (apply->io->out, "node %s:%u does not answer\n", apply->node.address.data,
+                 apply->node.port);
       if (reports)
         g_array_unref (reports);
       if (complete || refusal || late)
@@ -211,26 +215,25 @@
   uint64_t in_force = read_number_in_force (fleet, &apply->node);
   fb_digest_t digest = fb_compute_digest (fc_get_document (snapshot));
   char text[FB_DIGEST_HEX_LEN + 1];
-  int code = FX_EXIT_BAD_INPUT;
+  int code = CMD_EXIT_PROBLEMS;
 
   fb_format_digest (&digest, text);
   if (number <= in_force)
-    fprintf (stderr,
+    fprintf (apply->io->err,
              "%s: version: found %" G_GUINT64_FORMAT ", allowed: above %" G_GUINT64_FORMAT
              ", which is in force\n",
              apply->file, number, in_force);
-  else if (!publish_document (apply->folder, fc_get_document (snapshot)))
-    code = EXIT_FAILURE;
+  else if (!publish_document (apply, fc_get_document (snapshot)))
+    code = CMD_EXIT_OUTPUT;
   else
     code = wait_for_fleet (fleet, apply, number, text);
   fx_destroy_fleet (fleet);
   return code;
 }
 
-int
-fx_run_apply (int argc, char **argv)
+static int
+run_apply (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io)
 {
-  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
   struct arg_file *file = arg_file1 (NULL, NULL, "FILE", "the document to apply");
   struct arg_str *folder
       = arg_str1 (NULL, "publish", "FOLDER", "folder that the platform publishes from");
@@ -239,17 +242,18 @@
   struct arg_int *timeout = arg_int0 (NULL, "timeout", "SECONDS", "how long to wait (30)");
   struct arg_int *expect
       = arg_int0 (NULL, "expect", "NODES", "least number of nodes to wait for");
-  struct arg_end *end = arg_end (8);
-  void *table[] = { help, file, folder, node, timeout, expect, end };
-  apply_t apply = { .timeout_s = DEFAULT_TIMEOUT_S };
+  void *table[]
+      = { CMD_STANDARD_OPTIONS, file, folder, node, timeout, expect, arg_end (CMD_ERRORS_MAX) };
+  apply_t apply = { .io = io, .timeout_s = DEFAULT_TIMEOUT_S };
   fc_snapshot_t *snapshot = NULL;
-  int code = FX_EXIT_BAD_INPUT;
+  int status;
 
-  if (!fx_parse_arguments (argc, argv, table, G_N_ELEMENTS (table), end, "apply", &code))
+  if (!cmd_parse_arguments (command, argc, argv, table, G_N_ELEMENTS (table), io, &status))
     goto done;
+  status = CMD_EXIT_USAGE;
   if (fx_parse_target (node->sval[0], &apply.node) != FB_OK)
     {
-      fprintf (stderr, "foxtailrun: --node: found \"%s\", allowed: IP:PORT\n", node->sval[0]);
+      fprintf (io->err, "foxtailrun: --node: found \"%s\", allowed: IP:PORT\n", node->sval[0]);
       goto done;
     }
   apply.file = file->filename[0];
@@ -258,11 +262,13 @@
     apply.timeout_s = (uint32_t)MAX (timeout->ival[0], 0);
   if (expect->count > 0)
     apply.expected = (size_t)MAX (expect->ival[0], 0);
-  snapshot = fx_load_document (apply.file);
-  if (snapshot)
-    code = apply_document (&apply, snapshot);
+  snapshot = cmd_load_document (apply.file, io);
+  status = snapshot ? apply_document (&apply, snapshot) : CMD_EXIT_PROBLEMS;
 done:
   fc_release_snapshot (snapshot);
   arg_freetable (table, G_N_ELEMENTS (table));
-  return code;
+  return status;
 }
+
+const cmd_command_t cmd_apply
+    = { "apply", "check a document, publish it and wait until it is in force", run_apply };
--- a/packages/foxtailrun/source/cmd-status.c
+++ b/packages/foxtailrun/source/cmd-status.c
@@ -10,6 +10,7 @@
 /* Arguments that these subcommands share. */
 typedef struct
 {
+  const cmd_io_t *io;
   fx_target_t node;
   bool json;
   char *key;
@@ -21,9 +22,9 @@
 static int
 report_silence (const arguments_t *arguments)
 {
-  fprintf (stderr, "foxtailrun: node %s:%u does not answer\n", arguments->node.address.data,
-           arguments->node.port);
-  return EXIT_FAILURE;
+  fprintf (arguments->io->err, "foxtailrun: node %s:%u does not answer\n",
+           arguments->node.address.data, arguments->node.port);
+  return CMD_EXIT_SILENT;
 }
 
 static json_t *
@@ -37,28 +38,18 @@
 }
 
 static void
-print_json (json_t *object)
+print_reports (const GArray *reports, FILE *out)
 {
-  char *text = json_dumps (object, JSON_INDENT (2));
-
-  printf ("%s\n", text);
-  free (text);
-  json_decref (object);
-}
-
-static void
-print_reports (const GArray *reports)
-{
-  printf ("%-24s %-16s %-10s %-8s %-14s %-6s %-6s %s\n", "node", "zone", "state", "version",
-          "digest", "ready", "reads", "refused");
+  fprintf (out, "%-24s %-16s %-10s %-8s %-14s %-6s %-6s %s\n", "node", "zone", "state",
+           "version", "digest", "ready", "reads", "refused");
   for (guint i = 0; i < reports->len; i++)
     {
       const fx_report_t *report = &g_array_index (reports, fx_report_t, i);
-      printf ("%-24s %-16s %-10s %-8" G_GUINT64_FORMAT " %-14.12s %-6s %-6s %s\n",
-              report->id.data, report->zone.data,
-              report->reached ? report->state.data : "silent", report->number, report->digest,
-              report->ready ? "yes" : "no", report->reader ? "yes" : "no",
-              report->refused ? report->refused : "-");
+      fprintf (out, "%-24s %-16s %-10s %-8" G_GUINT64_FORMAT " %-14.12s %-6s %-6s %s\n",
+               report->id.data, report->zone.data,
+               report->reached ? report->state.data : "silent", report->number, report->digest,
+               report->ready ? "yes" : "no", report->reader ? "yes" : "no",
+               report->refused ? report->refused : "-");
     }
 }
 
@@ -76,12 +67,12 @@
       for (guint i = 0; i < reports->len; i++)
         json_array_append_new (list,
                                describe_report (&g_array_index (reports, fx_report_t, i)));
-      print_json (list);
+      cmd_print_json (list, arguments->io->out);
     }
   else
-    print_reports (reports);
+    print_reports (reports, arguments->io->out);
   g_array_unref (reports);
-  return EXIT_SUCCESS;
+  return CMD_EXIT_OK;
 }
 
 /* Prints the list under KEY of the answer to PATH as a table of COLUMNS. */
@@ -98,11 +89,11 @@
     return report_silence (arguments);
   if (arguments->json)
     {
-      print_json (answer);
-      return EXIT_SUCCESS;
+      cmd_print_json (answer, arguments->io->out);
+      return CMD_EXIT_OK;
     }
   for (size_t column = 0; column < count; column++)
-    printf ("%-16s%s", columns[column], column + 1 < count ? " " : "\n");
+    fprintf (arguments->io->out, "%-16s%s", columns[column], column + 1 < count ? " " : "\n");
   json_array_foreach (json_object_get (answer, key), i, item)
   {
     for (size_t column = 0; column < count; column++)
@@ -110,12 +101,13 @@
         json_t *value = json_object_get (item, columns[column]);
         char *text = json_is_string (value) ? strdup (json_string_value (value))
                                             : json_dumps (value, JSON_ENCODE_ANY);
-        printf ("%-16s%s", text ? text : "-", column + 1 < count ? " " : "\n");
+        fprintf (arguments->io->out, "%-16s%s", text ? text : "-",
+                 column + 1 < count ? " " : "\n");
         free (text);
       }
   }
   json_decref (answer);
-  return EXIT_SUCCESS;
+  return CMD_EXIT_OK;
 }
 
 static int
@@ -148,24 +140,24 @@
   json_decref (answer);
   if (status == 202)
     {
-      printf ("draining\n");
-      return EXIT_SUCCESS;
+      fprintf (arguments->io->out, "draining\n");
+      return CMD_EXIT_OK;
     }
-  fprintf (stderr, "foxtailrun: %s\n",
+  fprintf (arguments->io->err, "foxtailrun: %s\n",
            status == 401 ? "the node refuses the key" : "the node refuses to drain");
-  return EXIT_FAILURE;
+  return CMD_EXIT_SILENT;
 }
 
 /* Reads the key from the first line of PATH, so that it does not show in the list of processes.
  */
 static char *
-read_key (const char *path)
+read_key (const char *path, const cmd_io_t *io)
 {
   char *text = NULL;
 
   if (!g_file_get_contents (path, &text, NULL, NULL))
     {
-      fprintf (stderr, "foxtailrun: cannot read key file %s\n", path);
+      fprintf (io->err, "foxtailrun: cannot read key file %s\n", path);
       return NULL;
     }
   text[strcspn (text, "\r\n")] = '\0';
@@ -173,58 +165,67 @@
 }
 
 static int
-run_on_node (int argc, char **argv, const char *name, run_fn_t run)
+run_on_node (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io,
+             run_fn_t run)
 {
-  struct arg_lit *help = arg_lit0 ("h", "help", "print this help and exit");
   struct arg_str *node = arg_str1 (NULL, "node", "IP:PORT", "administration address of a node");
   struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
   struct arg_file *key
       = arg_file0 (NULL, "key-file", "FILE", "file with the administration key");
-  struct arg_end *end = arg_end (8);
-  void *table[] = { help, node, json, key, end };
-  arguments_t arguments = { 0 };
+  void *table[] = { CMD_STANDARD_OPTIONS, node, json, key, arg_end (CMD_ERRORS_MAX) };
+  arguments_t arguments = { .io = io };
   fx_fleet_t *fleet = NULL;
-  int code = FX_EXIT_BAD_INPUT;
+  int status;
 
-  if (!fx_parse_arguments (argc, argv, table, G_N_ELEMENTS (table), end, name, &code))
+  if (!cmd_parse_arguments (command, argc, argv, table, G_N_ELEMENTS (table), io, &status))
     goto done;
+  status = CMD_EXIT_USAGE;
   if (fx_parse_target (node->sval[0], &arguments.node) != FB_OK)
     {
-      fprintf (stderr, "foxtailrun: --node: found \"%s\", allowed: IP:PORT\n", node->sval[0]);
+      fprintf (io->err, "foxtailrun: --node: found \"%s\", allowed: IP:PORT\n", node->sval[0]);
       goto done;
     }
   arguments.json = json->count > 0;
-  if (key->count > 0 && !(arguments.key = read_key (key->filename[0])))
+  if (key->count > 0 && !(arguments.key = read_key (key->filename[0], io)))
     goto done;
   fleet = fx_create_fleet (fb_wrap_text (arguments.key), REQUEST_TIMEOUT_MS);
-  code = run (fleet, &arguments);
+  status = run (fleet, &arguments);
 done:
   fx_destroy_fleet (fleet);
   g_free (arguments.key);
   arg_freetable (table, G_N_ELEMENTS (table));
-  return code;
+  return status;
 }
 
-int
-fx_run_status (int argc, char **argv)
+static int
+start_status (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io)
 {
-  return run_on_node (argc, argv, "status", run_status);
+  return run_on_node (command, argc, argv, io, run_status);
 }
 
-int
-fx_run_nodes (int argc, char **argv)
+const cmd_command_t cmd_status
+    = { "status", "show the version in force on each node", start_status };
+
+static int
+start_nodes (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io)
 {
-  return run_on_node (argc, argv, "nodes", run_nodes);
+  return run_on_node (command, argc, argv, io, run_nodes);
 }
 
-int
-fx_run_routes (int argc, char **argv)
+const cmd_command_t cmd_nodes = { "nodes", "list the members that a node knows", start_nodes };
+
+static int
+start_routes (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io)
 {
-  return run_on_node (argc, argv, "routes", run_routes);
+  return run_on_node (command, argc, argv, io, run_routes);
 }
 
-int
-fx_run_drain (int argc, char **argv)
+const cmd_command_t cmd_routes = { "routes", "list the routes of a node", start_routes };
+
+static int
+start_drain (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io)
 {
-  return run_on_node (argc, argv, "drain", run_drain);
+  return run_on_node (command, argc, argv, io, run_drain);
 }
+
+const cmd_command_t cmd_drain = { "drain", "stop a node gracefully", start_drain };
