--- a/bench/bench-admission.c
+++ b/bench/bench-admission.c
@@ -54,8 +54,9 @@
     g_print (" %6.1f", 100 * (double)result->ranks[0].good / base_good);
   else
     g_print ("      -");
-  g_print (" %6.1f\n",
-           100 * (double)result->others_good / (double)MAX (result->others_offered, 1));
+  g_print (" %6.1f %8.0f\n",
+           100 * (double)result->others_good / (double)MAX (result->others_offered, 1),
+           (double)result->attempts / result->seconds);
 }
 
 /* Without arguments all runs are made; else those of one deployment, and of one scenario. */
@@ -65,7 +66,7 @@
   g_print ("Per rank: answers/s in time, median ms, 99th percentile ms, %% of slot time that "
            "served them.\nThen: %% of slot time that served any, worth/s within the targets, "
            "urgent answers in %% of the steady run,\nand the %% of stock calls of customers "
-           "other than the first that were answered.\n");
+           "other than the first that were answered; attempts sent/s.\n");
   for (size_t d = 0; d < G_N_ELEMENTS (deployments); d++)
     {
       if (argc > 1 && strcmp (argv[1], deployments[d].name) != 0)
@@ -81,7 +82,7 @@
           g_print ("  %-16s", "policy");
           for (int i = 0; i < SIM_RANKS; i++)
             g_print (" | %-7s %6s %7s %5s", SIM_RANK_TABLE[i].name, "p50", "p99", "slots");
-          g_print (" | %5s %8s %6s %6s\n", "used", "worth", "urgent", "others");
+          g_print (" | %5s %8s %6s %6s %8s\n", "used", "worth", "urgent", "others", "sent");
           for (size_t p = 0; p < G_N_ELEMENTS (policies); p++)
             {
               sim_result_t result
--- a/packages/call/include/foxtailrun/call/once.h
+++ b/packages/call/include/foxtailrun/call/once.h
@@ -24,8 +24,8 @@
   FR_ONCE_ANSWERED, /* the recorded answer is returned */
   FR_ONCE_UNKNOWN,  /* it ran or may have run, and no answer is recorded */
   FR_ONCE_FOREIGN,  /* not issued by this process; it may have run elsewhere */
-  FR_ONCE_INVALID /* not a ticket of this process: wrong nonce or serial never issued; it never
-                     ran */
+  FR_ONCE_INVALID /* not a ticket of this process: wrong nonce or serial never issued; or closed
+                     by fr_refuse_once: it never ran and never will */
 } fr_once_state_t;
 
 typedef struct fr_once fr_once_t;
@@ -57,9 +57,14 @@
  * unknown. */
 void fr_end_once (fr_once_t *once, const fr_ticket_t *ticket, fb_bytes_t answer);
 
+/* Ends a use that FR_ONCE_RUN began and that provably never reached the backend server, and
+ * closes the ticket: a copy of the request that arrives later must not run after a caller was
+ * told "not run". Use it before each such answer; the caller needs a new ticket. */
+void fr_refuse_once (fr_once_t *once, const fr_ticket_t *ticket);
+
 /* Takes back a use that FR_ONCE_RUN began and that provably never reached the backend server,
  * so that the same ticket may run later; it counts as run when the low-water mark has passed it
- * meanwhile. */
+ * meanwhile. Only for uses of which nobody was told "not run". */
 void fr_abandon_once (fr_once_t *once, const fr_ticket_t *ticket);
 
 /* Returns records held and bytes of answers held. */
--- a/packages/call/source/admission-queue.c
+++ b/packages/call/source/admission-queue.c
@@ -89,6 +89,7 @@
   flow_t *flow = entry->flow;
   bool idle = g_queue_is_empty (&flow->waiting);
 
+  entry->within_turn = idle && flow->pass <= flow->rank->virtual_time;
   entry->link.data = entry;
   g_queue_push_tail_link (&flow->waiting, &entry->link);
   flow->rank->waiting++;
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -37,6 +37,7 @@
   fb_time_t arrived;
   fb_time_t deadline;
   fb_time_t started; /* valid when link.data is NULL */
+  bool within_turn;  /* its customer owed nothing and had nothing waiting when it arrived */
   double charged;    /* slot time charged to the flow at the start, ns */
   GList link;        /* in flow->waiting; data points back while it waits */
 } entry_t;
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -76,13 +76,15 @@
 }
 
 /* Returns whether a call that has waited in a rank over its share would miss its target: its
- * slot goes to a newer one. */
+ * slot goes to a newer one. A call of a customer within its turn is served late instead, so
+ * that a rank that one customer floods does not refuse the others. */
 static bool
 is_entry_stale (const fr_admission_t *admission, const entry_t *entry, fb_time_t now)
 {
   const rank_t *rank = entry->flow->rank;
 
   return admission->policy == FR_POLICY_SHARES && rank->rule.target > 0 && rank->started > 0
+         && !entry->within_turn
          && (double)(now - entry->arrived) + rank->service > (double)rank->rule.target
          && !fr_is_below_share (admission, rank);
 }
--- a/packages/call/source/once-record.c
+++ b/packages/call/source/once-record.c
@@ -11,6 +11,7 @@
   uint64_t serial;
   uint64_t request_digest;
   bool running;
+  bool closed;     /* refused: it never ran and never will */
   uint8_t *answer; /* NULL when none is held */
   size_t answer_len;
   GList link; /* in answered, while an answer is held */
@@ -137,7 +138,7 @@
 static fr_once_state_t
 find_state (const record_t *record, uint64_t request_digest, fb_bytes_t *answer)
 {
-  if (record->request_digest != request_digest)
+  if (record->closed || record->request_digest != request_digest)
     return FR_ONCE_INVALID;
   if (record->running)
     return FR_ONCE_RUNNING;
@@ -206,6 +207,16 @@
     drop_answer (once, g_queue_peek_head (&once->answered));
 }
 
+void
+fr_refuse_once (fr_once_t *once, const fr_ticket_t *ticket)
+{
+  record_t *record = find_running (once, ticket);
+
+  record->running = false;
+  record->closed = true;
+  g_tree_insert (once->completed, &record->serial, record);
+}
+
 void
 fr_abandon_once (fr_once_t *once, const fr_ticket_t *ticket)
 {
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -47,18 +47,24 @@
   g_free (picker);
 }
 
+/* Finds a service and brings its subset up to date. */
 static service_t *
 find_service (const fr_picker_t *picker, fb_str_t name)
 {
+  service_t *service = NULL;
   fb_name_t key;
 
-  return fb_set_name (&key, name) ? g_hash_table_lookup (picker->services, key.data) : NULL;
+  if (fb_set_name (&key, name))
+    service = g_hash_table_lookup (picker->services, key.data);
+  if (service != NULL)
+    fr_refresh_subset (picker, service);
+  return service;
 }
 
 static service_t *
 add_service (fr_picker_t *picker, const fb_name_t *name)
 {
-  service_t *service = find_service (picker, fb_get_name (name));
+  service_t *service = g_hash_table_lookup (picker->services, name->data);
 
   if (service != NULL)
     return service;
@@ -79,7 +85,7 @@
       instance->gone = true;
       instance->member_of_subset = false;
       g_ptr_array_remove (instance->service->instances, instance);
-      fr_choose_subset (picker, instance->service);
+      instance->service->stale = true;
     }
   if (instance->in_flight == 0)
     g_hash_table_remove (picker->instances, instance->member.id.data);
@@ -108,7 +114,7 @@
   instance->ejected_until = 0;
   instance->joined = fb_read_clock (picker->clock);
   g_ptr_array_add (instance->service->instances, instance);
-  fr_choose_subset (picker, instance->service);
+  instance->service->stale = true;
 }
 
 /* Learns the region from this node's own description. */
@@ -123,7 +129,7 @@
   picker->region = member->region;
   g_hash_table_iter_init (&iter, picker->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    fr_choose_subset (picker, value);
+    ((service_t *)value)->stale = true;
 }
 
 void
@@ -159,7 +165,7 @@
           || !fb_equal_name (&instance->member.region, &member->region);
   instance->member = *member;
   if (moved)
-    fr_choose_subset (picker, instance->service);
+    instance->service->stale = true;
 }
 
 static bool
@@ -357,6 +363,7 @@
     }
   if (result == FR_RESULT_GOOD || result == FR_RESULT_FAILED)
     {
+      fr_refresh_subset (picker, instance->service);
       fr_sample_latency (instance, limit_rank (rank), latency, result == FR_RESULT_FAILED, now);
       fr_count_attempt (instance, result == FR_RESULT_FAILED, now);
     }
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -56,7 +56,8 @@
 {
   char *name;
   GPtrArray *instances;           /* instance_t that are not gone */
-  GPtrArray *subset;              /* of the above, at most SUBSET_MAX */
+  GPtrArray *subset;              /* of the above, at most SUBSET_MAX; valid unless stale */
+  bool stale;                     /* the instances changed since the subset was chosen */
   double latencies[FC_RANKS_MAX]; /* by rank, over all instances */
   uint64_t turn;                  /* FR_PICK_ROUND_ROBIN */
 };
@@ -78,8 +79,10 @@
 /* Returns how far INSTANCE is away. */
 nearness_t fr_get_nearness (const fr_picker_t *picker, const instance_t *instance);
 
-/* Chooses the instances of SERVICE that this node sends to. */
-void fr_choose_subset (const fr_picker_t *picker, service_t *service);
+/* Chooses the instances of SERVICE that this node sends to when they have changed; needed
+ * before each use of the subset. Doing it at the use keeps a herd of new members from sorting a
+ * large service once for each of them. */
+void fr_refresh_subset (const fr_picker_t *picker, service_t *service);
 
 /* route-outlier.c */
 
--- a/packages/call/source/route-subset.c
+++ b/packages/call/source/route-subset.c
@@ -39,11 +39,14 @@
 }
 
 void
-fr_choose_subset (const fr_picker_t *picker, service_t *service)
+fr_refresh_subset (const fr_picker_t *picker, service_t *service)
 {
   static const size_t quotas[NEAR_COUNT]
       = { SUBSET_ZONE, SUBSET_REGION, SUBSET_MAX - SUBSET_ZONE - SUBSET_REGION };
 
+  if (!service->stale)
+    return;
+  service->stale = false;
   g_ptr_array_set_size (service->subset, 0);
   for (size_t i = 0; i < service->instances->len; i++)
     ((instance_t *)g_ptr_array_index (service->instances, i))->member_of_subset = false;
--- a/packages/call/tests/test-once.c
+++ b/packages/call/tests/test-once.c
@@ -117,6 +117,10 @@
   assert_state (once, &ticket, FR_ONCE_RUN, "");
   fr_abandon_once (once, &ticket);
   assert_state (once, &ticket, FR_ONCE_RUN, "");
+  /* A caller that was told "not run" must be able to rely on it. */
+  fr_refuse_once (once, &ticket);
+  assert_state (once, &ticket, FR_ONCE_INVALID, "");
+  g_assert_cmpuint (fr_count_once (once), ==, 3);
   fr_destroy_once (once);
 }
 
@@ -127,11 +131,13 @@
   fr_once_t *once = create_once ("node-a", 42, 10, 1000);
   fr_once_t *restarted = create_once ("node-a", 43, 10, 1000);
   fr_once_t *neighbour = create_once ("node-b", 42, 10, 1000);
+  fr_once_t *twin = create_once ("node-a", 42, 10, 1000);
   fr_ticket_t ticket = issue (once);
   fr_ticket_t forged = ticket;
 
   issue (restarted);
   issue (neighbour);
+  assert_state (twin, &ticket, FR_ONCE_INVALID, "");
   assert_state (restarted, &ticket, FR_ONCE_FOREIGN, "");
   assert_state (neighbour, &ticket, FR_ONCE_FOREIGN, "");
   forged.nonce ^= 1;
@@ -149,6 +155,7 @@
   fr_destroy_once (once);
   fr_destroy_once (restarted);
   fr_destroy_once (neighbour);
+  fr_destroy_once (twin);
 }
 
 /* Guards against answers that fill the memory, and against a dropped answer that makes the call
--- a/packages/call/tests/test-picker.c
+++ b/packages/call/tests/test-picker.c
@@ -1,6 +1,6 @@
 /* Rules of the picker, from many picks with fixed seeds. */
+#include "route-state.h"
 #include <foxtailrun/call/picker.h>
-#include <glib.h>
 
 #define PICKS 4000
 
@@ -182,9 +182,11 @@
   update (&fixture, 2, 0, 0, FW_DEAD);
   g_assert_false (fr_pick_backend (fixture.picker, service, service, &excluded, 1, &picked));
   /* It has gone and its call ends late. */
+  g_assert_cmpuint (g_hash_table_size (fixture.picker->instances), ==, 2);
   picked = make_id (2);
   fr_report_result (fixture.picker, &picked, FR_RESULT_GOOD, FB_MILLISECOND, 0);
   fr_report_result (fixture.picker, &picked, FR_RESULT_GOOD, FB_MILLISECOND, 0);
+  g_assert_cmpuint (g_hash_table_size (fixture.picker->instances), ==, 1);
   g_assert_cmpuint (fr_count_instances (fixture.picker, service), ==, 1);
   destroy_fixture (&fixture);
 }
@@ -194,20 +196,18 @@
 test_return (void)
 {
   fixture_t fixture = create_fixture (FR_PICK_LEAST);
-  fb_name_t id = make_id (0);
-  int counts[2];
+  fb_name_t first;
+  fb_name_t picked;
 
   add_instances (&fixture, 0, 2, 0);
-  fr_begin_attempt (fixture.picker, &id);
-  update (&fixture, 0, 0, 0, FW_DEAD);
-  update (&fixture, 0, 0, 0, FW_ALIVE);
-  count_picks (&fixture, 0, counts, 2);
-  g_assert_cmpint (counts[1], ==, PICKS);
-  fr_report_result (fixture.picker, &id, FR_RESULT_LOST, 0, 0);
-  id = make_id (1);
-  fr_begin_attempt (fixture.picker, &id);
-  count_picks (&fixture, 0, counts, 2);
-  g_assert_cmpint (counts[0], ==, PICKS);
+  g_assert_true (fr_pick_backend (fixture.picker, service, service, NULL, 0, &first));
+  for (int i = 0; i < 2; i++)
+    update (&fixture, first.data[7] - '0', 0, 0, i == 0 ? FW_DEAD : FW_ALIVE);
+  g_assert_true (fr_pick_backend (fixture.picker, service, service, NULL, 0, &picked));
+  g_assert_cmpstr (picked.data, !=, first.data);
+  fr_report_result (fixture.picker, &first, FR_RESULT_LOST, 0, 0);
+  g_assert_true (fr_pick_backend (fixture.picker, service, service, NULL, 0, &picked));
+  g_assert_cmpstr (picked.data, ==, first.data);
   destroy_fixture (&fixture);
 }
 
@@ -326,7 +326,7 @@
   count_picks (&fixture, 1, counts, 2);
   g_assert_cmpint (counts[0], >, PICKS / 5);
   fr_report_ranked (fixture.picker, &id, 2, FR_RESULT_LOST, 0, 0);
-  for (int i = 0; i < 4; i++)
+  for (int i = 0; i < 40; i++)
     {
       report (&fixture, 0, FR_RESULT_FAILED, FB_MICROSECOND, 0);
       report (&fixture, 1, FR_RESULT_GOOD, 15 * FB_MILLISECOND, 0);
