--- a/packages/call/tests/test-once.c
+++ b/packages/call/tests/test-once.c
@@ -155,11 +155,13 @@
   fr_once_t *once = create_once ("node-a", 42, 10, 1000);
   fr_once_t *restarted = create_once ("node-a", 43, 10, 1000);
   fr_once_t *neighbour = create_once ("node-b", 42, 10, 1000);
+  fr_once_t *twin = create_once ("node-a", 42, 10, 1000);
   fr_ticket_t ticket = issue (once);
   fr_ticket_t forged = ticket;
 
   issue (restarted);
   issue (neighbour);
+  assert_state (twin, &ticket, FR_ONCE_INVALID, "");
   assert_state (restarted, &ticket, FR_ONCE_FOREIGN, "");
   assert_state (neighbour, &ticket, FR_ONCE_FOREIGN, "");
   forged.nonce ^= 1;
@@ -177,6 +179,7 @@
   fr_destroy_once (once);
   fr_destroy_once (restarted);
   fr_destroy_once (neighbour);
+  fr_destroy_once (twin);
 }
 
 /* Guards against answers that fill the memory, and against a dropped answer that makes the call
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -300,26 +300,8 @@
     }
 }
 
-/* Starts a call with a ticket unless the ticket was used before. */
-static void
-start_once (served_t *served)
-{
-  fn_backend_t *backend = served->backend;
-  fb_bytes_t recorded;
-  fr_once_state_t state = fr_begin_once (backend->once, &served->ticket,
-                                         digest_request (&served->call), &recorded);
-
-  if (state == FR_ONCE_RUN)
-    {
-      send_to_backend (served);
-      return;
-    }
-  fr_finish_call (backend->admission, served->handle);
-  answer_known (served, state, recorded, "ticket was refused before");
-}
-
-/* Refuses a call that was not started. With a ticket, "not run" is told only when no earlier
- * use ran, and the ticket never runs later. */
+/* Refuses a call that was not taken. With a ticket, "not run" is told only when no earlier use
+ * ran, and the ticket never runs later. */
 static void
 refuse_served (served_t *served, uint32_t status, const char *reason)
 {
@@ -339,21 +321,25 @@
 static void
 start_call (void *call, void *user)
 {
-  served_t *served = call;
-
-  if (served->has_ticket)
-    start_once (served);
-  else
-    send_to_backend (served);
+  send_to_backend (call);
 }
 
+/* Ends a call that waited for a slot in vain, with those that joined it. */
 static void
 refuse_call (void *call, fr_refusal_t refusal, void *user)
 {
   served_t *served = call;
-  uint32_t status = refusal == FR_REFUSED_FULL ? 429 : 503;
+  fw_call_t answer = { .outcome = FW_NOT_RUN,
+                       .status = refusal == FR_REFUSED_FULL ? 429 : 503,
+                       .reason = fb_wrap_text (fr_describe_refusal (refusal)) };
 
-  refuse_served (served, status, fr_describe_refusal (refusal));
+  fb_add_counter (served->backend->refused, 1);
+  if (served->has_ticket)
+    {
+      fr_abandon_once (served->backend->once, &served->ticket);
+      answer_joined (served, &answer);
+    }
+  answer_call (served, &answer);
 }
 
 /* Takes over the ranks and slots of the snapshot in force when they changed. */
@@ -459,15 +445,26 @@
   return served;
 }
 
-/* Queues SERVED for a slot. */
+/* Queues SERVED for a slot. A ticket is recorded as running from here on, so that a copy of the
+ * request joins this one instead of taking a slot. */
 static void
 offer_served (served_t *served)
 {
+  fr_once_state_t state = FR_ONCE_RUN;
+  fb_bytes_t recorded;
   fn_backend_t *backend = served->backend;
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
   uint32_t rank = (uint32_t)fc_count_ranks (snapshot) - 1;
 
+  if (served->has_ticket)
+    state = fr_begin_once (backend->once, &served->ticket, digest_request (&served->call),
+                           &recorded);
+  if (state != FR_ONCE_RUN)
+    {
+      answer_known (served, state, recorded, "ticket was refused before");
+      return;
+    }
   update_rules (backend, snapshot);
   fc_find_rank (snapshot, served->call.rank, &rank);
   fr_offer_call (backend->admission, served->handle, served, rank, served->call.customer,
