Add fuzz targets, and bound what a received message makes the decoder allocate

The decoders of messages, documents, settings and compressed documents read bytes from outside the process. fuzz/ has one libFuzzer target for each; fuzz/run drives them under clang, and the ordinary builds replay a corpus of 14 to 17 inputs for each target as tests, under sanitizers too.

Faults found in the wire package, both with inputs in the corpus: - msgpack allocates an array from its header alone, so a datagram of 8 bytes made the decoder ask for 1 GB (inputs array-length, nested-array-length). fw_unpack now checks the lengths, the depth and the types before the library sees the bytes. The replay under the address sanitizer aborts on an allocation over 64 MB. - An empty string reached memchr as a null pointer (inputs empty-string).

The round trip was tried with a field packed in place of another and with a changed number: the targets fail on both.

--- /dev/null
+++ b/fuzz/fuzz-control.c
@@ -0,0 +1,50 @@
+/* Fuzz target: decoding of control messages, and the round trip of what decodes. */
+#include "fuzz-wire.h"
+#include <foxtailrun/wire/control.h>
+#include <glib.h>
+#include <string.h>
+
+static void
+check_same (const fw_control_t *a, const fw_control_t *b)
+{
+  FUZZ_CHECK (a->kind == b->kind);
+  FUZZ_CHECK (a->request == b->request);
+  FUZZ_CHECK (fb_equal_name (&a->sender, &b->sender));
+  fuzz_check_same_version (&a->version, &b->version);
+  FUZZ_CHECK (a->ready == b->ready);
+  FUZZ_CHECK (fb_compare_digests (&a->base, &b->base) == 0);
+  FUZZ_CHECK (a->page == b->page);
+  FUZZ_CHECK (a->page_count == b->page_count);
+  FUZZ_CHECK (a->payload.len == b->payload.len);
+  FUZZ_CHECK (a->payload.len == 0
+              || memcmp (a->payload.data, b->payload.data, a->payload.len) == 0);
+  FUZZ_CHECK (a->member_count == b->member_count);
+  for (size_t i = 0; i < a->member_count; i++)
+    fuzz_check_same_member (&a->members[i], &b->members[i]);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  fw_control_t first;
+  fw_control_t second;
+  uint8_t *encoded;
+  uint8_t *again;
+  size_t encoded_len;
+  size_t again_len;
+
+  if (fw_decode_control ((fb_bytes_t){ data, size }, &first) != FB_OK)
+    return 0;
+  FUZZ_CHECK (first.member_count <= FW_PAGE_MAX);
+  FUZZ_CHECK (first.payload.len <= size);
+  encoded = fw_encode_control (&first, &encoded_len);
+  FUZZ_CHECK (fw_decode_control ((fb_bytes_t){ encoded, encoded_len }, &second) == FB_OK);
+  check_same (&first, &second);
+  again = fw_encode_control (&second, &again_len);
+  FUZZ_CHECK (again_len == encoded_len && memcmp (again, encoded, again_len) == 0);
+  g_free (again);
+  g_free (encoded);
+  fw_clear_control (&second);
+  fw_clear_control (&first);
+  return 0;
+}
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -1,5 +1,6 @@
 #include "wire-pack.h"
 #include "wire-read.h"
+#include "wire-unpack.h"
 #include <foxtailrun/wire/call.h>
 #include <glib.h>
 #include <string.h>
@@ -87,14 +88,10 @@
 fw_decode_call (fb_bytes_t header, fb_bytes_t body, fw_call_t *message)
 {
   msgpack_unpacked unpacked;
-  size_t offset = 0;
   bool good;
 
   memset (message, 0, sizeof *message);
-  msgpack_unpacked_init (&unpacked);
-  good = msgpack_unpack_next (&unpacked, (const char *)header.data, header.len, &offset)
-             == MSGPACK_UNPACK_SUCCESS
-         && offset == header.len && read_call (&unpacked.data, message);
+  good = fw_unpack (header, &unpacked) && read_call (&unpacked.data, message);
   msgpack_unpacked_destroy (&unpacked);
   if (!good
       || body.len > (message->kind == FW_ANSWER ? FW_ANSWER_BODY_MAX : FW_REQUEST_BODY_MAX))
--- a/packages/wire/source/wire-control.c
+++ b/packages/wire/source/wire-control.c
@@ -1,5 +1,6 @@
 #include "wire-pack.h"
 #include "wire-read.h"
+#include "wire-unpack.h"
 #include <foxtailrun/wire/control.h>
 #include <glib.h>
 #include <string.h>
@@ -76,14 +77,10 @@
 fw_decode_control (fb_bytes_t bytes, fw_control_t *message)
 {
   msgpack_unpacked unpacked;
-  size_t offset = 0;
   bool good;
 
   memset (message, 0, sizeof *message);
-  msgpack_unpacked_init (&unpacked);
-  good = msgpack_unpack_next (&unpacked, (const char *)bytes.data, bytes.len, &offset)
-             == MSGPACK_UNPACK_SUCCESS
-         && offset == bytes.len && read_control (&unpacked.data, message);
+  good = fw_unpack (bytes, &unpacked) && read_control (&unpacked.data, message);
   msgpack_unpacked_destroy (&unpacked);
   if (!good)
     fw_clear_control (message);
--- a/packages/wire/source/wire-datagram.c
+++ b/packages/wire/source/wire-datagram.c
@@ -1,5 +1,6 @@
 #include "wire-pack.h"
 #include "wire-read.h"
+#include "wire-unpack.h"
 #include <foxtailrun/wire/datagram.h>
 #include <string.h>
 
@@ -101,15 +102,11 @@
 fw_decode_datagram (fb_bytes_t bytes, fw_datagram_t *datagram)
 {
   msgpack_unpacked unpacked;
-  size_t offset = 0;
   bool good;
 
   if (bytes.len > FW_DATAGRAM_MAX)
     return FB_INVALID;
-  msgpack_unpacked_init (&unpacked);
-  good = msgpack_unpack_next (&unpacked, (const char *)bytes.data, bytes.len, &offset)
-             == MSGPACK_UNPACK_SUCCESS
-         && offset == bytes.len && read_datagram (&unpacked.data, datagram);
+  good = fw_unpack (bytes, &unpacked) && read_datagram (&unpacked.data, datagram);
   msgpack_unpacked_destroy (&unpacked);
   return good ? FB_OK : FB_INVALID;
 }
--- a/packages/wire/source/wire-read.c
+++ b/packages/wire/source/wire-read.c
@@ -67,6 +67,9 @@
       reader->failed = true;
       return (fb_str_t){ "", 0 };
     }
+  /* The library leaves a null pointer in an empty string, which memchr must not get. */
+  if (item->via.str.size == 0)
+    return (fb_str_t){ "", 0 };
   return (fb_str_t){ item->via.str.ptr, item->via.str.size };
 }
 
