Test the reads of a restarted fleet and the member list before readiness

Cause: two rules of the join had no test that fails without them: a node that knows nobody is no reader, and an early start needs a member list.

Change: a test of the reads at the source after a restart of all nodes, a case of the join rule without member lists, and a counter of its own for messages from members that are not known yet.

Guards removed once in a scratch copy: late readers (fleet), spread of the first read (fleet), member list before readiness (join), answering member that takes calls (join, fleet); each removal fails a test.

--- a/packages/dist/source/dist-node.c
+++ b/packages/dist/source/dist-node.c
@@ -34,6 +34,7 @@
   counters->claim_mismatches = fb_find_counter (table, "dist_claim_mismatches", "");
   counters->digest_mismatches = fb_find_counter (table, "dist_digest_mismatches", "");
   counters->bad_messages = fb_find_counter (table, "dist_bad_messages", "");
+  counters->unknown_senders = fb_find_counter (table, "dist_unknown_senders", "");
   counters->source_reads = fb_find_counter (table, "dist_source_reads", "");
   counters->source_failures = fb_find_counter (table, "dist_source_failures", "");
   counters->source_stale = fb_find_counter (table, "dist_source_stale", "");
@@ -126,9 +127,10 @@
 
   fd_check_pause (node);
   sender = fm_find_member (node->members, &message->sender);
+  /* A joining node may ask before its first datagram made it known here; it asks again. */
   if (sender == NULL)
     {
-      fb_add_counter (node->counters.bad_messages, 1);
+      fb_add_counter (node->counters.unknown_senders, 1);
       return;
     }
   switch (message->kind)
--- a/packages/dist/source/dist-state.h
+++ b/packages/dist/source/dist-state.h
@@ -157,6 +157,7 @@
   fb_counter_t *claim_mismatches;
   fb_counter_t *digest_mismatches;
   fb_counter_t *bad_messages;
+  fb_counter_t *unknown_senders;
   fb_counter_t *source_reads;
   fb_counter_t *source_failures;
   fb_counter_t *source_stale;
--- a/packages/dist/tests/fixture-bed.c
+++ b/packages/dist/tests/fixture-bed.c
@@ -167,7 +167,7 @@
 }
 
 void
-answer_summaries (bed_t *bed, const fb_version_t *version, bool ready)
+answer_summaries (bed_t *bed, const fb_version_t *version, bool ready, bool lists)
 {
   size_t count = bed->sent_count;
 
@@ -183,7 +183,7 @@
         fd_handle_message (bed->node, &message);
       message.kind = FW_MEMBERS;
       message.page_count = 1;
-      if (bed->sent[i].kind == FW_MEMBERS_ASK)
+      if (lists && bed->sent[i].kind == FW_MEMBERS_ASK)
         fd_handle_message (bed->node, &message);
     }
 }
--- a/packages/dist/tests/fixture-bed.h
+++ b/packages/dist/tests/fixture-bed.h
@@ -54,7 +54,8 @@
 /* Delivers DOCUMENT from member INDEX as a whole frame that claims VERSION. */
 void give_document (bed_t *bed, size_t index, GBytes *document, const fb_version_t *version);
 
-/* Answers every SUMMARY_ASK and MEMBERS_ASK sent so far, as a member that holds VERSION. */
-void answer_summaries (bed_t *bed, const fb_version_t *version, bool ready);
+/* Answers every SUMMARY_ASK sent so far, as a member that holds VERSION, and with LISTS every
+ * MEMBERS_ASK. */
+void answer_summaries (bed_t *bed, const fb_version_t *version, bool ready, bool lists);
 
 #endif
--- a/packages/dist/tests/test-fleet.c
+++ b/packages/dist/tests/test-fleet.c
@@ -370,10 +370,33 @@
   fb_destroy_counters (figures.totals);
 }
 
+/* Guards against a restart of the whole fleet in which the nodes read the source at one moment,
+ * more than once, or all stay as readers because they know nobody yet. */
+static void
+test_herd_reads (void)
+{
+  sf_fleet_t *fleet = sf_create_fleet (3, SF_HOSTS_MAX, 3);
+  uint64_t early;
+
+  sf_publish_document (fleet, sf_make_document (1, 1, 3), true);
+  sf_run_fleet (fleet, FB_SECOND);
+  early = fleet->source.calls;
+  g_assert_cmpuint (early, >, 0);
+  g_assert_cmpuint (early, <, SF_HOSTS_MAX);
+  sf_run_fleet (fleet, 1500 * FB_MILLISECOND);
+  g_assert_cmpuint (fleet->source.calls, ==, SF_HOSTS_MAX);
+  sf_run_fleet (fleet, 20 * FB_SECOND);
+  g_assert_cmpuint (check_readers (fleet), ==, 6);
+  /* One read at once and one that waits for each reader. */
+  g_assert_cmpuint (fleet->source.calls, ==, SF_HOSTS_MAX + 2 * 6);
+  sf_destroy_fleet (fleet);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/fleet/herd-reads", test_herd_reads);
   g_test_add_func ("/fleet/random-faults", test_random_faults);
   return g_test_run ();
 }
--- a/packages/dist/tests/test-join.c
+++ b/packages/dist/tests/test-join.c
@@ -12,14 +12,19 @@
     bool peers_answer;
     bool peers_ready;
     bool peers_hold; /* the document, which is delivered when fetched */
+    bool lists_answered;
     bool source_answers;
     int ready_after_ms; /* from the start, at most; -1: never */
     int unready_ms;     /* not ready before */
   } cases[] = {
-    { 8, true, true, true, true, 2100, 0 },     { 8, true, false, false, true, 3100, 3000 },
-    { 8, true, true, true, false, 3100, 3000 }, { 8, false, false, false, true, 3100, 3000 },
-    { 8, false, false, false, false, -1, 0 },   { 0, false, false, false, true, 3100, 3000 },
-    { 8, true, true, false, false, -1, 0 },
+    { 8, true, true, true, true, true, 2100, 0 },
+    { 8, true, false, false, true, true, 3100, 3000 },
+    { 8, true, true, true, false, true, 3100, 3000 },
+    { 8, true, true, true, true, false, 3100, 3000 },
+    { 8, false, false, false, false, true, 3100, 3000 },
+    { 8, false, false, false, false, false, -1, 0 },
+    { 0, false, false, false, false, true, 3100, 3000 },
+    { 8, true, true, false, true, false, -1, 0 },
   };
   GBytes *document = sf_make_document (5, 1, 1);
   fb_version_t version = describe_version (document, 5, 3);
@@ -34,8 +39,8 @@
         {
           pass_time (bed, 100 * FB_MILLISECOND);
           if (cases[i].peers_answer)
-            answer_summaries (bed, cases[i].peers_hold ? &version : &none,
-                              cases[i].peers_ready);
+            answer_summaries (bed, cases[i].peers_hold ? &version : &none, cases[i].peers_ready,
+                              cases[i].lists_answered);
           if (cases[i].peers_hold && count_sent (bed, FW_FETCH) > 0)
             give_document (bed, 0, document, &version);
           if (bed->reading && cases[i].source_answers)
@@ -65,7 +70,7 @@
   for (int i = 0; i < 40; i++)
     {
       pass_time (bed, 100 * FB_MILLISECOND);
-      answer_summaries (bed, &version, true);
+      answer_summaries (bed, &version, true, true);
       if (bed->reading)
         give_source_value (bed, 2, older);
     }
@@ -123,7 +128,7 @@
   g_assert_cmpuint (fm_get_self (bed->table)->incarnation, ==, 2);
   pass_time (bed, 4 * FB_SECOND);
   g_assert_false (fd_is_ready (bed->node));
-  answer_summaries (bed, fd_get_version (bed->node), true);
+  answer_summaries (bed, fd_get_version (bed->node), true, true);
   pass_time (bed, FB_SECOND);
   g_assert_true (fd_is_ready (bed->node));
   g_bytes_unref (document);
