--- a/packages/call/tests/fixture-entry.c
+++ b/packages/call/tests/fixture-entry.c
@@ -20,11 +20,11 @@
   request->done = true;
   request->outcome = outcome;
   if (outcome == FW_ANSWERED)
-    world->totals->answered++;
+    world->totals[TOTAL_ANSWERED]++;
   else if (outcome == FW_NOT_RUN)
-    world->totals->not_run++;
+    world->totals[TOTAL_NOT_RUN]++;
   else
-    world->totals->unknown++;
+    world->totals[TOTAL_UNKNOWN]++;
 }
 
 /* Sends the request of a caller once more, soon or much later. */
@@ -131,7 +131,7 @@
   call.remaining = attempt->deadline - now;
   g_strlcpy (call.ticket, attempt->ticket, TEXT_MAX);
   if (call.start_id != 0)
-    send_event (world, &call);
+    send_event (node, &call);
   timeout = add_event (world, EVENT_TIMEOUT, node->index, call.remaining);
   timeout->start_id = node->start_id;
   timeout->attempt = attempt->id;
@@ -207,7 +207,7 @@
       && fr_may_retry (outcome, request->repeatable, attempt->has_ticket)
       && fr_take_retry (node->budget, service))
     {
-      world->totals->retried++;
+      world->totals[TOTAL_RETRIED]++;
       send_attempt (node, attempt);
     }
   else
@@ -220,7 +220,7 @@
   attempt_t *attempt = take_attempt (node, event->attempt);
 
   if (attempt == NULL)
-    node->world->totals->late++;
+    node->world->totals[TOTAL_LATE]++;
   else
     conclude_attempt (node, attempt, event->outcome, event);
 }
@@ -236,6 +236,6 @@
   cancel.node = attempt->target;
   cancel.start_id = node->world->nodes[attempt->target].start_id;
   cancel.attempt = attempt->id;
-  send_event (node->world, &cancel);
+  send_event (node, &cancel);
   conclude_attempt (node, attempt, FW_UNKNOWN, NULL);
 }
--- a/packages/call/tests/fixture-service.c
+++ b/packages/call/tests/fixture-service.c
@@ -44,13 +44,15 @@
   return g_rand_double (world->random) < probability;
 }
 
-/* Sends a message that may get lost, arrive twice, or arrive late. */
+/* Sends a message that may get lost, arrive twice, or arrive late; none crosses a partition. */
 void
-send_event (world_t *world, const event_t *message)
+send_event (const node_t *from, const event_t *message)
 {
+  world_t *world = from->world;
+  bool crosses = ((world->split >> from->index ^ world->split >> message->node) & 1) != 0;
   int copies = draw (world, 0.03) ? 2 : 1;
 
-  if (draw (world, 0.03))
+  if (draw (world, 0.03) || (crosses && fb_read_clock (world->clock) < world->split_until))
     return;
   for (int i = 0; i < copies; i++)
     {
@@ -129,7 +131,7 @@
                (fb_time_t)g_rand_int_range (world->random, 100, 2500) * FB_MILLISECOND);
   if (node->start_id == 0 || node->draining)
     return;
-  switch (g_rand_int_range (world->random, 0, 6))
+  switch (g_rand_int_range (world->random, 0, 7))
     {
     case 0:
       spread_state (world, index, FW_DEAD);
@@ -153,6 +155,11 @@
     case 4:
       world->shedding = (world->shedding + 1) % (NODES * 2);
       break;
+    case 5:
+      world->split = (uint32_t)g_rand_int_range (world->random, 1, 1 << NODES);
+      world->split_until = fb_read_clock (world->clock)
+                           + (fb_time_t)g_rand_int_range (world->random, 1, 4) * FB_SECOND;
+      break;
     default:
       /* Running calls keep their slots when these become fewer. */
       node->slots = MAX (node->running, (uint32_t)g_rand_int_range (world->random, 2, 6));
@@ -217,7 +224,7 @@
     fr_tick_admission (node->admission);
   else if (event->kind == EVENT_KILL)
     {
-      world->totals->restarted++;
+      world->totals[TOTAL_RESTARTED]++;
       kill_node (node);
     }
 }
@@ -312,7 +319,7 @@
 }
 
 void
-run_world (uint32_t seed, world_totals_t *totals)
+run_world (uint32_t seed, uint64_t *totals)
 {
   world_t *world = g_new0 (world_t, 1);
 
--- a/packages/call/tests/fixture-service.h
+++ b/packages/call/tests/fixture-service.h
@@ -6,24 +6,26 @@
 
 #include <stdint.h>
 
-/* How often the interesting things happened; summed up over the worlds of a test. */
-typedef struct
+/* What happened in the worlds of a test. */
+typedef enum
 {
-  uint64_t answered;
-  uint64_t not_run;
-  uint64_t unknown;
-  uint64_t runs;
-  uint64_t replayed;   /* recorded answers returned */
-  uint64_t waited;     /* uses that waited for a running one */
-  uint64_t unrecorded; /* uses of a ticket whose answer was gone */
-  uint64_t foreign;    /* uses of a ticket of another process */
-  uint64_t closed;     /* uses of a ticket after "not run" */
-  uint64_t late;       /* answers to attempts that had ended */
-  uint64_t retried;
-  uint64_t restarted; /* processes */
-} world_totals_t;
+  TOTAL_ANSWERED,
+  TOTAL_NOT_RUN,
+  TOTAL_UNKNOWN,
+  TOTAL_RUNS,
+  TOTAL_REPLAYED,   /* recorded answers returned */
+  TOTAL_WAITED,     /* uses that waited for a running one */
+  TOTAL_UNRECORDED, /* uses of a ticket whose answer was dropped or never came */
+  TOTAL_FOREIGN,    /* uses of a ticket of another process */
+  TOTAL_CLOSED,     /* uses of a ticket after "not run" */
+  TOTAL_LATE,       /* answers to attempts that had ended */
+  TOTAL_RETRIED,
+  TOTAL_RESTARTED, /* processes */
+  TOTAL_COUNT
+} world_total_t;
 
-/* Runs one world from SEED and adds to TOTALS; fails the test when an invariant is broken. */
-void run_world (uint32_t seed, world_totals_t *totals);
+/* Runs one world from SEED and adds to TOTALS, of TOTAL_COUNT; fails the test when an invariant
+ * is broken. */
+void run_world (uint32_t seed, uint64_t *totals);
 
 #endif
--- a/packages/call/tests/fixture-target.c
+++ b/packages/call/tests/fixture-target.c
@@ -39,7 +39,7 @@
   if (body.len > 0)
     memcpy (answer.body, body.data, body.len);
   g_strlcpy (answer.ticket, ticket, TEXT_MAX);
-  send_event (node->world, &answer);
+  send_event (node, &answer);
 }
 
 static void
@@ -60,7 +60,7 @@
   g_assert_cmpuint (runs, ==, 1);
   g_assert_false (g_hash_table_contains (world->refused, key));
   g_hash_table_insert (world->runs, key, GUINT_TO_POINTER (runs));
-  world->totals->runs++;
+  world->totals[TOTAL_RUNS]++;
 }
 
 static void
@@ -141,7 +141,7 @@
       if (!work->has_ticket || strcmp (work->call.ticket, call->ticket) != 0)
         continue;
       g_ptr_array_add (work->waiters, g_memdup2 (call, sizeof *call));
-      node->world->totals->waited++;
+      node->world->totals[TOTAL_WAITED]++;
       return;
     }
   g_assert_not_reached ();
@@ -150,7 +150,7 @@
 static void
 handle_ticket (node_t *node, const event_t *call)
 {
-  world_totals_t *totals = node->world->totals;
+  uint64_t *totals = node->world->totals;
   const fb_bytes_t nothing = { NULL, 0 };
   fr_ticket_t ticket;
   fb_bytes_t answer;
@@ -165,19 +165,19 @@
       join_work (node, call);
       break;
     case FR_ONCE_ANSWERED:
-      totals->replayed++;
+      totals[TOTAL_REPLAYED]++;
       send_answer (node, call, FW_ANSWERED, answer, "");
       break;
     case FR_ONCE_UNKNOWN:
-      totals->unrecorded++;
+      totals[TOTAL_UNRECORDED]++;
       send_answer (node, call, FW_UNKNOWN, nothing, "");
       break;
     case FR_ONCE_FOREIGN:
-      totals->foreign++;
+      totals[TOTAL_FOREIGN]++;
       send_answer (node, call, FW_UNKNOWN, nothing, "");
       break;
     case FR_ONCE_INVALID:
-      totals->closed++;
+      totals[TOTAL_CLOSED]++;
       send_answer (node, call, FW_NOT_RUN, nothing, "");
       break;
     }
--- a/packages/call/tests/fixture-world.h
+++ b/packages/call/tests/fixture-world.h
@@ -127,12 +127,14 @@
   GHashTable *refused; /* the same of which "not run" was said */
   uint32_t failing;    /* node whose backend server fails */
   uint32_t shedding;   /* node whose backend server sheds load */
-  world_totals_t *totals;
+  uint32_t split;      /* bit mask of the nodes on one side of a partition */
+  fb_time_t split_until;
+  uint64_t *totals;
 } world_t;
 
 /* fixture-service.c */
 event_t *add_event (world_t *world, event_kind_t kind, uint32_t node, fb_time_t delay);
-void send_event (world_t *world, const event_t *event);
+void send_event (const node_t *from, const event_t *event);
 bool draw (world_t *world, double probability);
 
 /* fixture-entry.c */
--- a/packages/call/tests/test-service.c
+++ b/packages/call/tests/test-service.c
@@ -13,41 +13,31 @@
 static void
 test_worlds (void)
 {
+  static const char *const names[TOTAL_COUNT]
+      = { "answered",   "not run", "unknown", "runs", "replayed", "waited",
+          "unrecorded", "foreign", "closed",  "late", "retried",  "restarted" };
   const char *count = g_getenv ("SEEDS");
   const char *only = g_getenv ("SEED");
   uint32_t first = only != NULL ? (uint32_t)atoi (only) : 1;
   uint32_t last
       = only != NULL ? first : (uint32_t)(count != NULL ? atoi (count) : SEEDS_DEFAULT);
-  world_totals_t totals = { 0 };
+  uint64_t totals[TOTAL_COUNT] = { 0 };
 
   for (uint32_t seed = first; seed <= last; seed++)
     {
       /* The last line before a failure names the seed. */
       g_printerr ("# SEED=%u\n", seed);
-      run_world (seed, &totals);
+      run_world (seed, totals);
+    }
+  if (last - first + 1 >= SEEDS_DEFAULT)
+    g_assert_cmpuint (totals[TOTAL_ANSWERED], >, totals[TOTAL_UNKNOWN]);
+  for (int i = 0; i < TOTAL_COUNT; i++)
+    {
+      g_test_message ("%s: %" G_GUINT64_FORMAT, names[i], totals[i]);
+      /* The worlds are only worth something when each of these happened. */
+      if (last - first + 1 >= SEEDS_DEFAULT)
+        g_assert_cmpuint (totals[i], >, 0);
     }
-  g_test_message ("answered %" G_GUINT64_FORMAT ", not run %" G_GUINT64_FORMAT
-                  ", unknown %" G_GUINT64_FORMAT ", runs %" G_GUINT64_FORMAT
-                  ", replayed %" G_GUINT64_FORMAT ", waited %" G_GUINT64_FORMAT
-                  ", unrecorded %" G_GUINT64_FORMAT ", foreign %" G_GUINT64_FORMAT
-                  ", closed %" G_GUINT64_FORMAT ", late %" G_GUINT64_FORMAT
-                  ", retried %" G_GUINT64_FORMAT ", restarted %" G_GUINT64_FORMAT,
-                  totals.answered, totals.not_run, totals.unknown, totals.runs, totals.replayed,
-                  totals.waited, totals.unrecorded, totals.foreign, totals.closed, totals.late,
-                  totals.retried, totals.restarted);
-  if (last - first + 1 < SEEDS_DEFAULT)
-    return;
-  /* The worlds are only worth something when each of these happened. */
-  g_assert_cmpuint (totals.answered, >, totals.unknown);
-  g_assert_cmpuint (totals.not_run, >, 0);
-  g_assert_cmpuint (totals.replayed, >, 0);
-  g_assert_cmpuint (totals.waited, >, 0);
-  g_assert_cmpuint (totals.unrecorded, >, 0);
-  g_assert_cmpuint (totals.foreign, >, 0);
-  g_assert_cmpuint (totals.closed, >, 0);
-  g_assert_cmpuint (totals.late, >, 0);
-  g_assert_cmpuint (totals.retried, >, 0);
-  g_assert_cmpuint (totals.restarted, >, 0);
 }
 
 int
