--- /dev/null
+++ b/packages/member/tests/test-member-update.c
@@ -0,0 +1,211 @@
+/* Rules by which datagrams and lists change one membership table. */
+#include "fixture-bed.h"
+
+/* Guards against updates about this node that change it in any way but a higher incarnation,
+ * and against a leaving node that becomes alive again by refuting. */
+static void
+test_refute (void)
+{
+  static const struct
+  {
+    bool leaving;
+    fw_member_state_t state;
+    uint64_t incarnation;
+    uint64_t expected;
+  } cases[] = {
+    { false, FW_ALIVE, 5, 5 },         { false, FW_SUSPECT, 4, 5 },
+    { false, FW_SUSPECT, 5, 6 },       { false, FW_DEAD, 9, 10 },
+    { false, FW_LEAVING, 5, 6 },       { false, FW_ALIVE, 7, 8 },
+    { true, FW_SUSPECT, 5, 5 },        { true, FW_DEAD, 5, 6 },
+    { true, FW_SUSPECT, 6, 7 },        { false, FW_DEAD, FM_INCARNATION_MAX, 5 },
+    { false, FW_DEAD, UINT64_MAX, 5 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      bed_t bed;
+      bed_open (&bed, 3);
+      if (cases[i].leaving)
+        fm_announce_leaving (bed.table);
+      bed_deliver_update (&bed, FW_GOSSIP,
+                          bed_make_member (99, cases[i].incarnation, cases[i].state));
+      g_assert_cmpuint (fm_get_self (bed.table)->incarnation, ==, cases[i].expected);
+      g_assert_cmpint (fm_get_self (bed.table)->state, ==,
+                       cases[i].leaving ? FW_LEAVING : FW_ALIVE);
+      bed_close (&bed);
+    }
+}
+
+/* Guards against old updates that resurrect, leaving members that return, deaths that leave no
+ * time to refute, and lists that carry a partition's deaths over. */
+static void
+test_override (void)
+{
+  static const struct
+  {
+    fw_member_state_t held;
+    uint64_t incarnation;
+    fw_member_state_t state;
+    bool list;
+    fw_member_state_t expected;
+  } cases[] = {
+    { FW_DEAD, 5, FW_ALIVE, false, FW_DEAD },
+    { FW_DEAD, 4, FW_ALIVE, true, FW_DEAD },
+    { FW_DEAD, 6, FW_ALIVE, false, FW_ALIVE },
+    { FW_LEAVING, 5, FW_ALIVE, false, FW_LEAVING },
+    { FW_LEAVING, 5, FW_SUSPECT, false, FW_LEAVING },
+    { FW_LEAVING, 6, FW_ALIVE, false, FW_ALIVE },
+    { FW_LEAVING, 5, FW_DEAD, false, FW_DEAD },
+    { FW_ALIVE, 5, FW_DEAD, false, FW_SUSPECT },
+    { FW_ALIVE, 5, FW_DEAD, true, FW_ALIVE },
+    { FW_SUSPECT, 5, FW_DEAD, false, FW_DEAD },
+    { FW_SUSPECT, 5, FW_ALIVE, false, FW_SUSPECT },
+    { FW_SUSPECT, 6, FW_ALIVE, false, FW_ALIVE },
+    { FW_SUSPECT, UINT64_MAX, FW_ALIVE, false, FW_SUSPECT },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_member_t update = bed_make_member (2, cases[i].incarnation, cases[i].state);
+      bed_t bed;
+      bed_open (&bed, 2);
+      if (cases[i].held == FW_DEAD)
+        bed_deliver_update (&bed, FW_GOSSIP, bed_make_member (2, 5, FW_SUSPECT));
+      bed_deliver_update (&bed, FW_GOSSIP, bed_make_member (2, 5, cases[i].held));
+      if (cases[i].list)
+        fm_merge_members (bed.table, &update, 1);
+      else
+        bed_deliver_update (&bed, FW_GOSSIP, update);
+      g_assert_cmpint (fm_find_member (bed.table, &update.id)->state, ==, cases[i].expected);
+      bed_close (&bed);
+    }
+}
+
+/* Guards against a member that is never told of what is held against it, and against its
+ * datagram clearing it without a refutation. */
+static void
+test_accused_sender (void)
+{
+  static const struct
+  {
+    fw_member_state_t state;
+    uint64_t incarnation; /* of the sender; the accusation is at 5 */
+  } cases[] = { { FW_SUSPECT, 5 }, { FW_LEAVING, 5 }, { FW_LEAVING, 3 }, { FW_ALIVE, 3 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_datagram_t ping = { .kind = FW_PING, .sequence = 7 };
+      fw_member_t held = bed_make_member (2, 5, cases[i].state);
+      bed_t bed;
+      bed_open (&bed, 2);
+      bed_deliver_update (&bed, FW_GOSSIP, held);
+      bed_run (&bed, 10 * 100 * FB_MILLISECOND);
+      ping.sender = bed_make_member (2, cases[i].incarnation, FW_ALIVE);
+      g_assert_cmpint (bed_deliver (&bed, &ping), ==, FB_OK);
+      g_assert_cmpint (fm_find_member (bed.table, &held.id)->state, ==, held.state);
+      g_assert_cmpint (bed_get_last (&bed)->kind, ==, FW_ACK);
+      g_assert_cmpuint (bed_get_last (&bed)->sequence, ==, 7);
+      g_assert_true (fb_equal_name (&bed_get_last (&bed)->updates[0].id, &held.id));
+      g_assert_cmpint (bed_get_last (&bed)->updates[0].state, ==, held.state);
+      bed_close (&bed);
+    }
+}
+
+/* Guards against one datagram that draws many replies, and against two processes under one id
+ * that raise their incarnations against each other without end. */
+static void
+test_cost (void)
+{
+  fw_datagram_t gossip = { .kind = FW_GOSSIP, .update_count = 12 };
+  uint64_t incarnation;
+  bed_t bed;
+
+  bed_open (&bed, 20);
+  bed_run (&bed, FB_SECOND);
+  gossip.sender = bed_make_member (1, 5, FW_ALIVE);
+  for (unsigned i = 0; i < gossip.update_count; i++)
+    gossip.updates[i] = bed_make_member (i + 2, 4, FW_DEAD);
+  g_array_set_size (bed.sent, 0);
+  for (unsigned i = 0; i < 10; i++)
+    bed_deliver (&bed, &gossip);
+  g_assert_cmpuint (bed.sent->len, ==, 1);
+  g_assert_cmpuint (bed_get_last (&bed)->update_count, >=, 1);
+  for (unsigned i = 0; i < 100; i++)
+    {
+      incarnation = fm_get_self (bed.table)->incarnation;
+      bed_deliver_update (&bed, FW_GOSSIP, bed_make_member (99, incarnation + 1, FW_ALIVE));
+    }
+  g_assert_cmpuint (fm_get_self (bed.table)->incarnation, ==, 7);
+  bed_close (&bed);
+}
+
+/* Guards against a difference between member lists that nobody notices, and against list
+ * exchanges for updates that are under way or without a pause between them. */
+static void
+test_divergence (void)
+{
+  fw_datagram_t gossip = { .kind = FW_GOSSIP };
+  bed_t bed;
+
+  bed_open (&bed, 3);
+  bed_run (&bed, 100 * FB_MILLISECOND);
+  gossip.sender = bed_make_member (1, 5, FW_ALIVE);
+  for (unsigned second = 0; second < 30; second++)
+    {
+      gossip.members_digest = second < 4 ? 1 : fm_digest_members (bed.table);
+      bed_deliver (&bed, &gossip);
+      fb_advance_clock (bed.clock, FB_SECOND);
+    }
+  g_assert_cmpuint (bed.diverged, ==, 0);
+  gossip.members_digest = 1;
+  for (unsigned second = 0; second < 26; second++)
+    {
+      bed_deliver (&bed, &gossip);
+      fb_advance_clock (bed.clock, FB_SECOND);
+    }
+  g_assert_cmpuint (bed.diverged, ==, 3);
+  bed_close (&bed);
+}
+
+/* Guards against senders that describe themselves in a way no node does, deaths of unknown
+ * members that tables remind each other of for ever, and host list entries that become members
+ * before they answered. */
+static void
+test_bad_sender (void)
+{
+  fw_datagram_t ping = { .kind = FW_PING };
+  fw_member_t host = bed_make_member (9, 0, FW_ALIVE);
+  bed_t bed;
+
+  bed_open (&bed, 2);
+  ping.sender = bed_make_member (3, 5, FW_DEAD);
+  g_assert_cmpint (bed_deliver (&bed, &ping), ==, FB_INVALID);
+  ping.sender = bed_make_member (3, 5, FW_ALIVE);
+  ping.sender.control_port = 0;
+  g_assert_cmpint (bed_deliver (&bed, &ping), ==, FB_INVALID);
+  g_assert_cmpint (fm_handle_datagram (bed.table, (fb_bytes_t){ (const uint8_t *)"x", 1 }), ==,
+                   FB_INVALID);
+  g_assert_cmpuint (
+      fb_get_counter (fb_find_counter (bed.counters, "member_malformed_total", "")), ==, 3);
+  g_assert_cmpuint (bed.sent->len, ==, 0);
+  bed_deliver_update (&bed, FW_GOSSIP, bed_make_member (9, 5, FW_DEAD));
+  g_assert_null (fm_find_member (bed.table, &host.id));
+  fm_merge_members (bed.table, &host, 1);
+  g_assert_null (fm_find_member (bed.table, &host.id));
+  g_assert_cmpint (bed_get_last (&bed)->kind, ==, FW_PING);
+  g_assert_cmpuint (g_array_index (bed.ports, uint16_t, bed.ports->len - 1), ==, 9);
+  bed_close (&bed);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/member/refute", test_refute);
+  g_test_add_func ("/member/override", test_override);
+  g_test_add_func ("/member/accused-sender", test_accused_sender);
+  g_test_add_func ("/member/cost", test_cost);
+  g_test_add_func ("/member/divergence", test_divergence);
+  g_test_add_func ("/member/bad-sender", test_bad_sender);
+  return g_test_run ();
+}
