--- a/packages/member/tests/test-member-probe.c
+++ b/packages/member/tests/test-member-probe.c
@@ -118,7 +118,7 @@
 
 /* Guards against sides of a healed partition that never call each other, accused members that
  * are pinged without a word of it, and a leaving member that is taken for dead while it still
- * speaks.
+ * speaks, or that never dies once it is silent.
  */
 static void
 test_silent_member (void)
@@ -138,6 +138,8 @@
       bed_run_answered (&bed, FB_SECOND, member.id.data);
       g_assert_cmpint (fm_find_member (bed.table, &member.id)->state, ==, FW_LEAVING);
     }
+  bed_run_answered (&bed, 20 * FB_SECOND, member.id.data);
+  g_assert_cmpint (fm_find_member (bed.table, &member.id)->state, ==, FW_DEAD);
   bed_deliver_update (&bed, FW_GOSSIP, bed_make_member (2, 6, FW_ALIVE));
   bed_run_answered (&bed, 20 * FB_SECOND, member.id.data);
   member = *fm_find_member (bed.table, &member.id);
