--- a/model/version.pml
+++ b/model/version.pml
@@ -359,6 +359,9 @@
   :: atomic { !IS_WHOLE (0) -> assert (IS_WHOLE (0)) }
   :: atomic { !IS_WHOLE (1) -> assert (IS_WHOLE (1)) }
   :: atomic { !IS_WHOLE (2) -> assert (IS_WHOLE (2)) }
+#if NODES > 3
+  :: atomic { !IS_WHOLE (3) -> assert (IS_WHOLE (3)) }
+#endif
   /* G9: when nothing can happen any more, every node is ready with the highest valid version
    * that any of them or the source holds. */
   :: atomic {
