Speed up the parsing of documents further and make problems printable

Keys and values quoted in problems could carry control characters of the file to the terminal.

Change: tables are shared between the copies that toml11 makes of them until one is changed; blank lines, digits, parts of dates and undotted keys are scanned without regions; a repeated item is tried only on a character that can start it. The containers are in toml-containers.h, the scanners in toml-fast.h. Problems replace control characters by "?" and are always valid UTF-8.

--- a/packages/config/include/foxtailrun/config/problem.h
+++ b/packages/config/include/foxtailrun/config/problem.h
@@ -22,7 +22,8 @@
 /* Frees the list; NULL is allowed. */
 void fc_destroy_problems (fc_problems_t *problems);
 
-/* Adds a problem; the strings are copied. */
+/* Adds a problem; the strings are copied, with "?" for control characters. Beyond 1,000
+ * problems only one that says so is kept. */
 void fc_add_problem (fc_problems_t *problems, uint32_t line, const char *key, const char *found,
                      const char *allowed);
 
--- a/packages/config/source/check-row.c
+++ b/packages/config/source/check-row.c
@@ -8,31 +8,30 @@
 /* Longest piece of a value quoted in a problem, in bytes. */
 #define QUOTE_MAX 60
 
-char *
-fc_quote_node (const fc_toml_t *node)
+/* Returns the first line of TEXT, shortened; free with g_free. */
+static char *
+quote_text (fb_str_t text)
 {
   size_t len = 0;
-  char *piece;
-  char *quote;
 
+  while (len < text.len && len < QUOTE_MAX && text.data[len] != '\n' && text.data[len] != '\r')
+    len++;
+  if (len == text.len)
+    return fb_copy_text (text);
+  while (len > 0 && ((unsigned char)text.data[len] & 0xC0) == 0x80)
+    len--; /* not within a UTF-8 sequence */
+  return g_strdup_printf ("%.*s...", (int)len, text.data);
+}
+
+char *
+fc_quote_node (const fc_toml_t *node)
+{
   if (node->kind == FC_TOML_TABLE)
     return g_strdup ("a table");
   if (node->kind == FC_TOML_ARRAY)
     return g_strdup (node->child && node->child->kind == FC_TOML_TABLE ? "an array of tables"
                                                                        : "an array");
-  while (len < node->source.len && (unsigned char)node->source.data[len] >= ' ')
-    len++;
-  if (len <= QUOTE_MAX && len == node->source.len)
-    return fb_copy_text (node->source);
-  if (len > QUOTE_MAX)
-    len = QUOTE_MAX;
-  while (len > 0 && len < node->source.len
-         && ((unsigned char)node->source.data[len] & 0xC0) == 0x80)
-    len--; /* not within a UTF-8 sequence */
-  piece = g_strndup (node->source.data, len);
-  quote = g_strdup_printf ("%s...", piece);
-  g_free (piece);
-  return quote;
+  return quote_text (node->source);
 }
 
 static char *
@@ -231,7 +230,7 @@
                 fc_problems_t *problems)
 {
   GString *allowed = g_string_new ("");
-  char *name = g_strndup (node->key.data, MIN (node->key.len, QUOTE_MAX));
+  char *name = quote_text (node->key);
   char *key = join_key (row->path, name);
 
   for (size_t i = 0; i < row->count; i++)
--- a/packages/config/source/problem.c
+++ b/packages/config/source/problem.c
@@ -64,6 +64,19 @@
   g_free (problems);
 }
 
+/* Copies TEXT as one line of valid UTF-8: what a file holds must not control the terminal or
+ * break the output as JSON. */
+static char *
+copy_printable (const char *text)
+{
+  char *copy = g_utf8_make_valid (text, -1);
+
+  for (char *c = copy; *c; c++)
+    if (g_ascii_iscntrl (*c))
+      *c = '?';
+  return copy;
+}
+
 void
 fc_add_problem (fc_problems_t *problems, uint32_t line, const char *key, const char *found,
                 const char *allowed)
@@ -81,9 +94,9 @@
       allowed = "no problems; only the first 1000 found are listed";
     }
   problem->line = line;
-  problem->key = g_strdup (key);
-  problem->found = g_strdup (found);
-  problem->allowed = g_strdup (allowed);
+  problem->key = copy_printable (key);
+  problem->found = copy_printable (found);
+  problem->allowed = copy_printable (allowed);
   insert_problem (problems, problem);
 }
 
--- a/packages/config/source/toml-parse.cc
+++ b/packages/config/source/toml-parse.cc
@@ -4,14 +4,12 @@
 #include <cstdint>
 #include <cstring>
 #include <deque>
-#include <iterator>
-#include <map>
 #include <memory>
 #include <sstream>
-#include <stdexcept>
 #include <string>
 #include <vector>
 
+#include "toml-containers.h"
 #include "toml-fast.h"
 #include <toml.hpp>
 
@@ -23,68 +21,8 @@
 namespace
 {
 
-// A vector whose ends are checked: toml11 3.7 takes the last element of an empty array when a
-// table header names it, as in "a = []" before "[a.b]".
-template <typename T, typename... Rest> class checked_vector : public std::vector<T, Rest...>
-{
-public:
-  using base = std::vector<T, Rest...>;
-  using base::base;
-
-  // Values have no noexcept move, so that the library's vector would copy every table as it
-  // grows.
-  void
-  push_back (const T &item)
-  {
-    grow ();
-    base::push_back (item);
-  }
-  void
-  push_back (T &&item)
-  {
-    grow ();
-    base::push_back (std::move (item));
-  }
-  T &
-  front ()
-  {
-    return this->at (0);
-  }
-  T &
-  back ()
-  {
-    if (this->empty ())
-      throw std::out_of_range ("an empty array cannot be extended by a table");
-    return base::back ();
-  }
-  const T &
-  front () const
-  {
-    return this->at (0);
-  }
-  const T &
-  back () const
-  {
-    if (this->empty ())
-      throw std::out_of_range ("an empty array cannot be extended by a table");
-    return base::back ();
-  }
-
-private:
-  void
-  grow ()
-  {
-    if (this->size () < this->capacity ())
-      return;
-    base larger;
-    larger.reserve (2 * this->size () + 1);
-    std::move (this->begin (), this->end (), std::back_inserter (larger));
-    base::swap (larger);
-  }
-};
-
-// Ordered tables make the order of problems independent of the hash function.
-using value = toml::basic_value<toml::discard_comments, std::map, checked_vector>;
+using value = toml::basic_value<toml::discard_comments, foxtailrun::shared_map,
+                                foxtailrun::checked_vector>;
 
 // Longest piece of a line quoted in a syntax error, in bytes.
 constexpr size_t QUOTE_MAX = 60;
@@ -252,8 +190,8 @@
       std::unique_ptr<fc_toml_document> document (new fc_toml_document ());
       std::istringstream stream (std::string (text.data, text.len));
       document->text = text;
-      document->root
-          = toml::parse<toml::discard_comments, std::map, checked_vector> (stream, "");
+      document->root = toml::parse<toml::discard_comments, foxtailrun::shared_map,
+                                   foxtailrun::checked_vector> (stream, "");
       index_lines (*document);
       convert (*document, document->root, fb_str_t{ "", 0 });
       return document.release ();
--- a/packages/config/tests/fixture-check.c
+++ b/packages/config/tests/fixture-check.c
@@ -5,7 +5,7 @@
 
 const char fixture_document[]
     = "version = 7 # seventh\n"
-      "[[rank]]\nname = \"late\"\norder = 5\nshare = 0.25\nworth = 2\ntarget_ms = 5000\n"
+      "[[rank]]\nname = \"late\"\norder = 5\nshare = 0.25\nworth = 2\ntarget_ms = 5_000\n"
       "[[rank]]\nname = \"fast\"\norder = 0\nshare = 0.75\n"
       "[[service]]\nname = \"shop\"\nslots = 9\nconnections = 120\n"
       "depends_on = [\n  \"stock\", # read\n  \"price.list\",\n]\n"
--- a/packages/config/tests/test-document.c
+++ b/packages/config/tests/test-document.c
@@ -7,6 +7,7 @@
 #define V "version = 1\n"
 
 #define VERSION_TEXT "an integer from 1 to 9007199254740991"
+#define TOP_KEYS "one of version, rank, service, route, customer, objective"
 #define NAME_TEXT "1 to 47 letters, digits, '.', '_' or '-'"
 #define PATH_TEXT                                                                              \
   "\"/\" or at most 255 bytes in up to 32 segments, each with a \"/\" before it, without "     \
@@ -37,6 +38,12 @@
     "f:3: route_: found an unknown key, allowed: one of version, rank, service, route, customer, objective\n" },
   { "unknown-key", V RANK "weight = 1\n",
     "f:5: rank[0].weight: found an unknown key, allowed: one of name, order, target_ms, worth, share\n" },
+  { "unknown-odd-keys",
+    V "\"\\u001b[2J\" = 1\n"
+      "\"1ééééééééééééééééééééééééééééééééé\" = 1\n\"a\\u0000b\" = 1\n",
+    "f:2: ?[2J: found an unknown key, allowed: " TOP_KEYS "\n"
+    "f:3: 1ééééééééééééééééééééééééééééé...: found an unknown key, allowed: " TOP_KEYS "\n"
+    "f:4: a: found an unknown key, allowed: " TOP_KEYS "\n" },
   { "unknown-under-section", V "[rank]\n",
     "f:2: rank: found a table, allowed: [[rank]] tables\n" },
   { "section-value", V "rank = 3\nservice = [1]\nroute = [{}, 2]\n",
@@ -223,6 +230,7 @@
   g_assert_cmpfloat (rank->worth, ==, 1);
   g_assert_cmpfloat (rank->share, ==, 0.75);
   g_assert_cmpstr (fc_get_rank (snapshot, 1)->name.data, ==, "late");
+  g_assert_cmpuint (fc_get_rank (snapshot, 1)->target_ms, ==, 5000);
   g_assert_cmpfloat (fc_get_rank (snapshot, 1)->worth, ==, 2);
   g_assert_cmpuint (fc_get_service (snapshot, 0)->depends_count, ==, 2);
   g_assert_cmpuint (fc_get_service (snapshot, 0)->depends_on[1], ==, 2);
--- a/packages/foxtailrun/tests/test-commands.c
+++ b/packages/foxtailrun/tests/test-commands.c
@@ -182,6 +182,7 @@
 #define HEAD "[[rank]]\nname = \"fast\"\norder = 0\nshare = 0.5\n"
 #define SHOP "[[service]]\nname = \"shop\"\nslots = 9\nconnections = 120\n"
 #define STOCK "[[service]]\nname = \"stock\"\nslots = 4\nconnections = 9\n"
+#define BOTH "[[service]]\nname = \"both\"\nslots = 1\nconnections = 1\n"
 #define BUY "[[route]]\nname = \"buy\"\npath = \"/buy\"\nservice = \"shop\"\nrank = \"fast\"\n"
 
 typedef struct
@@ -208,6 +209,8 @@
   { SHOP, SHOP "depends_on = [\"stock\"]\n" STOCK,
     "service shop: depends_on [] -> [stock]\n"
     "service stock: added, slots 4, connections 9, depends_on []\n" },
+  { SHOP STOCK BOTH "depends_on = [\"shop\", \"stock\"]\n",
+    SHOP STOCK BOTH "depends_on = [\"stock\", \"shop\"]\n", "" },
   { SHOP STOCK, STOCK,
     "service shop: removed, slots 9, connections 120, depends_on []\n"
     "  risk: its instances receive no more calls\n" },
