Act on a leaving mark in the host list

Cause: a host that the platform's list has leave went on to get work; only SIGTERM and the command started a drain. Ruled out: each node reading the list itself, 100 calls a second at 3,000 nodes and more with the fleet. Change: readers watch the host list like the document and mark the member as leaving; the update spreads as an urgent one, pickers drop the member, and the node itself, which used to refute such an update, starts its drain.

--- a/packages/foxtailrund/tests/fixture-fleet.c
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -244,6 +244,24 @@
   g_free (path);
 }
 
+void
+fleet_publish_hosts (fleet_t *fleet, size_t leaving)
+{
+  char *path = g_build_filename (fleet->published, "hosts.json", NULL);
+  GString *text = g_string_new ("[");
+
+  for (size_t number = 1; number <= fleet->count; number++)
+    g_string_append_printf (text,
+                            "%s{\"Service\":{\"ID\":\"node-%zu\",\"Address\":\"%s\","
+                            "\"Port\":7001,\"Meta\":{\"state\":\"%s\"}}}",
+                            number == 1 ? "" : ",", number, make_address (fleet, number).data,
+                            number == leaving ? "leaving" : "live");
+  g_string_append_c (text, ']');
+  g_assert_true (g_file_set_contents (path, text->str, -1, NULL));
+  g_string_free (text, TRUE);
+  g_free (path);
+}
+
 void
 fleet_set_outage (fleet_t *fleet, bool down)
 {
--- a/packages/foxtailrund/tests/fixture-fleet.h
+++ b/packages/foxtailrund/tests/fixture-fleet.h
@@ -37,6 +37,9 @@
 /* Publishes the test's document under VERSION with EXTRA text at its end. */
 void fleet_publish (fleet_t *fleet, uint64_t version, const char *extra);
 
+/* Publishes a host list in which the host of node NUMBER is to leave; 0 for none. */
+void fleet_publish_hosts (fleet_t *fleet, size_t leaving);
+
 /* Makes the platform fail all calls, or answer again. */
 void fleet_set_outage (fleet_t *fleet, bool down);
 
--- a/packages/foxtailrund/tests/test-process-drain.c
+++ b/packages/foxtailrund/tests/test-process-drain.c
@@ -104,6 +104,22 @@
   fleet_stop (fleet);
 }
 
+/* Guards against a leaving mark in the host list that is not acted on. */
+static void
+test_host_list (void)
+{
+  fleet_t *fleet = fleet_start (NODES);
+
+  fleet_publish_hosts (fleet, DRAINED);
+  for (size_t number = 1; number <= NODES; number++)
+    {
+      if (number != DRAINED)
+        fleet_wait_state (fleet, number, DRAINED, "leaving");
+    }
+  g_assert_cmpint (fleet_wait_exit (fleet, DRAINED), ==, 0);
+  fleet_stop (fleet);
+}
+
 /* Guards against an administration that changes something without the key, or breaks on odd
  * requests. */
 static void
@@ -155,6 +171,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/process/drain/under-load", test_drain_under_load);
   g_test_add_func ("/process/drain/waits", test_drain_waits);
+  g_test_add_func ("/process/drain/host-list", test_host_list);
   g_test_add_func ("/process/admin", test_admin);
   return g_test_run ();
 }
--- a/packages/member/include/foxtailrun/member/table.h
+++ b/packages/member/include/foxtailrun/member/table.h
@@ -33,6 +33,9 @@
    * asked for its list, whose pages go to fm_merge_members. Called at most every 10 s; must not
    * change the table. May be NULL. */
   void (*diverged) (const fw_member_t *peer, void *user);
+  /* Another node has read in the host list that this host is to leave: the receiver should
+   * drain, which ends in fm_announce_leaving. Must not change the table. May be NULL. */
+  void (*told_to_leave) (void *user);
   void *user;
 } fm_hooks_t;
 
@@ -74,6 +77,11 @@
 /* Marks this node as leaving and spreads it as an urgent update. */
 void fm_announce_leaving (fm_table_t *table);
 
+/* Takes from the host list that member ID is to leave: it gets no new work from now on, all
+ * members are told as an urgent update, and the member itself by its hook. Does nothing for an
+ * unknown or dead member. */
+void fm_mark_leaving (fm_table_t *table, const fb_name_t *id);
+
 /* Raises the own incarnation and spreads it, after a pause. */
 void fm_raise_incarnation (fm_table_t *table);
 
--- a/packages/member/source/member-table.h
+++ b/packages/member/source/member-table.h
@@ -186,6 +186,9 @@
 void fm_apply_update (fm_table_t *table, const fw_member_t *update, fm_source_t source,
                       fm_told_t *told);
 /* Starts the suspicion of ENTRY after a failed probe. */
+/* Tells the owner, while this node is alive, that the host list has it leave. */
+void fm_hear_leaving (fm_table_t *table);
+
 void fm_suspect_entry (fm_table_t *table, fm_entry_t *entry);
 /* Changes the own state or incarnation and queues it. */
 void fm_change_self (fm_table_t *table, uint64_t incarnation, fw_member_state_t state);
--- a/packages/member/source/member-update.c
+++ b/packages/member/source/member-update.c
@@ -44,6 +44,31 @@
  * two would answer each other without end, at the cost of the whole fleet. */
 #define CONFLICT_PERIOD FB_SECOND
 
+void
+fm_hear_leaving (fm_table_t *table)
+{
+  if (table->self->member.state == FW_ALIVE && table->hooks.told_to_leave)
+    table->hooks.told_to_leave (table->hooks.user);
+}
+
+void
+fm_mark_leaving (fm_table_t *table, const fb_name_t *id)
+{
+  fm_entry_t *entry = fm_find_entry (table, id);
+  fw_member_t next;
+
+  if (!entry || entry->member.state == FW_LEAVING || entry->member.state == FW_DEAD)
+    return;
+  if (entry == table->self)
+    {
+      fm_hear_leaving (table);
+      return;
+    }
+  next = entry->member;
+  next.state = FW_LEAVING;
+  change_entry (table, entry, &next);
+}
+
 /* An update about this node is only ever a reason to raise the own incarnation above it. */
 static void
 refute_update (fm_table_t *table, const fw_member_t *update)
@@ -53,6 +78,13 @@
 
   if (!fw_is_override (update, self))
     return;
+  /* Nobody but this process announces its leaving, so that the word comes from the host list.
+   */
+  if (update->state == FW_LEAVING && update->incarnation == self->incarnation)
+    {
+      fm_hear_leaving (table);
+      return;
+    }
   if (update->state == FW_ALIVE || update->state == FW_LEAVING)
     {
       fb_add_counter (table->counters.conflicts, 1);
--- a/packages/member/tests/fixture-bed.h
+++ b/packages/member/tests/fixture-bed.h
@@ -12,9 +12,10 @@
   fb_clock_t *clock;
   fb_counters_t *counters;
   fm_table_t *table;
-  GArray *sent;      /* fw_datagram_t */
-  GArray *ports;     /* uint16_t, of the same datagrams */
-  unsigned diverged; /* calls of that hook */
+  GArray *sent;           /* fw_datagram_t */
+  GArray *ports;          /* uint16_t, of the same datagrams */
+  unsigned diverged;      /* calls of that hook */
+  unsigned told_to_leave; /* calls of that hook */
 } bed_t;
 
 /* Describes peer NUMBER, which listens on port NUMBER. */
--- a/packages/node/source/node-membership.c
+++ b/packages/node/source/node-membership.c
@@ -1,5 +1,6 @@
 #include "node-services.h"
 #include <foxtailrun/base/invariant.h>
+#include <foxtailrun/node/node.h>
 #include <foxtailrun/transport/udp.h>
 #include <glib.h>
 #include <sodium.h>
@@ -24,6 +25,7 @@
   ft_udp_t *udp;
   fk_timer_t *tick;
   fk_timer_t *seed;
+  fk_timer_t *leave; /* set once the host list has this host leave */
   watcher_t watchers[WATCHERS_MAX];
   size_t watcher_count;
 };
@@ -60,6 +62,17 @@
   fn_hear_version (fk_find_service (membership->kernel, FN_DISTRIBUTION), sender, version);
 }
 
+static void
+start_leaving (void *user)
+{
+  fn_membership_t *membership = user;
+
+  FB_LOG (fk_get_log (membership->kernel), FB_LOG_INFO, FN_MEMBERSHIP,
+          "the host list has this host leave",
+          FB_TEXT ("id", fn_get_settings (membership->kernel)->id.data));
+  fn_begin_drain (membership->kernel);
+}
+
 static void
 report_divergence (const fw_member_t *peer, void *user)
 {
@@ -68,6 +81,17 @@
   fn_handle_divergence (fk_find_service (membership->kernel, FN_DISTRIBUTION), peer);
 }
 
+static void
+begin_leaving (void *user)
+{
+  fn_membership_t *membership = user;
+
+  /* The drain changes the table, which its hooks must not: it starts with the next turn of the
+   * loop. */
+  if (!membership->leave)
+    membership->leave = fk_create_timeout (membership->kernel, 0, start_leaving, membership);
+}
+
 static void
 receive_datagram (fb_bytes_t datagram, void *user)
 {
@@ -119,6 +143,7 @@
 
   fk_destroy_timer (membership->tick);
   fk_destroy_timer (membership->seed);
+  fk_destroy_timer (membership->leave);
   ft_destroy_udp (membership->udp);
   membership->udp = NULL;
 }
@@ -158,6 +183,7 @@
                        .changed = report_change,
                        .heard = hear_version,
                        .diverged = report_divergence,
+                       .told_to_leave = begin_leaving,
                        .user = membership };
 
   membership->kernel = kernel;
--- a/packages/node/source/node-source.c
+++ b/packages/node/source/node-source.c
@@ -6,18 +6,21 @@
 
 /* The configuration service speaks Consul's KV and health protocols. */
 #define DOCUMENT_PATH "/v1/kv/foxtailrun/config?raw=true"
-#define HOSTS_PATH "/v1/health/service/foxtailrun"
+#define HOSTS_PATH "/v1/health/service/foxtailrun?passing=false"
 
 /* Time after which a silent connection to the source is given up: the wait of a watch, the
  * sixteenth that Consul may add, and time to answer. */
 #define IO_TIMEOUT (FD_WATCH_WAIT + 1 * FB_SECOND)
 
-/* Period in which readers read the host list. */
-#define HOSTS_PERIOD (30 * FB_SECOND)
+/* Pause between two watches of the host list on readers. */
+#define HOSTS_PERIOD (500 * FB_MILLISECOND)
 
 /* Upper bound of the random delay before a starting node reads the host list. */
 #define HOSTS_START_DELAY_MS 2000
 
+/* Upper bound of the random delay before the host list is read again after a failure. */
+#define HOSTS_RETRY_MAX_MS 5000
+
 /* Largest host list: 3,000 hosts of some 500 bytes. */
 #define HOSTS_MAX (4 * 1024 * 1024)
 
@@ -27,6 +30,8 @@
   fh_client_t *client;
   fh_exchange_t *document_read;
   fh_exchange_t *hosts_read;
+  uint64_t hosts_index;
+  fb_time_t hosts_next; /* no read before, after a failure */
   fk_timer_t *hosts_start;
   fk_timer_t *hosts_period;
   fb_counter_t *calls;
@@ -67,7 +72,14 @@
   return text ? text : "";
 }
 
-/* Probes the hosts of the list that are not known as members. */
+static bool
+is_leaving (json_t *service)
+{
+  return g_str_equal (get_text (json_object_get (service, "Meta"), "state"), "leaving");
+}
+
+/* Probes the hosts of the list that are not known as members, and marks those that are to
+ * leave. */
 static void
 probe_hosts (fn_source_t *source, json_t *list)
 {
@@ -87,6 +99,8 @@
       continue;
     if (!known || known->state == FW_DEAD)
       fm_probe_address (members, &address, (uint16_t)port);
+    else if (is_leaving (service))
+      fm_mark_leaving (members, &id);
   }
 }
 
@@ -99,11 +113,16 @@
   source->hosts_read = NULL;
   if (response->result == FH_ANSWERED && response->status == 200)
     list = json_loadb ((const char *)response->body.data, response->body.len, 0, NULL);
+  source->hosts_index = json_is_array (list) ? parse_index (response) : 0;
   if (json_is_array (list))
     probe_hosts (source, list);
   else
-    FB_LOG (fk_get_log (source->kernel), FB_LOG_WARNING, FN_SOURCE, "host list not read",
-            FB_NUMBER ("status", response->status));
+    {
+      source->hosts_next = fb_read_clock (fk_get_clock (source->kernel))
+                           + g_random_int_range (1000, HOSTS_RETRY_MAX_MS) * FB_MILLISECOND;
+      FB_LOG (fk_get_log (source->kernel), FB_LOG_WARNING, FN_SOURCE, "host list not read",
+              FB_NUMBER ("status", response->status));
+    }
   json_decref (list);
 }
 
@@ -120,9 +139,16 @@
 read_hosts (void *user)
 {
   fn_source_t *source = user;
+  char path[128];
 
-  if (!source->hosts_read)
-    source->hosts_read = send_get (source, HOSTS_PATH, end_hosts_read);
+  if (source->hosts_read || fb_read_clock (fk_get_clock (source->kernel)) < source->hosts_next)
+    return;
+  if (source->hosts_index == 0)
+    g_strlcpy (path, HOSTS_PATH, sizeof path);
+  else
+    snprintf (path, sizeof path, HOSTS_PATH "&index=%" G_GUINT64_FORMAT "&wait=%ds",
+              source->hosts_index, (int)(FD_WATCH_WAIT / FB_SECOND));
+  source->hosts_read = send_get (source, path, end_hosts_read);
 }
 
 static void
@@ -132,6 +158,8 @@
 
   if (fn_check_reader (fk_find_service (source->kernel, FN_DISTRIBUTION)))
     read_hosts (source);
+  else
+    source->hosts_index = 0;
 }
 
 static fb_status_t
