--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -1,9 +1,5 @@
-#include "node-services.h"
+#include "node-backend.h"
 #include <foxtailrun/base/invariant.h>
-#include <foxtailrun/call/admission.h>
-#include <foxtailrun/call/once.h>
-#include <foxtailrun/http/client.h>
-#include <glib.h>
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -21,62 +17,18 @@
 #define ONCE_RECORDS_MAX 20000
 #define ONCE_BYTES_MAX (8 * 1024 * 1024)
 
-typedef enum
-{
-  CALL_WAITING,
-  CALL_RUNNING,
-  CALL_JOINED /* waits for the answer of a running call with the same ticket */
-} call_state_t;
-
-/* One call at the node beside the backend server. */
-typedef struct
-{
-  fn_backend_t *backend;
-  uint64_t handle;
-  call_state_t state;
-  uint8_t *header;
-  uint8_t *body;
-  fw_call_t call; /* refers to HEADER and BODY */
-  fb_time_t deadline;
-  fb_time_t started;
-  bool has_ticket;
-  fr_ticket_t ticket;
-  fh_exchange_t *exchange;
-  fn_answered_fn_t answered; /* NULL once cancelled */
-  void *user;
-} served_t;
-
-struct fn_backend
-{
-  fk_kernel_t *kernel;
-  fr_admission_t *admission;
-  fr_once_t *once;
-  fh_client_t *client;
-  fk_timer_t *tick;
-  GHashTable *calls; /* served_t by handle */
-  uint64_t last_handle;
-  uint64_t rules_number;
-  bool draining;
-  bool closed;
-  fb_counter_t *started;
-  fb_counter_t *refused;
-  fb_counter_t *replayed;
-  fb_counter_t *unknown;
-};
-
 static void
 free_served (void *data)
 {
-  served_t *served = data;
+  fn_served_t *served = data;
 
   g_free (served->header);
   g_free (served->body);
   g_free (served);
 }
 
-/* Answers a call and forgets it. */
-static void
-answer_call (served_t *served, fw_call_t *answer)
+void
+fn_answer_served (fn_served_t *served, fw_call_t *answer)
 {
   fn_backend_t *backend = served->backend;
 
@@ -87,8 +39,9 @@
   g_hash_table_remove (backend->calls, &served->handle);
 }
 
-static void
-answer_outcome (served_t *served, fw_outcome_t outcome, uint32_t status, const char *reason)
+void
+fn_answer_outcome (fn_served_t *served, fw_outcome_t outcome, uint32_t status,
+                   const char *reason)
 {
   fw_call_t answer = { .outcome = outcome, .status = status, .reason = fb_wrap_text (reason) };
 
@@ -96,90 +49,11 @@
     fb_add_counter (served->backend->refused, 1);
   else if (outcome == FW_UNKNOWN)
     fb_add_counter (served->backend->unknown, 1);
-  answer_call (served, &answer);
-}
-
-/* Packs an answer for the records of at-most-once calls: the length of the header part, it, and
- * the body. */
-static GByteArray *
-pack_answer (const fw_call_t *answer)
-{
-  size_t length;
-  uint8_t *header = fw_encode_call (answer, &length);
-  uint32_t prefix = (uint32_t)length;
-  GByteArray *packed = g_byte_array_new ();
-
-  g_byte_array_append (packed, (const guint8 *)&prefix, sizeof prefix);
-  g_byte_array_append (packed, header, (guint)length);
-  g_byte_array_append (packed, answer->body.data, (guint)answer->body.len);
-  g_free (header);
-  return packed;
-}
-
-static bool
-unpack_answer (fb_bytes_t packed, fw_call_t *answer)
-{
-  uint32_t prefix;
-
-  if (packed.len < sizeof prefix)
-    return false;
-  memcpy (&prefix, packed.data, sizeof prefix);
-  if (prefix > packed.len - sizeof prefix)
-    return false;
-  return fw_decode_call ((fb_bytes_t){ packed.data + sizeof prefix, prefix },
-                         (fb_bytes_t){ packed.data + sizeof prefix + prefix,
-                                       packed.len - sizeof prefix - prefix },
-                         answer)
-         == FB_OK;
-}
-
-/* Answers every call that waits for the same ticket as ENDED. */
-static void
-answer_joined (served_t *ended, const fw_call_t *answer)
-{
-  GPtrArray *joined = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, ended->backend->calls);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      served_t *other = value;
-      if (other->state == CALL_JOINED && other->ticket.serial == ended->ticket.serial)
-        g_ptr_array_add (joined, other);
-    }
-  for (guint i = 0; i < joined->len; i++)
-    {
-      fw_call_t copy = *answer;
-      answer_call (g_ptr_array_index (joined, i), &copy);
-    }
-  g_ptr_array_free (joined, TRUE);
-}
-
-/* Records the end of a call that runs at most once. */
-static void
-record_end (served_t *served, const fw_call_t *answer)
-{
-  fr_once_t *once = served->backend->once;
-  GByteArray *packed;
-
-  if (answer->outcome == FW_NOT_RUN)
-    {
-      fr_abandon_once (once, &served->ticket);
-      return;
-    }
-  if (answer->outcome != FW_ANSWERED)
-    {
-      fr_end_once (once, &served->ticket, (fb_bytes_t){ NULL, 0 });
-      return;
-    }
-  packed = pack_answer (answer);
-  fr_end_once (once, &served->ticket, (fb_bytes_t){ packed->data, packed->len });
-  g_byte_array_free (packed, TRUE);
+  fn_answer_served (served, &answer);
 }
 
 static void
-end_running (served_t *served, fw_call_t *answer)
+end_running (fn_served_t *served, fw_call_t *answer)
 {
   fn_backend_t *backend = served->backend;
 
@@ -191,12 +65,9 @@
   if (answer->outcome == FW_UNKNOWN)
     fb_add_counter (backend->unknown, 1);
   if (served->has_ticket)
-    {
-      record_end (served, answer);
-      answer_joined (served, answer);
-    }
+    fn_end_ticket (served, answer);
   fr_finish_call (backend->admission, served->handle);
-  answer_call (served, answer);
+  fn_answer_served (served, answer);
 }
 
 static void
@@ -213,7 +84,7 @@
 static void
 end_exchange (const fh_response_t *response, void *user)
 {
-  served_t *served = user;
+  fn_served_t *served = user;
   fw_call_t answer = { .status = 502, .reason = fb_wrap_text (response->error) };
 
   if (response->result == FH_ANSWERED)
@@ -234,7 +105,7 @@
 }
 
 static void
-send_to_backend (served_t *served)
+send_to_backend (fn_served_t *served)
 {
   fn_backend_t *backend = served->backend;
   fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
@@ -253,71 +124,11 @@
       = (fh_header_t){ FB_LITERAL ("foxtailrun-timeout-ms"), fb_wrap_text (remaining) };
   outgoing.header_count = served->call.header_count + 1;
   served->started = now;
-  served->state = CALL_RUNNING;
+  served->state = FN_CALL_RUNNING;
   fb_add_counter (backend->started, 1);
   served->exchange = fh_send_request (backend->client, &outgoing, end_exchange, served);
 }
 
-static uint64_t
-digest_request (const fw_call_t *call)
-{
-  uint64_t digest = fb_hash_str (call->method, 0);
-
-  digest = fb_hash_str (call->path, digest);
-  return fb_hash_str ((fb_str_t){ (const char *)call->body.data, call->body.len }, digest);
-}
-
-/* Answers a call with a ticket from what is known of the ticket's use. */
-static void
-answer_known (served_t *served, fr_once_state_t state, fb_bytes_t recorded, const char *refusal)
-{
-  fw_call_t answer = { 0 };
-
-  switch (state)
-    {
-    case FR_ONCE_RUNNING:
-      served->state = CALL_JOINED;
-      return;
-    case FR_ONCE_ANSWERED:
-      fb_add_counter (served->backend->replayed, 1);
-      if (unpack_answer (recorded, &answer))
-        answer_call (served, &answer);
-      else
-        answer_outcome (served, FW_UNKNOWN, 504, "recorded answer is not readable");
-      return;
-    case FR_ONCE_REFUSED:
-      answer_outcome (served, FW_NOT_RUN, 503, refusal);
-      return;
-    case FR_ONCE_INVALID:
-      answer_outcome (served, FW_NOT_RUN, 422, "ticket was not issued");
-      return;
-    case FR_ONCE_MISMATCH:
-      answer_outcome (served, FW_UNKNOWN, 422, "ticket was used for another request");
-      return;
-    default:
-      answer_outcome (served, FW_UNKNOWN, 504, "ticket may have run, its answer is not held");
-      return;
-    }
-}
-
-/* Refuses a call that was not taken. With a ticket, "not run" is told only when no earlier use
- * ran, and the ticket never runs later. */
-static void
-refuse_served (served_t *served, uint32_t status, const char *reason)
-{
-  fb_bytes_t recorded;
-  fr_once_state_t state;
-
-  if (!served->has_ticket)
-    {
-      answer_outcome (served, FW_NOT_RUN, status, reason);
-      return;
-    }
-  state = fr_refuse_once (served->backend->once, &served->ticket,
-                          digest_request (&served->call), &recorded);
-  answer_known (served, state, recorded, reason);
-}
-
 static void
 start_call (void *call, void *user)
 {
@@ -328,18 +139,15 @@
 static void
 refuse_call (void *call, fr_refusal_t refusal, void *user)
 {
-  served_t *served = call;
+  fn_served_t *served = call;
   fw_call_t answer = { .outcome = FW_NOT_RUN,
                        .status = refusal == FR_REFUSED_FULL ? 429 : 503,
                        .reason = fb_wrap_text (fr_describe_refusal (refusal)) };
 
   fb_add_counter (served->backend->refused, 1);
   if (served->has_ticket)
-    {
-      fr_abandon_once (served->backend->once, &served->ticket);
-      answer_joined (served, &answer);
-    }
-  answer_call (served, &answer);
+    fn_end_ticket (served, &answer);
+  fn_answer_served (served, &answer);
 }
 
 /* Takes over the ranks and slots of the snapshot in force when they changed. */
@@ -352,9 +160,10 @@
       = fc_find_service (snapshot, fb_get_name (&settings->service), NULL);
   size_t count = fc_count_ranks (snapshot);
 
-  if (!service || backend->rules_number == fc_get_number (snapshot))
+  if (!service || backend->rules == snapshot)
     return;
-  backend->rules_number = fc_get_number (snapshot);
+  fc_release_snapshot (backend->rules);
+  backend->rules = fc_retain_snapshot (snapshot);
   for (size_t i = 0; i < count; i++)
     {
       const fc_rank_t *rank = fc_get_rank (snapshot, i);
@@ -379,13 +188,13 @@
   g_hash_table_iter_init (&iter, backend->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      served_t *served = value;
-      if (served->state == CALL_RUNNING && !served->has_ticket && now >= served->deadline)
+      fn_served_t *served = value;
+      if (served->state == FN_CALL_RUNNING && !served->has_ticket && now >= served->deadline)
         g_ptr_array_add (late, served);
     }
   for (guint i = 0; i < late->len; i++)
     {
-      served_t *served = g_ptr_array_index (late, i);
+      fn_served_t *served = g_ptr_array_index (late, i);
       fw_call_t answer = { .outcome = FW_FAILED,
                            .status = 504,
                            .reason = FB_LITERAL ("deadline passed at the backend server") };
@@ -427,10 +236,10 @@
   return route && !route->repeatable;
 }
 
-static served_t *
+static fn_served_t *
 copy_call (fn_backend_t *backend, const fw_call_t *call)
 {
-  served_t *served = g_new0 (served_t, 1);
+  fn_served_t *served = g_new0 (fn_served_t, 1);
   size_t length;
 
   served->backend = backend;
@@ -448,44 +257,21 @@
 /* Queues SERVED for a slot. A ticket is recorded as running from here on, so that a copy of the
  * request joins this one instead of taking a slot. */
 static void
-offer_served (served_t *served)
+offer_served (fn_served_t *served)
 {
-  fr_once_state_t state = FR_ONCE_RUN;
-  fb_bytes_t recorded;
   fn_backend_t *backend = served->backend;
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
   uint32_t rank = (uint32_t)fc_count_ranks (snapshot) - 1;
 
-  if (served->has_ticket)
-    state = fr_begin_once (backend->once, &served->ticket, digest_request (&served->call),
-                           &recorded);
-  if (state != FR_ONCE_RUN)
-    {
-      answer_known (served, state, recorded, "ticket was refused before");
-      return;
-    }
+  if (served->has_ticket && !fn_begin_ticket (served))
+    return;
   update_rules (backend, snapshot);
   fc_find_rank (snapshot, served->call.rank, &rank);
   fr_offer_call (backend->admission, served->handle, served, rank, served->call.customer,
                  fc_weigh_customer (snapshot, served->call.customer), served->deadline);
 }
 
-/* Answers a call that needs a ticket with a new one. */
-static void
-send_ticket (served_t *served)
-{
-  char ticket[FR_TICKET_MAX];
-  fw_call_t answer = { .outcome = FW_NOT_RUN,
-                       .status = 428,
-                       .reason = FB_LITERAL ("repeat the request with the ticket"),
-                       .header_count = 1 };
-
-  fr_issue_ticket (served->backend->once, ticket);
-  answer.headers[0] = (fw_header_t){ FB_LITERAL ("foxtailrun-ticket"), fb_wrap_text (ticket) };
-  answer_call (served, &answer);
-}
-
 static fb_status_t
 start_backend (fk_kernel_t *kernel, void *data)
 {
@@ -510,7 +296,7 @@
   g_hash_table_iter_init (&iter, backend->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      served_t *served = value;
+      fn_served_t *served = value;
       if (served->exchange)
         fh_cancel_exchange (served->exchange);
       served->exchange = NULL;
@@ -527,6 +313,7 @@
 
   fr_destroy_admission (backend->admission);
   fr_destroy_once (backend->once);
+  fc_release_snapshot (backend->rules);
   g_hash_table_destroy (backend->calls);
   g_free (backend);
 }
@@ -562,7 +349,7 @@
   const char *obstacle = find_obstacle (backend, call);
   bool wants_ticket = fb_equal_str (call->ticket, FB_LITERAL ("new"))
                       || (!obstacle && call->ticket.len == 0 && needs_ticket (backend, call));
-  served_t *served = copy_call (backend, call);
+  fn_served_t *served = copy_call (backend, call);
   uint64_t handle = served->handle;
 
   served->answered = answered;
@@ -571,11 +358,11 @@
   g_hash_table_insert (backend->calls, &served->handle, served);
   fk_resume_timer (backend->tick);
   if (served->has_ticket && fr_parse_ticket (call->ticket, &served->ticket) != FB_OK)
-    answer_outcome (served, FW_NOT_RUN, 422, "malformed ticket");
+    fn_answer_outcome (served, FW_NOT_RUN, 422, "malformed ticket");
   else if (obstacle)
-    refuse_served (served, 503, obstacle);
+    fn_refuse_served (served, 503, obstacle);
   else if (wants_ticket)
-    send_ticket (served);
+    fn_send_ticket (served);
   else
     offer_served (served);
   return g_hash_table_contains (backend->calls, &handle) ? handle : 0;
@@ -584,18 +371,18 @@
 void
 fn_cancel_call (fn_backend_t *backend, uint64_t handle)
 {
-  served_t *served = g_hash_table_lookup (backend->calls, &handle);
+  fn_served_t *served = g_hash_table_lookup (backend->calls, &handle);
   fw_call_t answer = { .outcome = FW_FAILED };
 
   if (!served)
     return;
   served->answered = NULL;
-  if (served->state == CALL_RUNNING && !served->has_ticket)
+  if (served->state == FN_CALL_RUNNING && !served->has_ticket)
     {
       fh_cancel_exchange (served->exchange);
       end_running (served, &answer);
     }
-  else if (served->state == CALL_WAITING)
+  else if (served->state == FN_CALL_WAITING)
     fr_cancel_call (backend->admission, handle);
 }
 
