Count service-level burn at the entry node

Operators can set objectives in the configuration, but no node measured them.

The new package report counts each call as good, refused, late, failed or unknown for its objective. Each of the windows of 5 min, 30 min, 1 h and 6 h is a ring of 31 buckets, 1/30 of the window wide, at 2.5 KB an objective. The node counts where the entry node answers, and serves the counts as GET /burn of the administration. Refusals on arrival (throttled, not ready) count too; 428, 422 and 499 do not, because they are a step of a ticketed call or the caller's own doing.

An objective keeps its counts when its ratio changes, and starts anew when its target changes, because the counts were judged by the old one.

--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -115,6 +115,12 @@
   return json_pack ("{s:o}", "routes", list);
 }
 
+static json_t *
+answer_burn (admin_t *admin, uint32_t *status)
+{
+  return fn_describe_burn (fk_find_service (admin->kernel, FN_BURN));
+}
+
 static json_t *
 answer_drain (admin_t *admin, uint32_t *status)
 {
@@ -179,6 +185,7 @@
   { FB_LITERAL ("GET"), FB_LITERAL ("/version"), false, answer_version },
   { FB_LITERAL ("GET"), FB_LITERAL ("/members"), false, answer_members },
   { FB_LITERAL ("GET"), FB_LITERAL ("/routes"), false, answer_routes },
+  { FB_LITERAL ("GET"), FB_LITERAL ("/burn"), false, answer_burn },
   { FB_LITERAL ("POST"), FB_LITERAL ("/drain"), true, answer_drain },
 };
 
--- /dev/null
+++ b/packages/node/source/node-burn.c
@@ -0,0 +1,139 @@
+/* burn: counts callers' calls against the objectives of the configuration in force. */
+#include "node-services.h"
+#include <foxtailrun/report/burn.h>
+#include <glib.h>
+
+struct fn_burn
+{
+  fk_kernel_t *kernel;
+  fs_burn_t *counts;
+  fc_snapshot_t *snapshot; /* whose objectives are counted; holds a reference */
+};
+
+/* Takes over the objectives of the snapshot in force, when it is another one. */
+static void
+follow_snapshot (fn_burn_t *burn)
+{
+  fc_snapshot_t *snapshot = fn_get_snapshot (fk_find_service (burn->kernel, FN_DISTRIBUTION));
+
+  if (snapshot == burn->snapshot)
+    return;
+  fs_set_objectives (burn->counts, snapshot);
+  fc_release_snapshot (burn->snapshot);
+  burn->snapshot = snapshot ? fc_retain_snapshot (snapshot) : NULL;
+}
+
+/* Returns the cause under which ANSWER counts. An answer with a status of 500 or more is no
+ * service to the caller, although the backend server gave it. */
+static fs_cause_t
+judge_answer (const fw_call_t *answer)
+{
+  switch (answer->outcome)
+    {
+    case FW_ANSWERED:
+      return answer->status >= 500 ? FS_FAILED : FS_GOOD;
+    case FW_NOT_RUN:
+      return FS_REFUSED;
+    case FW_FAILED:
+      return FS_FAILED;
+    case FW_UNKNOWN:
+      break;
+    }
+  return FS_UNKNOWN;
+}
+
+/* Returns whether ANSWER says nothing about the service: 428 hands out a ticket and is a step
+ * of every call that runs at most once, 422 rejects a wrong ticket, and 499 ends a call that
+ * its caller gave up. */
+static bool
+is_ignored (const fw_call_t *answer)
+{
+  return answer->outcome != FW_ANSWERED
+         && (answer->status == 428 || answer->status == 422 || answer->status == 499);
+}
+
+void
+fn_count_burn (fn_burn_t *burn, const fc_snapshot_t *snapshot, const fc_route_t *route,
+               const fw_call_t *answer, fb_time_t start)
+{
+  if (is_ignored (answer))
+    return;
+  follow_snapshot (burn);
+  fs_count_call (burn->counts, fb_get_name (&fc_get_service (snapshot, route->service)->name),
+                 fb_get_name (&fc_get_rank (snapshot, route->rank)->name),
+                 judge_answer (answer), fb_read_clock (fk_get_clock (burn->kernel)) - start);
+}
+
+void
+fn_count_refusal (fn_burn_t *burn, const fc_snapshot_t *snapshot, const fc_route_t *route)
+{
+  fw_call_t refusal = { .outcome = FW_NOT_RUN };
+
+  if (snapshot && route)
+    fn_count_burn (burn, snapshot, route, &refusal,
+                   fb_read_clock (fk_get_clock (burn->kernel)));
+}
+
+static json_t *
+pack_window (const fs_reading_t *reading, fs_window_t window)
+{
+  const fs_counts_t *counts = &reading->windows[window];
+  json_t *object = json_pack ("{s:s,s:I,s:f}", "window", fs_describe_window (window),
+                              "reach_ms", (json_int_t)(counts->reach_min / FB_MILLISECOND),
+                              "rate", fs_compute_rate (counts, reading->objective.ratio));
+
+  for (int cause = 0; cause < FS_CAUSE_COUNT; cause++)
+    json_object_set_new (object, fs_describe_cause ((fs_cause_t)cause),
+                         json_integer ((json_int_t)counts->calls[cause]));
+  return object;
+}
+
+static json_t *
+pack_reading (const fs_reading_t *reading)
+{
+  const fs_objective_t *objective = &reading->objective;
+  json_t *windows = json_array ();
+
+  for (int window = 0; window < FS_WINDOW_COUNT; window++)
+    json_array_append_new (windows, pack_window (reading, (fs_window_t)window));
+  return json_pack ("{s:s,s:s,s:I,s:f,s:s,s:f,s:o}", "service", objective->service.data, "rank",
+                    objective->rank.data, "target_ms", (json_int_t)objective->target_ms,
+                    "ratio", objective->ratio, "alert",
+                    fs_describe_alert (fs_judge_reading (reading)), "budget",
+                    fs_compute_budget (reading), "windows", windows);
+}
+
+json_t *
+fn_describe_burn (fn_burn_t *burn)
+{
+  const fc_settings_t *settings = fn_get_settings (burn->kernel);
+  json_t *list = json_array ();
+  fs_reading_t reading;
+
+  follow_snapshot (burn);
+  for (size_t i = 0; fs_read_objective (burn->counts, i, &reading); i++)
+    json_array_append_new (list, pack_reading (&reading));
+  return json_pack ("{s:s,s:s,s:o}", "id", settings->id.data, "zone", settings->zone.data,
+                    "objectives", list);
+}
+
+static void
+destroy_burn (void *data)
+{
+  fn_burn_t *burn = data;
+
+  fs_destroy_burn (burn->counts);
+  fc_release_snapshot (burn->snapshot);
+  g_free (burn);
+}
+
+void
+fn_register_burn (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable = { .destroy = destroy_burn };
+  fn_burn_t *burn = g_new0 (fn_burn_t, 1);
+
+  burn->kernel = kernel;
+  burn->counts = fs_create_burn (fk_get_clock (kernel));
+  fk_register_service (kernel, FN_BURN, &vtable, burn);
+}
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -62,6 +62,8 @@
 {
   fn_entry_t *entry = call->entry;
 
+  fn_count_burn (fk_find_service (entry->kernel, FN_BURN), call->snapshot, call->route, answer,
+                 call->start);
   respond (entry, call->request, answer, call->request_id);
   fk_destroy_timer (call->timer);
   fc_release_snapshot (call->snapshot);
@@ -168,7 +170,8 @@
     call->customer = default_customer;
   call->ticket = find_request_header (request, FB_LITERAL ("foxtailrun-ticket"));
   g_strlcpy (call->request_id, request_id, sizeof call->request_id);
-  call->deadline = fb_read_clock (fk_get_clock (entry->kernel)) + timeout;
+  call->start = fb_read_clock (fk_get_clock (entry->kernel));
+  call->deadline = call->start + timeout;
   call->timer = fk_create_timeout (entry->kernel, timeout, expire_call, call);
   entry->calls++;
   return call;
@@ -192,12 +195,14 @@
       refuse_request (entry, request, 400, fault, request_id);
       return;
     }
+  route = snapshot ? fc_find_route (snapshot, fh_get_method (request), fh_get_path (request))
+                   : NULL;
   if (!fn_check_ready (distribution) || !snapshot)
     {
+      fn_count_refusal (fk_find_service (entry->kernel, FN_BURN), snapshot, route);
       refuse_request (entry, request, 503, "node is not ready", request_id);
       return;
     }
-  route = fc_find_route (snapshot, fh_get_method (request), fh_get_path (request));
   if (!route)
     {
       refuse_request (entry, request, 404, "no route for this path and method", request_id);
@@ -207,6 +212,7 @@
   if (!fr_admit_upstream (entry->throttle, service, route->rank))
     {
       fb_add_counter (entry->throttled, 1);
+      fn_count_refusal (fk_find_service (entry->kernel, FN_BURN), snapshot, route);
       refuse_request (entry, request, 429, "service is overloaded for this rank", request_id);
       return;
     }
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -40,6 +40,7 @@
   fb_str_t customer;
   fb_str_t ticket;
   char request_id[64];
+  fb_time_t start;
   fb_time_t deadline;
   fk_timer_t *timer;
   uint32_t attempt_count;
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -8,6 +8,7 @@
 #include <foxtailrun/kernel/kernel.h>
 #include <foxtailrun/member/table.h>
 #include <foxtailrun/wire/call.h>
+#include <jansson.h>
 
 #define FN_SETTINGS "settings"
 #define FN_MEMBERSHIP "membership"
@@ -16,6 +17,7 @@
 #define FN_BACKEND "backend"
 #define FN_CALLS "calls"
 #define FN_ENTRY "entry"
+#define FN_BURN "burn"
 #define FN_ADMIN "admin"
 #define FN_DRAIN "drain"
 
@@ -137,6 +139,22 @@
 /* Describes instance state of SERVICE for the administration. */
 size_t fn_count_instances (fn_entry_t *entry, fb_str_t service);
 
+/* burn: how fast callers' calls use up the budgets of the objectives. */
+typedef struct fn_burn fn_burn_t;
+
+void fn_register_burn (fk_kernel_t *kernel);
+
+/* Counts a call on ROUTE of SNAPSHOT that came at START and is now answered by ANSWER. */
+void fn_count_burn (fn_burn_t *burn, const fc_snapshot_t *snapshot, const fc_route_t *route,
+                    const fw_call_t *answer, fb_time_t start);
+
+/* Counts a call on ROUTE of SNAPSHOT that is refused on arrival; either may be NULL, then there
+ * is no objective to count it under. */
+void fn_count_refusal (fn_burn_t *burn, const fc_snapshot_t *snapshot, const fc_route_t *route);
+
+/* Returns the counts of this node as a new object. */
+json_t *fn_describe_burn (fn_burn_t *burn);
+
 void fn_register_admin (fk_kernel_t *kernel);
 void fn_register_drain (fk_kernel_t *kernel);
 
--- a/packages/node/source/node.c
+++ b/packages/node/source/node.c
@@ -41,6 +41,7 @@
   fn_register_distribution (kernel);
   fn_register_backend (kernel);
   fn_register_calls (kernel);
+  fn_register_burn (kernel);
   fn_register_entry (kernel);
   fn_register_admin (kernel);
   fn_register_drain (kernel);
--- /dev/null
+++ b/packages/report/include/foxtailrun/report/burn.h
@@ -0,0 +1,130 @@
+/* Service-level burn: how fast calls use up the error budgets of the objectives. */
+#ifndef FOXTAILRUN_REPORT_BURN_H
+#define FOXTAILRUN_REPORT_BURN_H
+
+#include <foxtailrun/base/clock.h>
+#include <foxtailrun/config/snapshot.h>
+
+/* What became of a call; all but FS_GOOD are causes of burnt budget. */
+typedef enum
+{
+  FS_GOOD,    /* answered within the target */
+  FS_REFUSED, /* not run */
+  FS_LATE,    /* answered after the target */
+  FS_FAILED,  /* the backend server failed */
+  FS_UNKNOWN, /* may have run; no whole answer */
+  FS_CAUSE_COUNT
+} fs_cause_t;
+
+typedef enum
+{
+  FS_WINDOW_5M,
+  FS_WINDOW_30M,
+  FS_WINDOW_1H,
+  FS_WINDOW_6H,
+  FS_WINDOW_COUNT
+} fs_window_t;
+
+#define FS_WINDOW_LONGEST FS_WINDOW_6H
+
+/* Buckets of one window that are complete; one more is being filled. A window therefore spans
+ * its length and at most 1/30 more. */
+#define FS_BUCKETS 30
+
+/* Burn rates at which both windows of a pair raise an alert: the budget of 30 days would be
+ * used up in about 2 and 5 days. */
+#define FS_RATE_PAGE 14.4
+#define FS_RATE_TICKET 6.0
+
+/* Largest burn rate. Any bad call against a ratio of 1, which leaves no budget, has it. */
+#define FS_RATE_MAX 1e6
+
+typedef enum
+{
+  FS_QUIET,
+  FS_TICKET, /* 30 min and 6 h burn at FS_RATE_TICKET or more */
+  FS_PAGE    /* 5 min and 1 h burn at FS_RATE_PAGE or more */
+} fs_alert_t;
+
+typedef struct
+{
+  fb_name_t service;
+  fb_name_t rank;
+  uint32_t target_ms;
+  double ratio; /* part of calls that are to be good, 0 to 1 */
+} fs_objective_t;
+
+/* Calls of one window. */
+typedef struct
+{
+  uint64_t calls[FS_CAUSE_COUNT];
+  fb_time_t reach_min; /* how far back the counts go, in ns: at the node with the least */
+  fb_time_t reach_max; /* and at the node with the most */
+} fs_counts_t;
+
+/* Counts of one objective on one node, or merged. */
+typedef struct
+{
+  fs_objective_t objective;
+  fs_counts_t windows[FS_WINDOW_COUNT];
+} fs_reading_t;
+
+/* Counts of one process. Each objective takes 2.5 KB plus its name, so that the largest
+ * configuration (FC_OBJECTIVES_MAX) takes about 11 MB. */
+typedef struct fs_burn fs_burn_t;
+
+/* Creates counts without objectives; CLOCK is borrowed. Destroy with fs_destroy_burn. */
+fs_burn_t *fs_create_burn (const fb_clock_t *clock);
+
+/* Frees BURN; NULL is allowed. */
+void fs_destroy_burn (fs_burn_t *burn);
+
+/* Takes over the objectives of SNAPSHOT, which is not kept; NULL has none. An objective of the
+ * same service, rank and target keeps its counts even when its ratio changes; with another
+ * target it starts anew, because its counts were judged by the old one. */
+void fs_set_objectives (fs_burn_t *burn, const fc_snapshot_t *snapshot);
+
+/* Counts a call that ended now, TAKEN ns after it arrived. CAUSE is FS_GOOD for an answer of
+ * any latency: the target of the objective decides between FS_GOOD and FS_LATE. Calls without
+ * an objective are ignored. */
+void fs_count_call (fs_burn_t *burn, fb_str_t service, fb_str_t rank, fs_cause_t cause,
+                    fb_time_t taken);
+
+/* Returns the number of objectives. */
+size_t fs_count_objectives (const fs_burn_t *burn);
+
+/* Stores the counts of objective INDEX, in the order of the document; false when there is none.
+ */
+bool fs_read_objective (fs_burn_t *burn, size_t index, fs_reading_t *reading);
+
+/* Returns the length of WINDOW in ns, and its name, such as "5m". */
+fb_time_t fs_get_window_length (fs_window_t window);
+const char *fs_describe_window (fs_window_t window);
+
+/* Returns the name of CAUSE, such as "refused". */
+const char *fs_describe_cause (fs_cause_t cause);
+
+/* Returns "page", "ticket" or "-". */
+const char *fs_describe_alert (fs_alert_t alert);
+
+/* Returns all calls, and those that burn budget. */
+uint64_t fs_count_calls (const fs_counts_t *counts);
+uint64_t fs_count_bad (const fs_counts_t *counts);
+
+/* Returns the bad part of COUNTS divided by 1 - RATIO, at most FS_RATE_MAX; 0 without calls. */
+double fs_compute_rate (const fs_counts_t *counts, double ratio);
+
+/* Returns the alert that the two pairs of windows raise; a page outranks a ticket. */
+fs_alert_t fs_judge_reading (const fs_reading_t *reading);
+
+/* Returns the part of the budget that the calls of the longest window have left; negative when
+ * they used more than all of it. */
+double fs_compute_budget (const fs_reading_t *reading);
+
+/* Returns whether two objectives are the same in every field. */
+bool fs_equal_objective (const fs_objective_t *a, const fs_objective_t *b);
+
+/* Adds the counts of FROM, of the same objective, to INTO. */
+void fs_merge_reading (fs_reading_t *into, const fs_reading_t *from);
+
+#endif
