Add foxtailrun report burn

The nodes count service-level burn, but an operator had to read GET /burn of each node by hand.

The command asks every live node, merges the counts by objective, zone and node, and prints a table, JSON, or one HTML page without outside resources. Nodes without an answer are listed. An answer is merged as soon as it arrives and only when all of it is well formed, so that a survey of a large fleet holds one answer at a time. Objectives whose target or ratio differs between nodes are separate rows. fx_list_members and fx_ask_members are new in fleet.h.

--- a/packages/foxtailrun/source/command.h
+++ b/packages/foxtailrun/source/command.h
@@ -40,6 +40,7 @@
 extern const cmd_command_t cmd_diff;
 extern const cmd_command_t cmd_drain;
 extern const cmd_command_t cmd_nodes;
+extern const cmd_command_t cmd_report;
 extern const cmd_command_t cmd_routes;
 extern const cmd_command_t cmd_schema;
 extern const cmd_command_t cmd_status;
--- a/packages/foxtailrun/source/fleet.c
+++ b/packages/foxtailrun/source/fleet.c
@@ -30,6 +30,9 @@
   bool answered;
   uint32_t status;
   json_t *answer;
+  const fx_report_t *member; /* of fx_ask_members */
+  fx_answered_fn_t handle;   /* takes the answer as soon as it is there; may be NULL */
+  void *user;
 } request_t;
 
 fx_fleet_t *
@@ -72,6 +75,13 @@
 end_request (request_t *request)
 {
   request->ended = true;
+  if (request->handle)
+    {
+      request->handle (request->member, request->status == 200 ? request->answer : NULL,
+                       request->user);
+      json_decref (request->answer);
+      request->answer = NULL;
+    }
   (*request->open)--;
   fk_quit (request->fleet->kernel);
 }
@@ -231,8 +241,35 @@
   g_free (requests);
 }
 
+void
+fx_ask_members (fx_fleet_t *fleet, const GArray *members, const char *path,
+                fx_answered_fn_t answered, void *user)
+{
+  request_t *requests = g_new0 (request_t, members->len);
+  size_t count = 0;
+
+  for (guint i = 0; i < members->len; i++)
+    {
+      const fx_report_t *member = &g_array_index (members, fx_report_t, i);
+
+      if (!fx_is_serving (member))
+        {
+          answered (member, NULL, user);
+          continue;
+        }
+      requests[count++] = (request_t){ .target = member->target,
+                                       .method = "GET",
+                                       .path = path,
+                                       .member = member,
+                                       .handle = answered,
+                                       .user = user };
+    }
+  run_requests (fleet, requests, count);
+  g_free (requests);
+}
+
 GArray *
-fx_survey_fleet (fx_fleet_t *fleet, const fx_target_t *target)
+fx_list_members (fx_fleet_t *fleet, const fx_target_t *target)
 {
   GArray *reports;
   json_t *answer;
@@ -256,6 +293,15 @@
   }
   json_decref (answer);
   g_array_sort (reports, compare_reports);
-  ask_versions (fleet, reports);
+  return reports;
+}
+
+GArray *
+fx_survey_fleet (fx_fleet_t *fleet, const fx_target_t *target)
+{
+  GArray *reports = fx_list_members (fleet, target);
+
+  if (reports)
+    ask_versions (fleet, reports);
   return reports;
 }
--- a/packages/foxtailrun/source/fleet.h
+++ b/packages/foxtailrun/source/fleet.h
@@ -48,6 +48,19 @@
 fb_status_t fx_request (fx_fleet_t *fleet, const fx_target_t *target, const char *method,
                         const char *path, uint32_t *status, json_t **answer);
 
+/* Asks TARGET for the members. Returns a new array of fx_report_t ordered by id without
+ * versions, freed by g_array_unref, or NULL when TARGET does not answer. */
+GArray *fx_list_members (fx_fleet_t *fleet, const fx_target_t *target);
+
+/* Receives the JSON that MEMBER answered with status 200, borrowed, or NULL. */
+typedef void (*fx_answered_fn_t) (const fx_report_t *member, json_t *answer, void *user);
+
+/* Sends GET PATH to the serving ones of MEMBERS, an array of fx_report_t, and calls ANSWERED
+ * with USER once for each member, in any order; a member that is not serving is not asked and
+ * has no answer. Only one answer is held at a time. */
+void fx_ask_members (fx_fleet_t *fleet, const GArray *members, const char *path,
+                     fx_answered_fn_t answered, void *user);
+
 /* Asks TARGET for the members and each live one of them for its version. Returns a new array of
  * fx_report_t ordered by id, freed by g_array_unref, or NULL when TARGET does not answer. */
 GArray *fx_survey_fleet (fx_fleet_t *fleet, const fx_target_t *target);
--- /dev/null
+++ b/packages/foxtailrun/source/report-page.c
@@ -0,0 +1,214 @@
+/* The report on service-level burn as one HTML page that needs nothing else. */
+#include "report-burn.h"
+
+/* Plot of burn rates, in units of the view box. */
+#define PLOT_WIDTH 320
+#define PLOT_BASE 120 /* y of rate 0 */
+#define PLOT_HEIGHT 100
+#define BAR_WIDTH 44
+
+/* The policy stops a mail reader from loading or running anything, whatever a name holds. */
+static const char head[]
+    = "<!DOCTYPE html>\n<html lang=\"en\">\n<head>\n<meta charset=\"utf-8\">\n"
+      "<meta http-equiv=\"Content-Security-Policy\" content=\"default-src 'none'; "
+      "style-src 'unsafe-inline'\">\n"
+      "<meta name=\"viewport\" content=\"width=device-width, initial-scale=1\">\n"
+      "<title>Service-level burn</title>\n<style>\n"
+      "body{font:16px/1.4 system-ui,sans-serif;margin:0 auto;padding:1em;max-width:46em;"
+      "color:#1a1a1a;background:#fff}\n"
+      "section{border-top:1px solid #ccc;padding:.5em 0}\n"
+      "h2{font-size:1.1em;overflow-wrap:anywhere}\n"
+      "table{border-collapse:collapse;width:100%}\n"
+      "th,td{text-align:left;padding:.15em .5em .15em 0;overflow-wrap:anywhere}\n"
+      "svg{display:block;width:100%;max-width:30em;height:auto}\n"
+      "svg text{font:12px system-ui,sans-serif}\n"
+      ".page{background:#b3261e;color:#fff}.ticket{background:#f2b84b}\n"
+      ".page,.ticket{padding:0 .4em;border-radius:.2em}\n"
+      "</style>\n</head>\n<body>\n<h1>Service-level burn</h1>\n";
+
+/* Appends TEXT so that HTML shows it as it is. A name cut in the middle of a character is made
+ * valid first, because the escaping reads whole characters. */
+static void
+append_escaped (GString *page, const char *text)
+{
+  char *valid = g_utf8_make_valid (text, -1);
+  char *escaped = g_markup_escape_text (valid, -1);
+
+  g_string_append (page, escaped);
+  g_free (escaped);
+  g_free (valid);
+}
+
+/* Returns the burn rate at which WINDOW supports an alert. */
+static double
+get_threshold (int window)
+{
+  return window == FS_WINDOW_5M || window == FS_WINDOW_1H ? FS_RATE_PAGE : FS_RATE_TICKET;
+}
+
+static void
+append_rate_plot (GString *page, const fs_reading_t *reading)
+{
+  double top = FS_RATE_PAGE * 1.25;
+
+  g_string_append_printf (page,
+                          "<svg viewBox=\"0 0 %d 145\" role=\"img\" "
+                          "aria-label=\"Burn rate by window\">\n",
+                          PLOT_WIDTH);
+  for (int window = 0; window < FS_WINDOW_COUNT; window++)
+    top = MAX (top, fs_compute_rate (&reading->windows[window], reading->objective.ratio));
+  for (int window = 0; window < FS_WINDOW_COUNT; window++)
+    {
+      double rate = fs_compute_rate (&reading->windows[window], reading->objective.ratio);
+      double limit = get_threshold (window);
+      double height = rate / top * PLOT_HEIGHT;
+      double limit_y = PLOT_BASE - limit / top * PLOT_HEIGHT;
+      int x = window * PLOT_WIDTH / FS_WINDOW_COUNT + 18;
+      char *text = burn_format_rate (reading, (fs_window_t)window);
+
+      g_string_append_printf (
+          page,
+          "<rect x=\"%d\" y=\"%.1f\" width=\"%d\" height=\"%.1f\" fill=\"%s\"/>\n"
+          "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#1a1a1a\" "
+          "stroke-dasharray=\"4 3\"/>\n"
+          "<text x=\"%d\" y=\"%.1f\" text-anchor=\"middle\">%s</text>\n"
+          "<text x=\"%d\" y=\"138\" text-anchor=\"middle\">%s</text>\n",
+          x, PLOT_BASE - height, BAR_WIDTH, height, rate >= limit ? "#b3261e" : "#4a7fb5",
+          x - 8, x + BAR_WIDTH + 8, limit_y, limit_y, x + BAR_WIDTH / 2, PLOT_BASE - height - 4,
+          text, x + BAR_WIDTH / 2, fs_describe_window ((fs_window_t)window));
+      g_free (text);
+    }
+  g_string_append_printf (page,
+                          "<line x1=\"0\" x2=\"%d\" y1=\"%d\" y2=\"%d\" stroke=\"#888\"/>\n"
+                          "</svg>\n",
+                          PLOT_WIDTH, PLOT_BASE, PLOT_BASE);
+}
+
+static void
+append_cause_plot (GString *page, const fs_counts_t *counts)
+{
+  uint64_t bad = fs_count_bad (counts);
+
+  if (bad == 0)
+    {
+      g_string_append (page, "<p>No bad call in the longest window.</p>\n");
+      return;
+    }
+  g_string_append_printf (page,
+                          "<svg viewBox=\"0 0 %d 84\" role=\"img\" "
+                          "aria-label=\"Bad calls by cause\">\n",
+                          PLOT_WIDTH);
+  for (int cause = FS_GOOD + 1; cause < FS_CAUSE_COUNT; cause++)
+    {
+      double part = (double)counts->calls[cause] / (double)bad;
+      int y = (cause - 1) * 20 + 4;
+
+      g_string_append_printf (
+          page,
+          "<text x=\"0\" y=\"%d\">%s</text>\n"
+          "<rect x=\"64\" y=\"%d\" width=\"%.1f\" height=\"14\" fill=\"#c77b30\"/>\n"
+          "<text x=\"%.1f\" y=\"%d\">%" G_GUINT64_FORMAT "</text>\n",
+          y + 11, fs_describe_cause ((fs_cause_t)cause), y, part * 170, 70 + part * 170, y + 11,
+          counts->calls[cause]);
+    }
+  g_string_append (page, "</svg>\n");
+}
+
+static void
+append_parts (GString *page, const char *title, const GArray *parts)
+{
+  g_string_append_printf (page, "<table><tr><th>%s</th><th>bad calls</th><th>calls</th></tr>\n",
+                          title);
+  for (guint i = 0; i < parts->len && i < BURN_PARTS_SHOWN; i++)
+    {
+      const burn_part_t *part = &g_array_index (parts, burn_part_t, i);
+
+      g_string_append (page, "<tr><td>");
+      append_escaped (page, part->name.data);
+      g_string_append_printf (
+          page, "</td><td>%" G_GUINT64_FORMAT "</td><td>%" G_GUINT64_FORMAT "</td></tr>\n",
+          part->bad, part->calls);
+    }
+  g_string_append (page, "</table>\n");
+}
+
+static void
+append_row (GString *page, const burn_row_t *row)
+{
+  const fs_reading_t *reading = &row->reading;
+  const fs_counts_t *longest = &reading->windows[FS_WINDOW_LONGEST];
+  fs_alert_t alert = fs_judge_reading (reading);
+  char *budget = burn_format_budget (reading);
+  char *reach = burn_format_reach (longest);
+
+  g_string_append (page, "<section>\n<h2>");
+  append_escaped (page, reading->objective.service.data);
+  g_string_append (page, " / ");
+  append_escaped (page, reading->objective.rank.data);
+  if (alert != FS_QUIET)
+    g_string_append_printf (page, " <span class=\"%s\">%s</span>", fs_describe_alert (alert),
+                            fs_describe_alert (alert));
+  g_string_append_printf (
+      page,
+      "</h2>\n<p>Objective: %.6g of the calls answered within %u ms. Budget "
+      "left in the longest window: <strong>",
+      reading->objective.ratio, reading->objective.target_ms);
+  append_escaped (page, budget);
+  g_string_append_printf (page, "</strong>. Counts go back %s.</p>\n<h3>Burn rate</h3>\n",
+                          reach);
+  append_rate_plot (page, reading);
+  g_string_append (page, "<h3>Bad calls by cause</h3>\n");
+  append_cause_plot (page, longest);
+  if (row->nodes->len > 0)
+    {
+      append_parts (page, "zone", row->zones);
+      append_parts (page, "node", row->nodes);
+    }
+  g_string_append (page, "</section>\n");
+  g_free (reach);
+  g_free (budget);
+}
+
+static void
+append_silent (GString *page, const burn_report_t *report)
+{
+  g_string_append (page, "<ul>\n");
+  for (guint i = 0; i < report->nodes->len; i++)
+    {
+      const burn_node_t *node = &g_array_index (report->nodes, burn_node_t, i);
+
+      if (node->answered)
+        continue;
+      g_string_append (page, "<li>No answer: ");
+      append_escaped (page, node->id.data);
+      g_string_append (page, " in ");
+      append_escaped (page, node->zone.data);
+      g_string_append (page, ", ");
+      append_escaped (page, node->state.data);
+      g_string_append (page, "</li>\n");
+    }
+  g_string_append (page, "</ul>\n");
+}
+
+char *
+burn_format_page (const burn_report_t *report, const char *taken)
+{
+  GString *page = g_string_new (head);
+  size_t answers = burn_count_answers (report);
+
+  g_string_append (page, "<p>Taken ");
+  append_escaped (page, taken);
+  g_string_append_printf (page,
+                          ". %zu of %u nodes answered. A rate of 1 uses up the budget exactly; "
+                          "a dashed line marks the rate at which a window supports an "
+                          "alert.</p>\n",
+                          answers, report->nodes->len);
+  if (answers < report->nodes->len)
+    append_silent (page, report);
+  if (report->rows->len == 0)
+    g_string_append (page, "<p>No objectives.</p>\n");
+  for (guint i = 0; i < report->rows->len; i++)
+    append_row (page, report->rows->pdata[i]);
+  g_string_append (page, "</body>\n</html>\n");
+  return g_string_free (page, FALSE);
+}
