Add the load and explain commands

Cause: an operator on call had no tool of the product to offer load, and no way to see why a request goes where it goes.

Change: 'foxtailrun load' offers calls at fixed times from a seeded choice of kinds, with bounds on rate, duration and calls in flight; calls not started at the last bound are counted. 'foxtailrun explain' shows the route, rank, service, timeout, retries, ticket and instances in order of preference, from the new administration answer GET /explain. The picker gains fr_visit_instances, which lists instances in that order.

Conclusion: the tests of the commands, the load decisions and the picker pass.

--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -63,4 +63,24 @@
 size_t fr_count_instances (const fr_picker_t *picker, fb_str_t service);
 size_t fr_count_ejected (const fr_picker_t *picker, fb_str_t service);
 
+/* How the picker sees an instance; borrowed during the visit. */
+typedef struct
+{
+  const fw_member_t *member;
+  const char *distance; /* "zone", "region" or "other"; static */
+  bool candidate;       /* the next pick is among the candidates */
+  bool in_subset;       /* this node sends to it at all */
+  bool ejected;
+  uint32_t in_flight; /* calls of this node */
+  uint32_t load;      /* per 1,000 slots, as last reported */
+  double score;       /* expected cost of one more call; the lower is better */
+} fr_preference_t;
+
+typedef void (*fr_preference_fn_t) (const fr_preference_t *preference, void *user);
+
+/* Calls VISIT for each instance of SERVICE, the candidates for a call of RANK first and the
+ * better ones earlier. Picks nothing and changes no count. */
+void fr_visit_instances (const fr_picker_t *picker, fb_str_t service, uint32_t rank,
+                         fr_preference_fn_t visit, void *user);
+
 #endif
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -3,12 +3,6 @@
 #include <foxtailrun/base/digest.h>
 #include <foxtailrun/base/invariant.h>
 
-typedef struct
-{
-  instance_t *instances[SUBSET_MAX];
-  size_t count;
-} candidates_t;
-
 static void
 destroy_service (void *data)
 {
@@ -47,9 +41,8 @@
   g_free (picker);
 }
 
-/* Finds a service and brings its subset up to date. */
-static service_t *
-find_service (const fr_picker_t *picker, fb_str_t name)
+service_t *
+fr_find_service (const fr_picker_t *picker, fb_str_t name)
 {
   service_t *service = NULL;
   fb_name_t key;
@@ -203,10 +196,9 @@
   return full;
 }
 
-/* Collects the own zone first, then further away; ejected and suspect instances come last. */
-static void
-find_candidates (const fr_picker_t *picker, const service_t *service, const fb_name_t *excluded,
-                 size_t excluded_count, candidates_t *candidates)
+void
+fr_find_candidates (const fr_picker_t *picker, const service_t *service,
+                    const fb_name_t *excluded, size_t excluded_count, candidates_t *candidates)
 {
   for (int near = 0; near < NEAR_COUNT; near++)
     {
@@ -304,13 +296,13 @@
 fr_pick_ranked (fr_picker_t *picker, fb_str_t service_name, uint32_t rank, fb_str_t key,
                 const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
 {
-  service_t *service = find_service (picker, service_name);
+  service_t *service = fr_find_service (picker, service_name);
   candidates_t candidates;
   instance_t *instance;
 
   if (service == NULL)
     return false;
-  find_candidates (picker, service, excluded, excluded_count, &candidates);
+  fr_find_candidates (picker, service, excluded, excluded_count, &candidates);
   if (candidates.count == 0)
     return false;
   if (picker->policy == FR_PICK_TWO)
@@ -386,7 +378,7 @@
 size_t
 fr_count_instances (const fr_picker_t *picker, fb_str_t service_name)
 {
-  const service_t *service = find_service (picker, service_name);
+  const service_t *service = fr_find_service (picker, service_name);
 
   if (service == NULL)
     return 0;
@@ -397,7 +389,7 @@
 size_t
 fr_count_ejected (const fr_picker_t *picker, fb_str_t service_name)
 {
-  const service_t *service = find_service (picker, service_name);
+  const service_t *service = fr_find_service (picker, service_name);
 
   return service == NULL ? 0 : fr_count_subset_ejected (service, fb_read_clock (picker->clock));
 }
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -74,6 +74,23 @@
   GHashTable *services;  /* name -> service_t */
 };
 
+/* Instances that a pick chooses from. */
+typedef struct
+{
+  instance_t *instances[SUBSET_MAX];
+  size_t count;
+} candidates_t;
+
+/* route-pick.c */
+
+/* Finds a service and brings its subset up to date; NULL when there is none of that NAME. */
+service_t *fr_find_service (const fr_picker_t *picker, fb_str_t name);
+
+/* Collects the own zone first, then further away; ejected and suspect instances come last. */
+void fr_find_candidates (const fr_picker_t *picker, const service_t *service,
+                         const fb_name_t *excluded, size_t excluded_count,
+                         candidates_t *candidates);
+
 /* route-subset.c */
 
 /* Returns how far INSTANCE is away. */
--- a/packages/call/tests/test-picker.c
+++ b/packages/call/tests/test-picker.c
@@ -355,6 +355,56 @@
   destroy_fixture (&fixture);
 }
 
+static void
+append_preference (const fr_preference_t *preference, void *user)
+{
+  g_string_append_printf (user, "%s %s %s%s%s\n", preference->member->id.data,
+                          preference->distance, preference->candidate ? "candidate" : "spare",
+                          preference->in_subset ? "" : " outside",
+                          preference->ejected ? " ejected" : "");
+}
+
+/* Guards against an explanation in another order than the picks, or one that changes them. */
+static void
+test_visit (void)
+{
+  static const struct
+  {
+    const char *name;
+    int ejected; /* number of the instance that fails, -1 for none */
+    const char *order;
+  } cases[] = {
+    { "spill-over-is-spare", -1,
+      "node-001 zone candidate\nnode-000 zone candidate\nnode-002 region spare\n" },
+    { "one-left-in-zone", 0,
+      "node-001 zone candidate\nnode-002 region candidate\nnode-000 zone spare ejected\n" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture = create_fixture (FR_PICK_TWO);
+      GString *order = g_string_new ("");
+
+      add_instances (&fixture, 0, 2, 0);
+      add_instances (&fixture, 2, 1, 1);
+      report (&fixture, 0, FR_RESULT_GOOD, 9 * FB_MILLISECOND, 0);
+      report (&fixture, 1, FR_RESULT_GOOD, FB_MILLISECOND, 0);
+      report (&fixture, 2, FR_RESULT_GOOD, 2 * FB_MILLISECOND, 0);
+      for (int j = 0; j < 20 && cases[i].ejected >= 0; j++)
+        report (&fixture, cases[i].ejected, FR_RESULT_FAILED, FB_MILLISECOND, 0);
+      for (int visit = 0; visit < 2; visit++)
+        {
+          g_string_truncate (order, 0);
+          fr_visit_instances (fixture.picker, service, 0, append_preference, order);
+          g_assert_cmpstr (order->str, ==, cases[i].order);
+        }
+      fr_visit_instances (fixture.picker, FB_LITERAL ("unknown"), 0, append_preference, order);
+      g_assert_cmpstr (order->str, ==, cases[i].order);
+      g_string_free (order, TRUE);
+      destroy_fixture (&fixture);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -368,5 +418,6 @@
   g_test_add_func ("/picker/slow-start", test_slow_start);
   g_test_add_func ("/picker/score", test_score);
   g_test_add_func ("/picker/baselines", test_baselines);
+  g_test_add_func ("/picker/visit", test_visit);
   return g_test_run ();
 }
--- /dev/null
+++ b/packages/foxtailrun/source/cmd-load.c
@@ -0,0 +1,107 @@
+/* foxtailrun load: offers calls to entry nodes at a fixed rate and reports what became of them.
+ */
+#include "command.h"
+#include "load.h"
+#include <argtable2.h>
+
+#define DEFAULT_IN_FLIGHT 256
+#define DEFAULT_TIMEOUT_MS 10000
+#define DEFAULT_SEED 1
+
+/* Takes an integer option within its bounds; keeps *VALUE when it is not given. */
+static bool
+read_number (const struct arg_int *option, const char *name, int max, uint32_t *value,
+             const cmd_io_t *io)
+{
+  if (option->count == 0)
+    return true;
+  if (option->ival[0] < 1 || option->ival[0] > max)
+    {
+      fprintf (io->err, "foxtailrun: --%s: found %d, allowed: an integer from 1 to %d\n", name,
+               option->ival[0], max);
+      return false;
+    }
+  *value = (uint32_t)option->ival[0];
+  return true;
+}
+
+static bool
+read_entries (const struct arg_str *option, load_plan_t *plan, const cmd_io_t *io)
+{
+  for (int i = 0; i < option->count; i++)
+    if (fx_parse_target (option->sval[i], &plan->entries[plan->entry_count++]) != FB_OK)
+      {
+        fprintf (io->err, "foxtailrun: --entry: found \"%s\", allowed: IP:PORT\n",
+                 option->sval[i]);
+        return false;
+      }
+  return true;
+}
+
+static bool
+read_kinds (const struct arg_str *option, load_plan_t *plan, const cmd_io_t *io)
+{
+  for (int i = 0; i < option->count; i++)
+    {
+      const char *wrong = load_parse_kind (option->sval[i], &plan->kinds[plan->kind_count++]);
+
+      if (!wrong)
+        continue;
+      fprintf (io->err, "foxtailrun: --call: found \"%s\", allowed: %s\n", option->sval[i],
+               wrong);
+      return false;
+    }
+  return true;
+}
+
+static int
+run_load (const cmd_command_t *command, int argc, char **argv, const cmd_io_t *io)
+{
+  struct arg_str *entry = arg_strn (NULL, "entry", "IP:PORT", 1, LOAD_ENTRIES_MAX,
+                                    "caller address of a node; several are used in turn");
+  struct arg_str *call
+      = arg_strn (NULL, "call", "CALL", 1, LOAD_KINDS_MAX,
+                  "\"METHOD PATH [customer=NAME] [weight=N] [ticket]\"; ticket repeats a 428");
+  struct arg_int *rate = arg_int1 (NULL, "rate", "CALLS/S", "calls offered, at most 10000");
+  struct arg_int *duration = arg_int1 (NULL, "duration", "SECONDS", "at most 600");
+  struct arg_int *in_flight
+      = arg_int0 (NULL, "in-flight", "CALLS", "most calls at once (256), at most 900");
+  struct arg_int *timeout
+      = arg_int0 (NULL, "timeout", "MS", "longest wait for data (10000), at most 60000");
+  struct arg_int *seed = arg_int0 (NULL, "seed", "N", "seed of the choice of calls (1)");
+  struct arg_lit *json = arg_lit0 (NULL, "json", "print JSON");
+  void *table[]
+      = { CMD_STANDARD_OPTIONS,    entry, call, rate, duration, in_flight, timeout, seed, json,
+          arg_end (CMD_ERRORS_MAX) };
+  load_plan_t *plan = g_new0 (load_plan_t, 1);
+  int status;
+
+  plan->in_flight_max = DEFAULT_IN_FLIGHT;
+  plan->timeout_ms = DEFAULT_TIMEOUT_MS;
+  plan->seed = DEFAULT_SEED;
+  if (!cmd_parse_arguments (command, argc, argv, table, G_N_ELEMENTS (table), io, &status))
+    goto done;
+  status = CMD_EXIT_USAGE;
+  if (!read_number (rate, "rate", LOAD_RATE_MAX, &plan->rate, io)
+      || !read_number (duration, "duration", LOAD_DURATION_MAX, &plan->duration_s, io)
+      || !read_number (in_flight, "in-flight", LOAD_IN_FLIGHT_MAX, &plan->in_flight_max, io)
+      || !read_number (timeout, "timeout", LOAD_TIMEOUT_MAX, &plan->timeout_ms, io)
+      || !read_number (seed, "seed", G_MAXINT, &plan->seed, io)
+      || !read_entries (entry, plan, io) || !read_kinds (call, plan, io))
+    goto done;
+  load_run (plan);
+  if (json->count > 0)
+    cmd_print_json (load_describe_report (plan), io->out);
+  else
+    load_print_report (plan, io->out);
+  status = CMD_EXIT_OK;
+done:
+  for (size_t i = 0; i < plan->kind_count; i++)
+    load_clear_kind (&plan->kinds[i]);
+  g_free (plan);
+  arg_freetable (table, G_N_ELEMENTS (table));
+  return status;
+}
+
+const cmd_command_t cmd_load
+    = { "load", "offer calls at a fixed rate and report what became of them", run_load };
--- a/packages/foxtailrun/source/command.h
+++ b/packages/foxtailrun/source/command.h
@@ -39,6 +39,8 @@
 extern const cmd_command_t cmd_check;
 extern const cmd_command_t cmd_diff;
 extern const cmd_command_t cmd_drain;
+extern const cmd_command_t cmd_explain;
+extern const cmd_command_t cmd_load;
 extern const cmd_command_t cmd_nodes;
 extern const cmd_command_t cmd_routes;
 extern const cmd_command_t cmd_schema;
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -1,9 +1,11 @@
+#include "node-explain.h"
 #include "node-services.h"
 #include <foxtailrun/http/server.h>
 #include <foxtailrun/node/node.h>
 #include <glib.h>
 #include <jansson.h>
 #include <sodium.h>
+#include <string.h>
 
 /* Requests to the administration carry no bodies of note. */
 #define ADMIN_BODY_MAX 4096
@@ -158,6 +160,18 @@
   json_decref (object);
 }
 
+/* Explains the request that the query of PATH describes. */
+static void
+answer_explain (admin_t *admin, fh_request_t *request, fb_str_t path)
+{
+  size_t start = MIN (path.len, strlen ("/explain?"));
+  fb_str_t query = { path.data + start, path.len - start };
+  uint32_t status = 200;
+  json_t *answer = fn_explain_request (admin->kernel, query, &status);
+
+  respond_json (request, status, answer);
+}
+
 /* Compares the request's bearer key with the settings' key in constant time. */
 static bool
 holds_key (admin_t *admin, fh_request_t *request)
@@ -204,6 +218,12 @@
   fb_str_t path = fh_get_path (request);
   bool known = false;
 
+  if (fb_has_prefix (path, FB_LITERAL ("/explain?"))
+      && fb_equal_str (fh_get_method (request), FB_LITERAL ("GET")))
+    {
+      answer_explain (admin, request, path);
+      return;
+    }
   if (fb_equal_str (path, FB_LITERAL ("/metrics")))
     {
       answer_metrics (admin, request);
