--- a/packages/foxtailrund/tests/fixture-fleet.c
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -232,16 +232,29 @@
   g_free (fleet);
 }
 
-void
-fleet_publish (fleet_t *fleet, uint64_t version, const char *extra)
+/* Writes the document under VERSION with EXTRA text at its end to PATH, which it takes over. */
+static char *
+write_document (char *path, uint64_t version, const char *extra)
 {
-  char *path = g_build_filename (fleet->published, "config.toml", NULL);
   char *text
       = g_strdup_printf ("version = %" G_GUINT64_FORMAT "\n%s%s", version, document, extra);
 
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
-  g_free (path);
+  return path;
+}
+
+void
+fleet_publish (fleet_t *fleet, uint64_t version, const char *extra)
+{
+  g_free (write_document (g_build_filename (fleet->published, "config.toml", NULL), version,
+                          extra));
+}
+
+char *
+fleet_write_document (fleet_t *fleet, const char *name, uint64_t version, const char *extra)
+{
+  return write_document (g_build_filename (fleet->folder, name, NULL), version, extra);
 }
 
 void
@@ -479,6 +492,28 @@
     wait_more (fleet, limit, "run at a backend server");
 }
 
+char *
+fleet_format_admin (const fleet_t *fleet, size_t number)
+{
+  fb_name_t address = make_address (fleet, number);
+
+  return g_strdup_printf ("%s:%d", address.data, ADMIN_PORT);
+}
+
+char *
+fleet_format_entry (const fleet_t *fleet, size_t number)
+{
+  fb_name_t address = make_address (fleet, number);
+
+  return g_strdup_printf ("%s:%d", address.data, CALLER_PORT);
+}
+
+const char *
+fleet_get_published (const fleet_t *fleet)
+{
+  return fleet->published;
+}
+
 size_t
 fleet_find_owner (const char *ticket)
 {
--- a/packages/foxtailrund/tests/fixture-fleet.h
+++ b/packages/foxtailrund/tests/fixture-fleet.h
@@ -88,6 +88,19 @@
 /* Lets the loop of the test run for MS milliseconds. */
 void fleet_pause (fleet_t *fleet, uint64_t ms);
 
+/* Returns "IP:PORT" of the administration of node NUMBER, which need not run, and of its
+ * callers' port; the caller frees them. */
+char *fleet_format_admin (const fleet_t *fleet, size_t number);
+char *fleet_format_entry (const fleet_t *fleet, size_t number);
+
+/* Returns the folder that the platform publishes from; owned by the fleet. */
+const char *fleet_get_published (const fleet_t *fleet);
+
+/* Writes the test's document under VERSION with EXTRA text at its end to a file that is not
+ * published; returns its path, which the caller frees. */
+char *fleet_write_document (fleet_t *fleet, const char *name, uint64_t version,
+                            const char *extra);
+
 /* Returns the number of the node named in TICKET. */
 size_t fleet_find_owner (const char *ticket);
 
