Answer /explain without a query by 400 and other methods by 405

Cause: both fell through to 404, which a caller takes for a node that does not know the answer.

Change: the path is matched with and without a query, and the method is checked; the test lists the statuses.

Conclusion: the process test of the command passes.

--- a/packages/foxtailrund/tests/test-process-command.c
+++ b/packages/foxtailrund/tests/test-process-command.c
@@ -186,21 +186,33 @@
       { "\"path\": \"/a&b=%c\"", "\"route\": null" } },
     { "explain --node @A90 GET /stock", 4, { "does not answer" } },
   };
-  static const char *const bad_queries[] = { "/explain?",
-                                             "/explain?method=GET",
-                                             "/explain?path=/a",
-                                             "/explain?method=GET&path=a",
-                                             "/explain?method=GET&path=/%ff",
-                                             "/explain?method=GET&path=/%zz" };
+  static const struct
+  {
+    const char *method;
+    const char *path;
+    uint32_t status;
+  } queries[] = {
+    { "GET", "/explain?method=GET&path=/stock", 200 },
+    { "GET", "/explain", 400 },
+    { "GET", "/explain?", 400 },
+    { "GET", "/explain?method=GET", 400 },
+    { "GET", "/explain?path=/a", 400 },
+    { "GET", "/explain?method=GET&path=a", 400 },
+    { "GET", "/explain?method=GET&path=/%ff", 400 },
+    { "GET", "/explain?method=GET&path=/%zz", 400 },
+    { "GET", "/explained?method=GET&path=/a", 404 },
+    { "POST", "/explain?method=GET&path=/stock", 405 },
+  };
   fleet_t *fleet = fleet_start (NODES);
 
   check_cases (fleet, cases, G_N_ELEMENTS (cases), NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (bad_queries); i++)
+  for (size_t i = 0; i < G_N_ELEMENTS (queries); i++)
     {
-      fleet_answer_t answer = fleet_ask_admin (fleet, 1, "GET", bad_queries[i], NULL);
+      fleet_answer_t answer
+          = fleet_ask_admin (fleet, 1, queries[i].method, queries[i].path, NULL);
 
-      g_test_message ("%s", bad_queries[i]);
-      g_assert_cmpuint (answer.status, ==, 400);
+      g_test_message ("%s %s", queries[i].method, queries[i].path);
+      g_assert_cmpuint (answer.status, ==, queries[i].status);
       fleet_clear_answer (&answer);
     }
   fleet_stop (fleet);
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -160,6 +160,13 @@
   json_decref (object);
 }
 
+static bool
+is_explain (fb_str_t path)
+{
+  return fb_equal_str (path, FB_LITERAL ("/explain"))
+         || fb_has_prefix (path, FB_LITERAL ("/explain?"));
+}
+
 /* Explains the request that the query of PATH describes. */
 static void
 answer_explain (admin_t *admin, fh_request_t *request, fb_str_t path)
@@ -167,8 +174,15 @@
   size_t start = MIN (path.len, strlen ("/explain?"));
   fb_str_t query = { path.data + start, path.len - start };
   uint32_t status = 200;
-  json_t *answer = fn_explain_request (admin->kernel, query, &status);
+  json_t *answer;
 
+  if (fb_equal_str (fh_get_method (request), FB_LITERAL ("GET")))
+    answer = fn_explain_request (admin->kernel, query, &status);
+  else
+    {
+      status = 405;
+      answer = json_pack ("{s:s}", "error", "method not allowed");
+    }
   respond_json (request, status, answer);
 }
 
@@ -218,8 +232,7 @@
   fb_str_t path = fh_get_path (request);
   bool known = false;
 
-  if (fb_has_prefix (path, FB_LITERAL ("/explain?"))
-      && fb_equal_str (fh_get_method (request), FB_LITERAL ("GET")))
+  if (is_explain (path))
     {
       answer_explain (admin, request, path);
       return;
