Drop a refusal that a later version has overtaken; pad the routes of large bench documents

Cause: status showed a refused document after a good one was in force; fleet-bench made a 1 MB document with over 10,000 routes, which every node refuses, so that the run at 1 MB never became ready. Change: putting a version in force clears the refusal; routes are padded beyond 400 KB.

--- a/bench/fleet-bench.c
+++ b/bench/fleet-bench.c
@@ -19,6 +19,10 @@
 #define NODES_MAX 240
 #define ZONES 8
 #define SERVICES 130
+#define ROUTES_MAX 3900
+
+/* Bytes of a route without its padding; large documents pad the paths to stay below the limit on routes. */
+#define ROUTE_BYTES 110
 #define WINDOW_S 20
 #define READY_LIMIT_S 120
 #define SETTLE_S 8
@@ -119,6 +123,7 @@
   GString *text = g_string_new ("");
   char *path = g_build_filename (bench->published, "config.toml", NULL);
   gint64 at;
+  int pad = (int)MAX (bench->document_bytes / ROUTES_MAX, ROUTE_BYTES + 1) - ROUTE_BYTES;
 
   bench->version++;
   g_string_append_printf (text, "version = %" G_GUINT64_FORMAT "\n", bench->version);
@@ -126,11 +131,11 @@
   for (size_t i = 0; i < SERVICES; i++)
     g_string_append_printf (
         text, "[[service]]\nname = \"service-%zu\"\nslots = 9\nconnections = 120\n", i);
-  for (size_t i = 0; text->len < bench->document_bytes; i++)
+  for (size_t i = 0; text->len < bench->document_bytes && i < ROUTES_MAX; i++)
     g_string_append_printf (text,
-                            "[[route]]\nname = \"route-%zu\"\npath = \"/route-%zu\"\n"
+                            "[[route]]\nname = \"route-%zu\"\npath = \"/route-%zu/%0*d\"\n"
                             "service = \"service-%zu\"\nrank = \"urgent\"\ntimeout_ms = %zu\n",
-                            i, i, i % SERVICES,
+                            i, i, pad, 0, i % SERVICES,
                             1000 + (i == bench->version % 100 ? (size_t)bench->version : 0));
   at = g_get_monotonic_time ();
   g_file_set_contents (path, text->str, (gssize)text->len, NULL);
--- a/packages/node/source/node-distribution.c
+++ b/packages/node/source/node-distribution.c
@@ -48,6 +48,8 @@
 
   fb_format_version (version, text, sizeof text);
   fm_set_version (fn_get_members (membership), version);
+  /* A refusal that a later version has overtaken is no longer news. */
+  g_clear_pointer (&distribution->refusal, g_free);
   FB_LOG (fk_get_log (distribution->kernel), FB_LOG_INFO, FN_DISTRIBUTION,
           "configuration in force", FB_TEXT ("version", text),
           FB_NUMBER ("routes", fc_count_routes (snapshot)));
