--- a/bench/fleet-bench.c
+++ b/bench/fleet-bench.c
@@ -21,7 +21,8 @@
 #define SERVICES 130
 #define ROUTES_MAX 3900
 
-/* Bytes of a route without its padding; large documents pad the paths to stay below the limit on routes. */
+/* Bytes of a route without its padding; large documents pad the paths to stay below the limit
+ * on routes. */
 #define ROUTE_BYTES 110
 #define WINDOW_S 20
 #define READY_LIMIT_S 120
