--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -271,7 +271,9 @@
     }
   service = fb_get_name (&fc_get_service (snapshot, route->service)->name);
   customer = read_customer (request);
-  if (!fr_admit_customer (entry->throttle, service, route->rank, customer))
+  /* A refusal here would leave the outcome of a ticket unknown; its own node can say more. */
+  if (find_request_header (request, FB_LITERAL ("foxtailrun-ticket")).len == 0
+      && !fr_admit_customer (entry->throttle, service, route->rank, customer))
     {
       fb_add_counter (entry->throttled, 1);
       fn_count_refusal (fk_find_service (entry->kernel, FN_BURN), snapshot, route);
--- a/packages/node/source/node-source.c
+++ b/packages/node/source/node-source.c
@@ -15,8 +15,11 @@
 /* Pause between two watches of the host list on readers. */
 #define HOSTS_PERIOD (500 * FB_MILLISECOND)
 
-/* Upper bound of the random delay before a starting node reads the host list. */
-#define HOSTS_START_DELAY_MS 2000
+/* A starting node reads the host list only when the seeds have given it no other member, after
+ * a random delay between these bounds: with the reads of the document in the first 2 s, a
+ * restart of 3,000 nodes without seeds stays below 2,000 calls a second. */
+#define HOSTS_START_MIN_MS 2000
+#define HOSTS_START_MAX_MS 6000
 
 /* Upper bound of the random delay before the host list is read again after a failure. */
 #define HOSTS_RETRY_MAX_MS 5000
@@ -151,6 +154,17 @@
   source->hosts_read = send_get (source, path, end_hosts_read);
 }
 
+static void
+read_hosts_when_alone (void *user)
+{
+  fn_source_t *source = user;
+
+  if (fm_count_members (fn_get_members (fk_find_service (source->kernel, FN_MEMBERSHIP)),
+                        FW_ALIVE)
+      <= 1)
+    read_hosts (source);
+}
+
 static void
 read_hosts_as_reader (void *user)
 {
@@ -173,8 +187,8 @@
   source->client = fh_create_client (kernel, &settings->platform.address,
                                      settings->platform.port, 2, HOSTS_MAX, IO_TIMEOUT);
   source->hosts_start = fk_create_timeout (
-      kernel, g_random_int_range (0, HOSTS_START_DELAY_MS) * FB_MILLISECOND, read_hosts,
-      source);
+      kernel, g_random_int_range (HOSTS_START_MIN_MS, HOSTS_START_MAX_MS) * FB_MILLISECOND,
+      read_hosts_when_alone, source);
   source->hosts_period = fk_create_timer (kernel, HOSTS_PERIOD, read_hosts_as_reader, source);
   return FB_OK;
 }
