Share the processes of the benchmarks and the cases of the process tests

Cause: starting, ending and measuring processes stood twice in the benchmarks, the loop over cases twice in the tests.

--- a/bench/call-bench.c
+++ b/bench/call-bench.c
@@ -6,15 +6,12 @@
  * service. Calls go one after another to the backend server directly, through its own node (one
  * hop) and through the entry node (two hops), interleaved so that all three see the same
  * machine; then many at once through the entry node. */
+#include "process.h"
 #include <foxtailrun/http/client.h>
 #include <glib.h>
-#include <glib/gstdio.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #define WAYS 3
@@ -42,26 +39,14 @@
 
 static const char *const way_names[WAYS] = { "direct", "one hop", "two hops" };
 
-static void
-follow_parent (gpointer user)
-{
-  prctl (PR_SET_PDEATHSIG, SIGKILL);
-}
-
 static GPid
 spawn (bench_t *bench, char **argv)
 {
-  GPid pid;
-  GError *error = NULL;
-  char *path = g_build_filename (bench->folder, "log", NULL);
-  int output = g_open (path, O_CREAT | O_WRONLY | O_APPEND, 0600);
+  char *path = g_strdup_printf ("%s/log-%zu", bench->folder, bench->pid_count);
+  GPid pid = start_process (argv, path);
 
-  if (!g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, follow_parent, NULL,
-                               &pid, -1, output, output, &error))
-    g_error ("%s", error->message);
-  close (output);
-  g_free (path);
   bench->pids[bench->pid_count++] = pid;
+  g_free (path);
   return pid;
 }
 
@@ -97,29 +82,6 @@
   return pid;
 }
 
-static double
-read_cpu (GPid pid)
-{
-  char *folder = g_strdup_printf ("/proc/%d/task", pid);
-  GDir *tasks = g_dir_open (folder, 0, NULL);
-  const char *task;
-  double nanoseconds = 0;
-
-  while (tasks && (task = g_dir_read_name (tasks)))
-    {
-      char *path = g_build_filename (folder, task, "schedstat", NULL);
-      char *text = NULL;
-      if (g_file_get_contents (path, &text, NULL, NULL))
-        nanoseconds += strtod (text, NULL);
-      g_free (text);
-      g_free (path);
-    }
-  if (tasks)
-    g_dir_close (tasks);
-  g_free (folder);
-  return nanoseconds;
-}
-
 static void send_next (bench_t *bench);
 
 static void
@@ -250,12 +212,10 @@
   printf ("%d at once, two hops: calls_s=%.0f bad=%" G_GUINT64_FORMAT
           " cpu_us_call_both_nodes=%.1f calls_s_per_core=%.0f\n",
           PARALLEL, (double)bench.calls / seconds, bench.bad,
-          (cpu[1] - cpu[0]) / 1000 / (double)bench.calls,
-          (double)bench.calls / ((cpu[1] - cpu[0]) / 1e9));
+          (cpu[1] - cpu[0]) * 1e6 / (double)bench.calls,
+          (double)bench.calls / (cpu[1] - cpu[0]));
   for (size_t i = 0; i < bench.pid_count; i++)
-    {
-      kill (bench.pids[i], SIGKILL);
-      waitpid (bench.pids[i], NULL, 0);
-    }
-  return system (g_strdup_printf ("rm -rf %s", bench.folder)) == 0 ? 0 : 1;
+    kill_process (bench.pids[i]);
+  remove_folder (bench.folder);
+  return 0;
 }
--- a/bench/fleet-bench.c
+++ b/bench/fleet-bench.c
@@ -5,15 +5,13 @@
  * regions, waits until all are ready, measures an idle window and a window with one change a
  * second, then single changes under faults. Convergence is read from the nodes' logs, whose
  * times come from the host's one monotonic clock. */
+#include "process.h"
 #include <foxtailrun/http/client.h>
 #include <glib.h>
 #include <glib/gstdio.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #define NODES_MAX 240
@@ -65,24 +63,12 @@
   return fb_make_name (text);
 }
 
-static void
-follow_parent (gpointer user)
-{
-  prctl (PR_SET_PDEATHSIG, SIGKILL);
-}
-
 static GPid
 spawn (bench_t *bench, char **argv, const char *log)
 {
-  GPid pid;
-  GError *error = NULL;
   char *path = g_build_filename (bench->folder, log, NULL);
-  int output = g_open (path, O_CREAT | O_WRONLY | O_TRUNC, 0600);
+  GPid pid = start_process (argv, path);
 
-  if (!g_spawn_async_with_fds (NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, follow_parent, NULL,
-                               &pid, -1, output, output, &error))
-    g_error ("%s", error->message);
-  close (output);
   g_free (path);
   return pid;
 }
@@ -210,32 +196,6 @@
     }
 }
 
-/* Returns the processor time of all threads in s. The scheduler's own clock is exact; the
- * tick-based times of /proc/PID/stat overstate processes that are woken by timers. */
-static double
-read_cpu (GPid pid)
-{
-  char *folder = g_strdup_printf ("/proc/%d/task", pid);
-  GDir *tasks = g_dir_open (folder, 0, NULL);
-  const char *task;
-  double nanoseconds = 0;
-
-  while (tasks && (task = g_dir_read_name (tasks)))
-    {
-      char *path = g_build_filename (folder, task, "schedstat", NULL);
-      char *text = NULL;
-
-      if (g_file_get_contents (path, &text, NULL, NULL))
-        nanoseconds += strtod (text, NULL);
-      g_free (text);
-      g_free (path);
-    }
-  if (tasks)
-    g_dir_close (tasks);
-  g_free (folder);
-  return nanoseconds / 1e9;
-}
-
 static double
 read_rss_mb (GPid pid)
 {
@@ -423,8 +383,7 @@
 {
   if (!bench->alive[index])
     return;
-  kill (bench->nodes[index], SIGKILL);
-  waitpid (bench->nodes[index], NULL, 0);
+  kill_process (bench->nodes[index]);
   bench->alive[index] = false;
 }
 
@@ -485,15 +444,10 @@
 static void
 stop_all (bench_t *bench)
 {
-  char *command = g_strdup_printf ("rm -rf %s", bench->folder);
-
   for (size_t i = 0; i < bench->count; i++)
     kill_node (bench, i);
-  kill (bench->platform, SIGKILL);
-  waitpid (bench->platform, NULL, 0);
-  if (system (command) != 0)
-    fprintf (stderr, "cannot remove %s\n", bench->folder);
-  g_free (command);
+  kill_process (bench->platform);
+  remove_folder (bench->folder);
 }
 
 static void
--- a/packages/foxtailrund/tests/fixture-fleet.c
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -538,3 +538,25 @@
   g_assert_true (g_str_has_prefix (ticket, "ftr1-node-"));
   return (size_t)g_ascii_strtoull (ticket + strlen ("ftr1-node-"), NULL, 10);
 }
+
+/* Number of nodes of each case's fleet. */
+static size_t case_nodes;
+
+static void
+run_case (const void *data)
+{
+  fleet_t *fleet = fleet_start (case_nodes);
+
+  ((const fleet_case_t *)data)->check (fleet);
+  fleet_stop (fleet);
+}
+
+int
+fleet_run_cases (int argc, char **argv, const fleet_case_t *cases, size_t count, size_t nodes)
+{
+  case_nodes = nodes;
+  g_test_init (&argc, &argv, NULL);
+  for (size_t i = 0; i < count; i++)
+    g_test_add_data_func (cases[i].name, &cases[i], run_case);
+  return g_test_run ();
+}
--- a/packages/foxtailrund/tests/fixture-fleet.h
+++ b/packages/foxtailrund/tests/fixture-fleet.h
@@ -27,6 +27,18 @@
   char *body;
 } fleet_answer_t;
 
+/* One case: what to check on a fresh fleet. */
+typedef struct
+{
+  const char *name;
+  void (*check) (fleet_t *fleet);
+} fleet_case_t;
+
+/* Runs COUNT cases as tests, each on its own fleet of NODES nodes; returns the exit code of the
+ * program. */
+int fleet_run_cases (int argc, char **argv, const fleet_case_t *cases, size_t count,
+                     size_t nodes);
+
 /* Starts the platform and NODES nodes over two zones: the first half with service storefront,
  * the rest with inventory; publishes version 1 and waits until all are ready. */
 fleet_t *fleet_start (size_t nodes);
--- a/packages/foxtailrund/tests/test-process-config.c
+++ b/packages/foxtailrund/tests/test-process-config.c
@@ -157,25 +157,10 @@
   wait_all (fleet, 3);
 }
 
-typedef void (*check_fn_t) (fleet_t *fleet);
-
-static void
-run_check (const void *data)
-{
-  fleet_t *fleet = fleet_start (NODES);
-
-  (*(const check_fn_t *)data) (fleet);
-  fleet_stop (fleet);
-}
-
 int
 main (int argc, char **argv)
 {
-  static const struct
-  {
-    const char *name;
-    check_fn_t check;
-  } cases[] = {
+  static const fleet_case_t cases[] = {
     { "/process/config/outage", check_outage },
     { "/process/config/stale-source", check_stale_source },
     { "/process/config/bad-document", check_bad_document },
@@ -184,8 +169,5 @@
     { "/process/config/herd", check_herd },
   };
 
-  g_test_init (&argc, &argv, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    g_test_add_data_func (cases[i].name, &cases[i].check, run_check);
-  return g_test_run ();
+  return fleet_run_cases (argc, argv, cases, G_N_ELEMENTS (cases), NODES);
 }
--- a/packages/foxtailrund/tests/test-process-once.c
+++ b/packages/foxtailrund/tests/test-process-once.c
@@ -236,25 +236,10 @@
     }
 }
 
-typedef void (*check_fn_t) (fleet_t *fleet);
-
-static void
-run_check (const void *data)
-{
-  fleet_t *fleet = fleet_start (NODES);
-
-  (*(const check_fn_t *)data) (fleet);
-  fleet_stop (fleet);
-}
-
 int
 main (int argc, char **argv)
 {
-  static const struct
-  {
-    const char *name;
-    check_fn_t check;
-  } cases[] = {
+  static const fleet_case_t cases[] = {
     { "/process/once/repeats", check_repeats },
     { "/process/once/kill-while-running", check_kill_while_running },
     { "/process/once/kill-before-use", check_kill_before_use },
@@ -264,8 +249,5 @@
     { "/process/once/requests", check_requests },
   };
 
-  g_test_init (&argc, &argv, NULL);
-  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    g_test_add_data_func (cases[i].name, &cases[i].check, run_check);
-  return g_test_run ();
+  return fleet_run_cases (argc, argv, cases, G_N_ELEMENTS (cases), NODES);
 }
