--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -2,12 +2,6 @@
 # with its public headers under include/, and one test program for each tests/test-*.c file.
 function (foxtailrun_add_package name)
   file (GLOB sources CONFIGURE_DEPENDS source/*.c source/*.cc)
-  if (NOT sources)
-    add_library (fx-${name} INTERFACE)
-    target_include_directories (fx-${name} INTERFACE include)
-    target_link_libraries (fx-${name} INTERFACE ${ARGN})
-    return ()
-  endif ()
   add_library (fx-${name} STATIC ${sources})
   target_include_directories (fx-${name} PUBLIC include PRIVATE source)
   target_link_libraries (fx-${name} PUBLIC ${ARGN})
--- a/packages/member/include/foxtailrun/member/table.h
+++ b/packages/member/include/foxtailrun/member/table.h
@@ -45,7 +45,8 @@
 fm_options_t fm_get_defaults (void);
 
 /* Creates a table for SELF (state FW_ALIVE); CLOCK and COUNTERS are borrowed, HOOKS is copied,
- * SEED starts the random numbers. Destroy with fm_destroy_table. */
+ * SEED starts the random numbers, NULL OPTIONS stand for the defaults. Destroy with
+ * fm_destroy_table. */
 fm_table_t *fm_create_table (const fw_member_t *self, const fm_options_t *options,
                              uint32_t seed, const fb_clock_t *clock, fb_counters_t *counters,
                              const fm_hooks_t *hooks);
