--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -242,6 +242,9 @@
 {
   fn_entry_t *entry = user;
   fn_distribution_t *distribution = fk_find_service (entry->kernel, FN_DISTRIBUTION);
+  /* Noticing a pause may change the state of the distribution, so that it comes before the
+   * snapshot. */
+  bool ready = fn_check_ready (distribution);
   fc_snapshot_t *snapshot = fn_get_snapshot (distribution);
   const char *fault = find_fault (request);
   const fc_route_t *route;
@@ -258,7 +261,7 @@
     }
   route = snapshot ? fc_find_route (snapshot, fh_get_method (request), fh_get_path (request))
                    : NULL;
-  if (!fn_check_ready (distribution) || !snapshot)
+  if (!ready || !snapshot)
     {
       fn_count_refusal (fk_find_service (entry->kernel, FN_BURN), snapshot, route);
       refuse_request (entry, request, 503, "node is not ready", request_id);
