Name the ticket mark once and drop unused functions

Cause: the mark of a call that needs a ticket stood as a literal in two files, and three functions had no caller. Change: FN_TICKET_WANTED in node-services.h; ft_connect, fh_count_connections and fn_get_backend_load are gone. Conclusion: no change of behaviour.

--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -26,9 +26,6 @@
 /* Returns the number of requests not yet answered. */
 size_t fh_count_requests (const fh_server_t *server);
 
-/* Returns the number of open connections. */
-size_t fh_count_connections (const fh_server_t *server);
-
 /* Frees the server once its handles are closed; call it when the loop is about to end. NULL is
  * allowed. */
 void fh_destroy_server (fh_server_t *server);
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -300,12 +300,6 @@
   return server->requests.length;
 }
 
-size_t
-fh_count_connections (const fh_server_t *server)
-{
-  return server->connections;
-}
-
 void
 fh_destroy_server (fh_server_t *server)
 {
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -347,7 +347,7 @@
                void *user)
 {
   const char *obstacle = find_obstacle (backend, call);
-  bool wants_ticket = fb_equal_str (call->ticket, FB_LITERAL ("new"))
+  bool wants_ticket = fb_equal_str (call->ticket, FN_TICKET_WANTED)
                       || (!obstacle && call->ticket.len == 0 && needs_ticket (backend, call));
   fn_served_t *served = copy_call (backend, call);
   uint64_t handle = served->handle;
@@ -392,12 +392,6 @@
   return g_hash_table_size (backend->calls);
 }
 
-uint32_t
-fn_get_backend_load (fn_backend_t *backend)
-{
-  return fr_get_load (backend->admission);
-}
-
 void
 fn_drain_backend (fn_backend_t *backend, bool final)
 {
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -1,10 +1,6 @@
 #include "node-entry.h"
 #include <foxtailrun/call/once.h>
 
-/* Marks a call whose route needs a ticket that the caller did not bring: the node asked issues
- * one. */
-#define TICKET_WANTED FB_LITERAL ("new")
-
 static fn_backend_t *
 find_backend (fn_entry_t *entry)
 {
@@ -154,7 +150,7 @@
     .body = fh_get_body (call->request),
   };
   if (message->ticket.len == 0 && !route->repeatable)
-    message->ticket = TICKET_WANTED;
+    message->ticket = FN_TICKET_WANTED;
   copy_headers (message, call->request);
 }
 
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -100,13 +100,16 @@
 /* Gives up a call: it is not answered any more. */
 void fn_cancel_call (fn_backend_t *backend, uint64_t handle);
 
-/* Returns calls not yet answered, and the load per 1,000 slots. */
+/* Returns calls not yet answered. */
 size_t fn_count_backend_calls (fn_backend_t *backend);
-uint32_t fn_get_backend_load (fn_backend_t *backend);
 
 /* From now on refuses calls without a ticket; with FINAL, all. */
 void fn_drain_backend (fn_backend_t *backend, bool final);
 
+/* Stands in place of the ticket in a call whose route needs one that the caller did not bring:
+ * the node asked issues it. */
+#define FN_TICKET_WANTED FB_LITERAL ("new")
+
 /* calls: the bus between the entry nodes and the nodes beside backend servers. */
 typedef struct fn_calls fn_calls_t;
 
--- a/packages/transport/include/foxtailrun/transport/bus.h
+++ b/packages/transport/include/foxtailrun/transport/bus.h
@@ -53,9 +53,6 @@
 /* Sends an answer; dropped when the requester's connection is gone. */
 void ft_answer (ft_bus_t *bus, const ft_requester_t *to, fb_bytes_t header, fb_bytes_t body);
 
-/* Connects to a peer ahead of the first message. */
-void ft_connect (ft_bus_t *bus, const fb_name_t *address, uint16_t port);
-
 /* Closes the connection to a peer that is gone. */
 void ft_disconnect (ft_bus_t *bus, const fb_name_t *address, uint16_t port);
 
--- a/packages/transport/source/transport-bus.c
+++ b/packages/transport/source/transport-bus.c
@@ -366,12 +366,6 @@
   fb_add_counter (bus->sent, header.len + body.len);
 }
 
-void
-ft_connect (ft_bus_t *bus, const fb_name_t *address, uint16_t port)
-{
-  find_peer (bus, address, port)->last_used = fb_read_clock (fk_get_clock (bus->kernel));
-}
-
 void
 ft_disconnect (ft_bus_t *bus, const fb_name_t *address, uint16_t port)
 {
