--- a/fuzz/fuzz-document.c
+++ b/fuzz/fuzz-document.c
@@ -23,7 +23,7 @@
       FUZZ_CHECK (route->rank < fc_count_ranks (snapshot));
       FUZZ_CHECK (route->path.len > 0 && route->path.data[0] == '/');
       if (route->methods.len == 0)
-        FUZZ_CHECK (fc_find_route (snapshot, method, route->path) != NULL);
+        FUZZ_CHECK (fc_find_route (snapshot, route->host, method, route->path) != NULL);
     }
   for (size_t i = 0; i < fc_count_objectives (snapshot); i++)
     {
--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -17,10 +17,11 @@
 /* What an attempt showed about an instance. */
 typedef enum
 {
-  FR_RESULT_GOOD,    /* answered */
-  FR_RESULT_REFUSED, /* refused by admission; not a fault of the instance */
-  FR_RESULT_FAILED,  /* error, cut answer, silence */
-  FR_RESULT_LOST     /* cancelled; says nothing */
+  FR_RESULT_GOOD,        /* answered */
+  FR_RESULT_REFUSED,     /* refused by admission; not a fault of the instance */
+  FR_RESULT_UNREACHABLE, /* takes no calls at all: left aside for a short time */
+  FR_RESULT_FAILED,      /* error, cut answer, silence */
+  FR_RESULT_LOST         /* cancelled; says nothing */
 } fr_result_t;
 
 typedef struct fr_picker fr_picker_t;
--- a/packages/call/source/route-outlier.c
+++ b/packages/call/source/route-outlier.c
@@ -11,6 +11,18 @@
 /* Largest part of the subset that may be ejected: one in so many. */
 #define EJECT_PART 3
 
+/* Time for which an unreachable instance is left aside at first; doubled each time up to the
+ * maximum, which a restarted node waits for at worst. */
+#define AVOID_TIME (200 * FB_MILLISECOND)
+#define AVOID_DOUBLINGS 3
+
+void
+fr_avoid_instance (instance_t *instance, fb_time_t now)
+{
+  instance->ejected_until = now + (AVOID_TIME << MIN (instance->unreachable, AVOID_DOUBLINGS));
+  instance->unreachable++;
+}
+
 bool
 fr_is_ejected (const instance_t *instance, fb_time_t now)
 {
@@ -36,6 +48,7 @@
   if (!failed)
     {
       instance->failures = 0;
+      instance->unreachable = 0;
       instance->ejections = 0;
       return;
     }
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -104,6 +104,7 @@
   instance->load = 0;
   instance->failures = 0;
   instance->ejections = 0;
+  instance->unreachable = 0;
   instance->ejected_until = 0;
   instance->joined = fb_read_clock (picker->clock);
   g_ptr_array_add (instance->service->instances, instance);
@@ -359,6 +360,8 @@
       fr_sample_latency (instance, limit_rank (rank), latency, result == FR_RESULT_FAILED, now);
       fr_count_attempt (instance, result == FR_RESULT_FAILED, now);
     }
+  if (result == FR_RESULT_UNREACHABLE)
+    fr_avoid_instance (instance, now);
   if (result == FR_RESULT_GOOD || result == FR_RESULT_REFUSED)
     {
       instance->load = load;
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -49,6 +49,7 @@
   fb_time_t joined;  /* start of the slow start */
   uint32_t failures; /* in a row */
   uint32_t ejections;
+  uint32_t unreachable;    /* in a row */
   fb_time_t ejected_until; /* 0 when not ejected */
 } instance_t;
 
@@ -109,6 +110,9 @@
 /* Counts a good or failed attempt and ejects INSTANCE when it fails too often in a row. */
 void fr_count_attempt (instance_t *instance, bool failed, fb_time_t now);
 
+/* Leaves INSTANCE aside for a short time that grows while it stays unreachable. */
+void fr_avoid_instance (instance_t *instance, fb_time_t now);
+
 /* Returns how many instances of the subset of SERVICE are ejected. */
 size_t fr_count_subset_ejected (const service_t *service, fb_time_t now);
 
--- a/packages/config/include/foxtailrun/config/schema.h
+++ b/packages/config/include/foxtailrun/config/schema.h
@@ -16,6 +16,8 @@
   FC_TYPE_BOOLEAN,
   FC_TYPE_REFERENCES, /* array of names of other elements */
   FC_TYPE_METHODS,    /* array of HTTP methods */
+  FC_TYPE_PARTS,      /* array of "NAME=WEIGHT" with names of other elements */
+  FC_TYPE_HOST,       /* host name with an optional port; may be empty */
   FC_TYPE_ADDRESS,    /* numeric IP address */
   FC_TYPE_ENDPOINTS,  /* array of "IP:PORT" */
   FC_TYPE_CHOICE,     /* one of the strings that ALLOWED lists */
--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_CONFIG_SETTINGS_H
 
 #include "problem.h"
+#include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/log.h>
 #include <foxtailrun/base/status.h>
 #include <foxtailrun/base/string.h>
@@ -16,8 +17,8 @@
 } fc_endpoint_t;
 
 /* TOML tables and keys: [node] id, zone, region, service; [listen] address, caller_port,
- * call_port, control_port, admin_port; [backend] address, port; [platform] address, port;
- * [seeds] nodes =
+ * call_port, control_port, admin_port, ready_port; [drain] limit_ms; [backend] address, port;
+ * [platform] address, port; [seeds] nodes =
  * ["IP:PORT"]; [admin] key; [log] level, format. */
 typedef struct
 {
@@ -30,6 +31,8 @@
   uint16_t call_port;
   uint16_t control_port;
   uint16_t admin_port;
+  uint16_t ready_port;   /* HTTP readiness of its own for the platform; 0 for none */
+  fb_time_t drain_limit; /* bound on a drain, after which open calls are cut */
   fc_endpoint_t backend;
   fc_endpoint_t platform;
   fc_endpoint_t seeds[FC_SEEDS_MAX];
--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -7,7 +7,7 @@
 
 #define FC_DOCUMENT_MAX (1024 * 1024)
 #define FC_SERVICES_MAX 1000
-#define FC_ROUTES_MAX 4000
+#define FC_ROUTES_MAX 8000
 #define FC_RANKS_MAX 16
 #define FC_CUSTOMERS_MAX 4000
 #define FC_OBJECTIVES_MAX 4000
@@ -30,16 +30,30 @@
   size_t depends_count;
 } fc_service_t;
 
+/* A service that takes part of the calls of a route. */
+typedef struct
+{
+  uint32_t service; /* index */
+  uint32_t weight;  /* part of the calls, relative to the other parts */
+} fc_part_t;
+
 typedef struct
 {
   fb_name_t name;
+  fb_str_t host;    /* host that callers ask for; empty for every host */
   fb_str_t path;    /* prefix, starts with "/" */
+  bool below;       /* matches only paths that go on with a "/" after the prefix */
   fb_str_t methods; /* methods joined by commas, such as "GET,POST"; empty for all */
-  uint32_t service; /* index */
+  uint32_t service; /* index; the first of the parts when there are any */
   uint32_t rank;    /* index */
   uint32_t timeout_ms;
-  uint32_t retries; /* most further attempts */
-  bool repeatable;  /* false: runs at most once and needs a ticket */
+  uint32_t target_ms; /* latency target; 0 stands for the rank's */
+  uint32_t retries;   /* most further attempts */
+  bool repeatable;    /* false: runs at most once */
+  bool ticket;        /* a call that is not repeatable needs a ticket of the node that runs it;
+                         otherwise the entry node sends each request at most once */
+  const fc_part_t *parts;
+  size_t part_count;
 } fc_route_t;
 
 typedef struct
@@ -77,6 +91,9 @@
 /* Returns the publisher's version number. */
 uint64_t fc_get_number (const fc_snapshot_t *snapshot);
 
+/* Returns the time in ms for which a caller's connection may stay idle. */
+uint32_t fc_get_idle_ms (const fc_snapshot_t *snapshot);
+
 /* Returns the document that was checked; owned by the snapshot. */
 fb_bytes_t fc_get_document (const fc_snapshot_t *snapshot);
 
@@ -98,9 +115,14 @@
 const fc_service_t *fc_find_service (const fc_snapshot_t *snapshot, fb_str_t name,
                                      uint32_t *index);
 
-/* Returns the route with the longest path prefix of PATH (a query after "?" is ignored) that
- * allows METHOD, or NULL. A prefix matches whole path segments. */
-const fc_route_t *fc_find_route (const fc_snapshot_t *snapshot, fb_str_t method, fb_str_t path);
+/* Returns the route of HOST with the longest path prefix of PATH (a query after "?" is ignored)
+ * that allows METHOD, or NULL. A prefix matches whole path segments. Routes without a host are
+ * looked at when HOST, which may be empty, has none that match. */
+const fc_route_t *fc_find_route (const fc_snapshot_t *snapshot, fb_str_t host, fb_str_t method,
+                                 fb_str_t path);
+
+/* Returns whether any route names HOST or none. */
+bool fc_knows_host (const fc_snapshot_t *snapshot, fb_str_t host);
 
 /* Returns the weight of customer NAME, 1 when it is not listed. */
 double fc_weigh_customer (const fc_snapshot_t *snapshot, fb_str_t name);
--- a/packages/config/source/check-change.c
+++ b/packages/config/source/check-change.c
@@ -12,11 +12,12 @@
 typedef struct
 {
   const fc_snapshot_t *base;
-  fb_str_t text;     /* the new document */
-  GHashTable *known; /* hash of a section of BASE to 1 + its index */
-  GPtrArray *parsed; /* fc_toml_document_t */
-  GPtrArray *chunks; /* arrays of CHUNK_NODES nodes */
-  size_t used;       /* nodes in the last chunk */
+  fb_str_t text;       /* the new document */
+  GHashTable *known;   /* hash of a section of BASE to 1 + its index */
+  GPtrArray *parsed;   /* fc_toml_document_t */
+  GPtrArray *chunks;   /* arrays of CHUNK_NODES nodes */
+  size_t used;         /* nodes in the last chunk */
+  GStringChunk *texts; /* values that the base does not hold as text */
   fc_toml_t root;
   fc_toml_t lists[FC_SECTION_KINDS];
   fc_toml_t *last[FC_SECTION_KINDS];
@@ -120,19 +121,44 @@
       }
 }
 
+static void
+add_parts (assembly_t *assembly, fc_toml_t *table, const fc_route_t *route)
+{
+  fc_toml_t *list;
+
+  if (route->part_count == 0)
+    return;
+  list = prepend_child (assembly, table, FC_TOML_ARRAY, "parts");
+  for (size_t i = route->part_count; i > 0; i--)
+    {
+      const fc_part_t *part = &route->parts[i - 1];
+      char text[FB_NAME_MAX + 16];
+      int len = g_snprintf (text, sizeof text, "%s=%u",
+                            assembly->base->services[part->service].name.data, part->weight);
+      char *kept = g_string_chunk_insert_len (assembly->texts, text, len);
+
+      add_text (assembly, list, "", (fb_str_t){ kept, (size_t)len });
+    }
+}
+
 static void
 add_route (assembly_t *assembly, fc_toml_t *table, const fc_route_t *route)
 {
   const fc_snapshot_t *base = assembly->base;
 
   add_text (assembly, table, "name", fb_get_name (&route->name));
+  add_text (assembly, table, "host", route->host);
   add_text (assembly, table, "path", route->path);
+  prepend_child (assembly, table, FC_TOML_BOOLEAN, "below")->integer = route->below;
   add_methods (assembly, table, route->methods);
   add_text (assembly, table, "service", fb_get_name (&base->services[route->service].name));
   add_text (assembly, table, "rank", fb_get_name (&base->ranks[route->rank].name));
   add_integer (assembly, table, "timeout_ms", route->timeout_ms);
   add_integer (assembly, table, "retries", route->retries);
   prepend_child (assembly, table, FC_TOML_BOOLEAN, "repeatable")->integer = route->repeatable;
+  prepend_child (assembly, table, FC_TOML_BOOLEAN, "ticket")->integer = route->ticket;
+  add_integer (assembly, table, "target_ms", route->target_ms);
+  add_parts (assembly, table, route);
 }
 
 static void
@@ -251,15 +277,14 @@
   return true;
 }
 
-/* Links the version and the lists under the root; false when the part above the first header
- * holds anything but the version. */
+/* Links the keys above the first header and the lists under the root; false when a key holds
+ * anything but an integer, which a full check reports. */
 static bool
 link_root (assembly_t *assembly, size_t head)
 {
   const fc_toml_t *root = parse_part (assembly, 0, head);
-  fc_toml_t *version;
 
-  if (!root || root->count != 1 || !fb_equal_str (root->child->key, FB_LITERAL ("version")))
+  if (!root)
     return false;
   assembly->root.kind = FC_TOML_TABLE;
   for (uint32_t i = 0; i < FC_SECTION_KINDS; i++)
@@ -274,10 +299,17 @@
       assembly->root.child = list;
       assembly->root.count++;
     }
-  version = prepend_child (assembly, &assembly->root, FC_TOML_INTEGER, "version");
-  version->kind = root->child->kind;
-  version->integer = root->child->integer;
-  version->number = root->child->number;
+  for (const fc_toml_t *child = root->child; child; child = child->next)
+    {
+      fc_toml_t *copy;
+
+      if (child->kind != FC_TOML_INTEGER)
+        return false;
+      copy = prepend_child (assembly, &assembly->root, child->kind, "");
+      copy->key = child->key;
+      copy->integer = child->integer;
+      copy->number = child->number;
+    }
   return true;
 }
 
@@ -344,8 +376,10 @@
   assembly.known = g_hash_table_new (NULL, NULL);
   assembly.parsed = g_ptr_array_new_with_free_func (destroy_parsed);
   assembly.chunks = g_ptr_array_new_with_free_func (g_free);
+  assembly.texts = g_string_chunk_new (1024);
   if (assemble (&assembly, sections))
     snapshot = check_assembled (&assembly, document, sections);
+  g_string_chunk_free (assembly.texts);
   g_ptr_array_unref (assembly.chunks);
   g_ptr_array_unref (assembly.parsed);
   g_hash_table_unref (assembly.known);
--- a/packages/config/source/check-document.c
+++ b/packages/config/source/check-document.c
@@ -99,6 +99,7 @@
 
   fc_check_row (&row, fc_get_document_schema (), "", "", checker->root, checker->problems);
   checker->snapshot->number = fc_get_value (&row, "version")->integer;
+  checker->snapshot->idle_ms = (uint32_t)fc_get_value (&row, "idle_ms")->integer;
   check_count (checker, "rank", FC_RANKS_MAX);
   check_count (checker, "service", FC_SERVICES_MAX);
   check_count (checker, "route", FC_ROUTES_MAX);
--- a/packages/config/source/check-route.c
+++ b/packages/config/source/check-route.c
@@ -2,6 +2,9 @@
 #include "check-parts.h"
 #include <string.h>
 
+/* Largest weight of a part, as in the schema. */
+#define WEIGHT_MAX 1000000
+
 /* Reads the methods at ROW into *METHODS and joins them by commas into TEXT. */
 static void
 check_methods (const fc_checker_t *checker, const fc_row_t *row, fc_methods_t *methods,
@@ -41,8 +44,7 @@
   char *found;
 
   if (route->path.len == 0 || methods == 0
-      || fc_add_route (checker->snapshot->index, route->path, methods, (uint32_t)index,
-                       &earlier))
+      || fc_add_route (checker->snapshot->index, route, methods, (uint32_t)index, &earlier))
     return;
   found = g_strdup_printf ("\"%.*s\", which route[%u] has for the same methods",
                            (int)route->path.len, route->path.data, earlier);
@@ -51,17 +53,74 @@
   g_free (found);
 }
 
+/* Splits TEXT, "NAME=WEIGHT", into PART; returns false on anything else and on names that are
+ * no service. */
+static bool
+parse_part (const fc_snapshot_t *snapshot, fb_str_t text, fc_part_t *part)
+{
+  const char *equals = text.len ? memrchr (text.data, '=', text.len) : NULL;
+  fb_str_t name;
+  uint64_t weight;
+  size_t service;
+
+  if (!equals)
+    return false;
+  name = (fb_str_t){ text.data, (size_t)(equals - text.data) };
+  if (!fb_parse_u64 ((fb_str_t){ equals + 1, text.len - name.len - 1 }, &weight) || weight == 0
+      || weight > WEIGHT_MAX || !fc_find_name (snapshot->service_names, name, &service))
+    return false;
+  *part = (fc_part_t){ (uint32_t)service, (uint32_t)weight };
+  return true;
+}
+
+static bool
+has_part (const fc_part_t *parts, size_t count, uint32_t service)
+{
+  for (size_t i = 0; i < count; i++)
+    if (parts[i].service == service)
+      return true;
+  return false;
+}
+
+static void
+check_parts (const fc_checker_t *checker, const fc_row_t *row, fc_route_t *route)
+{
+  const fc_value_t *list = fc_get_value (row, "parts");
+  fc_part_t *parts;
+
+  if (!list->node || list->node->count == 0)
+    return;
+  parts = g_new0 (fc_part_t, list->node->count);
+  g_ptr_array_add (checker->snapshot->lists, parts);
+  for (const fc_toml_t *node = NULL; (node = fc_next_string (list, node));)
+    {
+      fc_part_t *part = &parts[route->part_count];
+
+      if (parse_part (checker->snapshot, node->text, part)
+          && !has_part (parts, route->part_count, part->service))
+        route->part_count++;
+      else
+        fc_add_node_problem (checker->problems, row, "parts", node, NULL);
+    }
+  route->parts = parts;
+  if (route->part_count > 0)
+    route->service = parts[0].service;
+}
+
 static void
 check_route (fc_checker_t *checker, const fc_row_t *row, size_t index)
 {
   fc_snapshot_t *snapshot = checker->snapshot;
   fc_route_t *route = &snapshot->routes[index];
+  fb_str_t host = fc_get_value (row, "host")->text;
   fb_str_t path = fc_get_value (row, "path")->text;
   GString *text = g_string_new ("");
   fc_methods_t methods;
 
   fb_set_name (&route->name, fc_get_value (row, "name")->text);
+  route->host = keep_text (snapshot, host.data, host.len);
   route->path = keep_text (snapshot, path.data, path.len);
+  route->below = fc_get_value (row, "below")->integer != 0;
   check_methods (checker, row, &methods, text);
   route->methods = keep_text (snapshot, text->str, text->len);
   g_string_free (text, TRUE);
@@ -70,6 +129,9 @@
   route->timeout_ms = (uint32_t)fc_get_value (row, "timeout_ms")->integer;
   route->retries = (uint32_t)fc_get_value (row, "retries")->integer;
   route->repeatable = fc_get_value (row, "repeatable")->integer != 0;
+  route->ticket = fc_get_value (row, "ticket")->integer != 0;
+  route->target_ms = (uint32_t)fc_get_value (row, "target_ms")->integer;
+  check_parts (checker, row, route);
   check_path (checker, row, index, methods);
 }
 
--- a/packages/config/source/check-row.c
+++ b/packages/config/source/check-row.c
@@ -104,6 +104,7 @@
       break;
     case FC_TYPE_REFERENCES:
     case FC_TYPE_METHODS:
+    case FC_TYPE_PARTS:
     case FC_TYPE_ENDPOINTS:
       break;
     default:
@@ -142,6 +143,7 @@
       break;
     case FC_TYPE_REFERENCES:
     case FC_TYPE_METHODS:
+    case FC_TYPE_PARTS:
     case FC_TYPE_ENDPOINTS:
       if (node->kind != FC_TOML_ARRAY)
         return false;
--- a/packages/config/source/check-row.h
+++ b/packages/config/source/check-row.h
@@ -6,7 +6,7 @@
 #include <foxtailrun/config/schema.h>
 
 /* Most keys in one section. */
-#define FC_ROW_MAX 8
+#define FC_ROW_MAX 16
 
 /* Enough bytes for "section[index]". */
 #define FC_ROW_PATH_MAX 64
--- a/packages/config/source/check-text.c
+++ b/packages/config/source/check-text.c
@@ -8,6 +8,8 @@
 #define PATH_MAX_BYTES 255
 #define PATH_SEGMENTS_MAX 32
 
+#define HOST_MAX_BYTES 255
+
 #define KEY_MIN_BYTES 8
 
 bool
@@ -68,6 +70,15 @@
   return segments <= PATH_SEGMENTS_MAX;
 }
 
+static bool
+is_host (fb_str_t text)
+{
+  for (size_t i = 0; i < text.len; i++)
+    if (!g_ascii_isgraph (text.data[i]) || text.data[i] == '/')
+      return false;
+  return text.len <= HOST_MAX_BYTES;
+}
+
 static bool
 is_choice (fb_str_t text, const char *allowed)
 {
@@ -90,6 +101,8 @@
       return fc_is_name (text);
     case FC_TYPE_PATH:
       return is_path (text);
+    case FC_TYPE_HOST:
+      return is_host (text);
     case FC_TYPE_ADDRESS:
       return fc_is_address (text);
     case FC_TYPE_CHOICE:
--- a/packages/config/source/route-index.c
+++ b/packages/config/source/route-index.c
@@ -1,5 +1,5 @@
-/* A tree of path segments, held as one hash table from (parent, segment) to node, so that a
- * lookup costs one probe for each segment of the request's path. */
+/* A tree of path segments below each host, held as one hash table from (parent, segment) to
+ * node, so that a lookup costs one probe for each segment of the request's path. */
 #include "route-index.h"
 #include <foxtailrun/base/digest.h>
 #include <glib.h>
@@ -24,6 +24,7 @@
   fc_methods_t methods;
   uint32_t route;
   uint32_t next;
+  bool below; /* matches only paths that go on */
 } entry_t;
 
 struct fc_route_index
@@ -137,64 +138,99 @@
 }
 
 bool
-fc_add_route (fc_route_index_t *index, fb_str_t path, fc_methods_t methods, uint32_t route,
-              uint32_t *earlier)
+fc_add_route (fc_route_index_t *index, const fc_route_t *route, fc_methods_t methods,
+              uint32_t number, uint32_t *earlier)
 {
-  entry_t entry = { .methods = methods, .route = route };
-  uint32_t number = ROOT;
+  entry_t entry = { .methods = methods, .route = number, .below = route->below };
+  uint32_t at_node = add_node (index, ROOT, route->host);
   fb_str_t segment;
   size_t at = 0;
 
-  while (take_segment (path, &at, &segment))
-    number = add_node (index, number, segment);
-  for (uint32_t i = NODE (index, number).entry; i != NONE; i = ENTRY (index, i).next)
-    if (ENTRY (index, i).methods & methods)
+  while (take_segment (route->path, &at, &segment))
+    at_node = add_node (index, at_node, segment);
+  for (uint32_t i = NODE (index, at_node).entry; i != NONE; i = ENTRY (index, i).next)
+    if (ENTRY (index, i).below == entry.below && (ENTRY (index, i).methods & methods))
       {
         *earlier = ENTRY (index, i).route;
         return false;
       }
-  entry.next = NODE (index, number).entry;
-  NODE (index, number).entry = index->entries->len;
+  entry.next = NODE (index, at_node).entry;
+  NODE (index, at_node).entry = index->entries->len;
   g_array_append_val (index->entries, entry);
   return true;
 }
 
+/* Returns the best route at node NUMBER, or NONE: one that matches only paths that go on has
+ * the longer prefix. */
 static uint32_t
-match_method (const fc_route_index_t *index, uint32_t number, fc_methods_t bit)
+match_method (const fc_route_index_t *index, uint32_t number, fc_methods_t bit, bool goes_on)
 {
+  uint32_t best = NONE;
+
   for (uint32_t i = NODE (index, number).entry; i != NONE; i = ENTRY (index, i).next)
-    if ((ENTRY (index, i).methods & bit) || ENTRY (index, i).methods == FC_METHODS_ALL)
-      return ENTRY (index, i).route;
-  return NONE;
+    {
+      const entry_t *entry = &ENTRY (index, i);
+
+      if (!(entry->methods & bit) && entry->methods != FC_METHODS_ALL)
+        continue;
+      if (entry->below && goes_on)
+        return entry->route;
+      if (!entry->below)
+        best = entry->route;
+    }
+  return best;
 }
 
-bool
-fc_find_indexed_route (const fc_route_index_t *index, fb_str_t method, fb_str_t path,
-                       uint32_t *route)
+static uint32_t
+find_child (const fc_route_index_t *index, uint32_t parent, fb_str_t segment)
 {
-  const char *query = path.len ? memchr (path.data, '?', path.len) : NULL;
-  fc_methods_t bit = fc_get_method_bit (method);
-  uint32_t number = ROOT;
-  uint32_t best;
+  return index->slots[find_slot (index, parent, fb_hash_str (segment, parent), segment)];
+}
+
+/* Finds the longest prefix below HOST, which is a node. */
+static uint32_t
+find_below (const fc_route_index_t *index, uint32_t host, fc_methods_t bit, fb_str_t path)
+{
+  uint32_t number = host;
+  uint32_t best = match_method (index, host, bit, true);
   fb_str_t segment;
   size_t at = 0;
 
-  if (query)
-    path.len = (size_t)(query - path.data);
-  if (path.len == 0 || path.data[0] != '/')
-    return false;
-  best = match_method (index, ROOT, bit);
   while (take_segment (path, &at, &segment))
     {
       uint32_t match;
 
-      number = index->slots[find_slot (index, number, fb_hash_str (segment, number), segment)];
+      number = find_child (index, number, segment);
       if (number == NONE)
         break;
-      match = match_method (index, number, bit);
+      match = match_method (index, number, bit, at < path.len);
       if (match != NONE)
         best = match;
     }
-  *route = best;
-  return best != NONE;
+  return best;
+}
+
+bool
+fc_find_indexed_route (const fc_route_index_t *index, fb_str_t host, fb_str_t method,
+                       fb_str_t path, uint32_t *route)
+{
+  const char *query = path.len ? memchr (path.data, '?', path.len) : NULL;
+  fc_methods_t bit = fc_get_method_bit (method);
+  uint32_t number = find_child (index, ROOT, host);
+
+  if (query)
+    path.len = (size_t)(query - path.data);
+  if (path.len == 0 || path.data[0] != '/')
+    return false;
+  *route = number == NONE ? NONE : find_below (index, number, bit, path);
+  if (*route == NONE && host.len > 0
+      && (number = find_child (index, ROOT, FB_LITERAL (""))) != NONE)
+    *route = find_below (index, number, bit, path);
+  return *route != NONE;
+}
+
+bool
+fc_find_indexed_host (const fc_route_index_t *index, fb_str_t host)
+{
+  return find_child (index, ROOT, host) != NONE;
 }
--- a/packages/config/source/route-index.h
+++ b/packages/config/source/route-index.h
@@ -21,14 +21,17 @@
 /* Frees the index; NULL is allowed. */
 void fc_destroy_route_index (fc_route_index_t *index);
 
-/* Adds route number ROUTE for PATH and METHODS. Returns false when an earlier route has the
- * same path and one of the methods; *EARLIER is its number. */
-bool fc_add_route (fc_route_index_t *index, fb_str_t path, fc_methods_t methods, uint32_t route,
-                   uint32_t *earlier);
-
-/* Finds the route with the longest prefix of PATH that allows METHOD; returns false when there
- * is none. */
-bool fc_find_indexed_route (const fc_route_index_t *index, fb_str_t method, fb_str_t path,
-                            uint32_t *route);
+/* Adds ROUTE, which is number NUMBER, for METHODS. Returns false when an earlier route has the
+ * same host, prefix and one of the methods; *EARLIER is its number. */
+bool fc_add_route (fc_route_index_t *index, const fc_route_t *route, fc_methods_t methods,
+                   uint32_t number, uint32_t *earlier);
+
+/* Finds the route of HOST, or of every host, with the longest prefix of PATH that allows
+ * METHOD; returns false when there is none. */
+bool fc_find_indexed_route (const fc_route_index_t *index, fb_str_t host, fb_str_t method,
+                            fb_str_t path, uint32_t *route);
+
+/* Returns whether a route was added for HOST. */
+bool fc_find_indexed_host (const fc_route_index_t *index, fb_str_t host);
 
 #endif
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -7,6 +7,7 @@
 
 #define NAME_TEXT "1 to 47 letters, digits, '.', '_' or '-'"
 #define ADDRESS_TEXT "a numeric IP address"
+#define HOST_TEXT "at most 255 bytes of a host name, with a port if callers send one"
 #define PATH_TEXT                                                                              \
   "\"/\" or at most 255 bytes in up to 32 segments, each with a \"/\" before it, without "     \
   "spaces, '?' or '#'"
@@ -19,6 +20,8 @@
 static const fc_field_t document_fields[] = {
   { "", "version", FC_TYPE_INTEGER, "", NULL, 1, VERSION_MAX, NULL,
     "number of the publication, increased with each one" },
+  { "", "idle_ms", FC_TYPE_INTEGER, "ms", "10000", 100, 3600000, NULL,
+    "time in which a request must arrive, and for which a caller's connection may stay idle" },
 
   { "rank", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the rank" },
   { "rank", "order", FC_TYPE_INTEGER, "", NULL, 0, 99, NULL, "urgency; 0 is the most urgent" },
@@ -37,18 +40,30 @@
     "services that this one calls" },
 
   { "route", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the route" },
+  { "route", "host", FC_TYPE_HOST, "", "", 0, 0, HOST_TEXT,
+    "host that callers ask for; every host when left out" },
   { "route", "path", FC_TYPE_PATH, "", NULL, 0, 0, PATH_TEXT,
     "prefix of the request path, matched by whole segments" },
+  { "route", "below", FC_TYPE_BOOLEAN, "", "false", 0, 0, "true or false",
+    "whether only paths that go on with a \"/\" after the prefix match" },
   { "route", "methods", FC_TYPE_METHODS, "", "[]", 0, 0, METHODS_TEXT,
     "methods of the route; none listed means every method" },
   { "route", "service", FC_TYPE_REFERENCE, "", NULL, 0, 0, "the name of a service",
     "service that runs the calls" },
+  { "route", "parts", FC_TYPE_PARTS, "", "[]", 0, 0,
+    "different \"NAME=WEIGHT\" with the name of a service and a weight from 1 to 1000000",
+    "services that share the calls by weight in place of the one service" },
   { "route", "rank", FC_TYPE_REFERENCE, "", NULL, 0, 0, "the name of a rank",
     "rank of the calls" },
   { "route", "timeout_ms", FC_TYPE_INTEGER, "ms", "1000", 1, 600000, NULL,
     "longest time for a call with all its attempts" },
+  { "route", "target_ms", FC_TYPE_INTEGER, "ms", "0", 0, 3600000, NULL,
+    "latency target; 0 stands for that of the rank" },
   { "route", "repeatable", FC_TYPE_BOOLEAN, "", "false", 0, 0, "true or false",
-    "whether a call may run more than once; false requires a ticket" },
+    "whether a call may run more than once" },
+  { "route", "ticket", FC_TYPE_BOOLEAN, "", "true", 0, 0, "true or false",
+    "whether a call that may not be repeated requires a ticket; without one the entry node sends "
+    "each request at most once" },
   { "route", "retries", FC_TYPE_INTEGER, "attempts", "1", 0, 3, NULL,
     "most further attempts after the first" },
 
@@ -83,6 +98,12 @@
   { "listen", "admin_port", FC_TYPE_INTEGER, "", "7403", 1, PORT_MAX, NULL,
     "TCP port for HTTP administration" },
 
+  { "listen", "ready_port", FC_TYPE_INTEGER, "", "0", 0, PORT_MAX, NULL,
+    "TCP port that answers every HTTP request by 200 or 503 as the node is ready; none with 0" },
+
+  { "drain", "limit_ms", FC_TYPE_INTEGER, "ms", "120000", 1000, 3600000, NULL,
+    "bound on a graceful shutdown, after which open calls are cut" },
+
   { "backend", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the backend server" },
   { "backend", "port", FC_TYPE_INTEGER, "", "0", 1, PORT_MAX, NULL,
@@ -134,6 +155,7 @@
     case FC_TYPE_ADDRESS:
     case FC_TYPE_CHOICE:
     case FC_TYPE_KEY:
+    case FC_TYPE_HOST:
       return "string";
     case FC_TYPE_INTEGER:
       return "integer";
@@ -143,6 +165,7 @@
       return "boolean";
     case FC_TYPE_REFERENCES:
     case FC_TYPE_METHODS:
+    case FC_TYPE_PARTS:
     case FC_TYPE_ENDPOINTS:
       return "array of strings";
     }
@@ -160,6 +183,7 @@
       return g_strdup_printf ("a number from %.10g to %.10g", field->min, field->max);
     case FC_TYPE_REFERENCES:
     case FC_TYPE_METHODS:
+    case FC_TYPE_PARTS:
     case FC_TYPE_ENDPOINTS:
       return g_strdup_printf ("an array of %s", field->allowed);
     case FC_TYPE_CHOICE:
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -73,6 +73,9 @@
   settings->call_port = ports[1];
   settings->control_port = ports[2];
   settings->admin_port = ports[3];
+  settings->ready_port = take_port (&row, "ready_port");
+  check_section (&row, root, "drain", problems);
+  settings->drain_limit = (fb_time_t)fc_get_value (&row, "limit_ms")->integer * FB_MILLISECOND;
 }
 
 static void
--- a/packages/config/source/snapshot-parts.h
+++ b/packages/config/source/snapshot-parts.h
@@ -11,6 +11,7 @@
 {
   gint references;
   uint64_t number;
+  uint32_t idle_ms;
   uint8_t *document;
   size_t length;
   fc_rank_t *ranks;
--- a/packages/config/source/snapshot.c
+++ b/packages/config/source/snapshot.c
@@ -115,6 +115,12 @@
   return snapshot->number;
 }
 
+uint32_t
+fc_get_idle_ms (const fc_snapshot_t *snapshot)
+{
+  return snapshot->idle_ms;
+}
+
 fb_bytes_t
 fc_get_document (const fc_snapshot_t *snapshot)
 {
@@ -206,15 +212,22 @@
 }
 
 const fc_route_t *
-fc_find_route (const fc_snapshot_t *snapshot, fb_str_t method, fb_str_t path)
+fc_find_route (const fc_snapshot_t *snapshot, fb_str_t host, fb_str_t method, fb_str_t path)
 {
   uint32_t found;
 
-  if (!fc_find_indexed_route (snapshot->index, method, path, &found))
+  if (!fc_find_indexed_route (snapshot->index, host, method, path, &found))
     return NULL;
   return &snapshot->routes[found];
 }
 
+bool
+fc_knows_host (const fc_snapshot_t *snapshot, fb_str_t host)
+{
+  return fc_find_indexed_host (snapshot->index, host)
+         || fc_find_indexed_host (snapshot->index, FB_LITERAL (""));
+}
+
 double
 fc_weigh_customer (const fc_snapshot_t *snapshot, fb_str_t name)
 {
--- a/packages/config/tests/test-change.c
+++ b/packages/config/tests/test-change.c
@@ -185,9 +185,9 @@
     }
   for (size_t i = 0; i < G_N_ELEMENTS (methods) * G_N_ELEMENTS (paths); i++)
     {
-      const fc_route_t *route
-          = fc_find_route (snapshot, fb_wrap_text (methods[i % G_N_ELEMENTS (methods)]),
-                           fb_wrap_text (paths[i / G_N_ELEMENTS (methods)]));
+      const fc_route_t *route = fc_find_route (
+          snapshot, FB_LITERAL (""), fb_wrap_text (methods[i % G_N_ELEMENTS (methods)]),
+          fb_wrap_text (paths[i / G_N_ELEMENTS (methods)]));
 
       g_string_append_printf (text, "%s\n", route ? route->name.data : "none");
     }
--- a/packages/config/tests/test-document.c
+++ b/packages/config/tests/test-document.c
@@ -268,7 +268,8 @@
 
   memset (text, 'x', strlen (text));
   g_free (text);
-  g_assert_nonnull (fc_find_route (snapshot, FB_LITERAL ("PUT"), FB_LITERAL ("/buy")));
+  g_assert_nonnull (
+      fc_find_route (snapshot, FB_LITERAL (""), FB_LITERAL ("PUT"), FB_LITERAL ("/buy")));
   g_assert_cmpmem (fc_get_document (snapshot).data, fc_get_document (snapshot).len,
                    fixture_document, strlen (fixture_document));
   fc_release_snapshot (snapshot);
--- a/packages/config/tests/test-route.c
+++ b/packages/config/tests/test-route.c
@@ -53,8 +53,46 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      const fc_route_t *route = fc_find_route (snapshot, fb_wrap_text (cases[i].method),
-                                               fb_wrap_text (cases[i].path));
+      const fc_route_t *route
+          = fc_find_route (snapshot, FB_LITERAL (""), fb_wrap_text (cases[i].method),
+                           fb_wrap_text (cases[i].path));
+
+      g_assert_cmpstr (route ? route->name.data : NULL, ==, cases[i].name);
+    }
+  fc_release_snapshot (snapshot);
+}
+
+/* Guards against a route of another host, a prefix that ends in "/" matching without it, and a
+ * route of every host that is hidden by a host with other paths. */
+static void
+test_lookup_host (void)
+{
+  static const char document[]
+      = "version = 1\n" RANK SERVICE "[[route]]\nname = \"any\"\npath = \"/any\"\n" REST
+        "[[route]]\nname = \"one\"\nhost = \"one.example\"\npath = \"/a\"\nbelow = true\n" REST
+        "[[route]]\nname = \"deep\"\nhost = \"one.example\"\npath = \"/a/b\"\nbelow = true\n" REST
+        "[[route]]\nname = \"two\"\nhost = \"two.example\"\npath = \"/a\"\n" REST
+        "[[route]]\nname = \"two-below\"\nhost = \"two.example\"\npath = \"/a\"\nbelow = true\n" REST;
+  static const struct
+  {
+    const char *host;
+    const char *path;
+    const char *name;
+  } cases[] = {
+    { "one.example", "/a/x", "one" },  { "one.example", "/a/", "one" },
+    { "one.example", "/a", NULL },     { "one.example", "/a?x=/", NULL },
+    { "one.example", "/a/b", "one" },  { "one.example", "/a/b/", "deep" },
+    { "one.example", "/a//b", "one" }, { "one.example", "/any/x", "any" },
+    { "two.example", "/a", "two" },    { "two.example", "/a/", "two-below" },
+    { "other", "/a/x", NULL },         { "", "/any", "any" },
+  };
+  fc_snapshot_t *snapshot = check_good (document);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      const fc_route_t *route
+          = fc_find_route (snapshot, fb_wrap_text (cases[i].host), FB_LITERAL ("GET"),
+                           fb_wrap_text (cases[i].path));
 
       g_assert_cmpstr (route ? route->name.data : NULL, ==, cases[i].name);
     }
@@ -66,11 +104,12 @@
 test_lookup_length (void)
 {
   fc_snapshot_t *snapshot = check_good (table);
-  const fc_route_t *route
-      = fc_find_route (snapshot, FB_LITERAL ("POST"), (fb_str_t){ "/x/y/z", 5 });
+  const fc_route_t *route = fc_find_route (snapshot, FB_LITERAL (""), FB_LITERAL ("POST"),
+                                           (fb_str_t){ "/x/y/z", 5 });
 
   g_assert_null (route);
-  route = fc_find_route (snapshot, (fb_str_t){ "GETTING", 3 }, (fb_str_t){ "/a/bb", 4 });
+  route = fc_find_route (snapshot, FB_LITERAL (""), (fb_str_t){ "GETTING", 3 },
+                         (fb_str_t){ "/a/bb", 4 });
   g_assert_cmpstr (route->name.data, ==, "a-b-get");
   fc_release_snapshot (snapshot);
 }
@@ -146,8 +185,9 @@
       const fc_route_t *expected = search_routes (snapshot, method, fb_wrap_text (path));
 
       found += expected != NULL;
-      g_assert_true (fc_find_route (snapshot, fb_wrap_text (method), fb_wrap_text (path))
-                     == expected);
+      g_assert_true (
+          fc_find_route (snapshot, FB_LITERAL (""), fb_wrap_text (method), fb_wrap_text (path))
+          == expected);
       g_free (path);
     }
   /* Both outcomes must occur for the comparison to mean anything. */
@@ -163,6 +203,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/config/route/lookup-host", test_lookup_host);
   g_test_add_func ("/config/route/lookup", test_lookup);
   g_test_add_func ("/config/route/lookup-length", test_lookup_length);
   g_test_add_func ("/config/route/random-tables", test_random_tables);
--- a/packages/dist/include/foxtailrun/dist/node.h
+++ b/packages/dist/include/foxtailrun/dist/node.h
@@ -40,6 +40,11 @@
 fd_node_t *fd_create_node (fm_table_t *members, uint32_t seed, const fb_clock_t *clock,
                            fb_counters_t *counters, fb_log_t *log, const fd_hooks_t *hooks);
 
+/* From now on no other node takes part: this one always reads the source, whose answer alone
+ * makes it ready, and a pause of the process does not end that. Call it before the first tick.
+ */
+void fd_set_standalone (fd_node_t *node);
+
 /* Frees the node; NULL is allowed. */
 void fd_destroy_node (fd_node_t *node);
 
--- a/packages/dist/source/dist-join.c
+++ b/packages/dist/source/dist-join.c
@@ -168,8 +168,9 @@
   memset (&node->join, 0, sizeof node->join);
   node->join.started_at = now;
   node->join.round_at = now;
-  node->source.next_at
-      = now + (fb_time_t)(g_rand_double (node->random) * (double)FD_JOIN_SPREAD);
+  node->source.next_at = now;
+  if (!node->standalone)
+    node->source.next_at += (fb_time_t)(g_rand_double (node->random) * (double)FD_JOIN_SPREAD);
   node->ready = false;
   fb_add_counter (node->counters.joins, 1);
   fb_set_counter (node->counters.ready, 0);
@@ -269,6 +270,8 @@
   const fd_join_t *join = &node->join;
   bool is_ready = false;
 
+  if (node->standalone)
+    return join->source_answered;
   for (size_t i = 0; i < join->peer_count; i++)
     {
       if (!join->peers[i].answered)
--- a/packages/dist/source/dist-node.c
+++ b/packages/dist/source/dist-node.c
@@ -71,6 +71,12 @@
   return node;
 }
 
+void
+fd_set_standalone (fd_node_t *node)
+{
+  node->standalone = true;
+}
+
 void
 fd_destroy_node (fd_node_t *node)
 {
@@ -100,6 +106,10 @@
           FB_NUMBER ("ms", (fb_read_clock (node->clock) - node->ticked_at) / FB_MILLISECOND));
   node->ticked_at = fb_read_clock (node->clock);
   fb_add_counter (node->counters.pauses, 1);
+  /* Peers may have gone on to a newer version, which a join finds out; without peers the next
+   * answer of the source brings it. */
+  if (node->standalone)
+    return;
   fd_start_join (node);
   fm_raise_incarnation (node->members);
 }
@@ -180,7 +190,7 @@
 bool
 fd_is_ready (const fd_node_t *node)
 {
-  return node->ready && !fd_is_paused (node);
+  return node->ready && (node->standalone || !fd_is_paused (node));
 }
 
 bool
--- a/packages/dist/source/dist-source.c
+++ b/packages/dist/source/dist-source.c
@@ -31,6 +31,8 @@
 {
   ranking_t ranking = { .self = fm_get_self (node->members) };
 
+  if (node->standalone)
+    return true;
   if (ranking.self->state == FW_LEAVING || ranking.self->state == FW_DEAD)
     return false;
   ranking.weight = fb_weigh_rendezvous (fb_get_name (&ranking.self->zone),
@@ -45,7 +47,8 @@
 static bool
 knows_members (const fd_node_t *node)
 {
-  return node->ready || fb_read_clock (node->clock) - node->join.started_at >= FD_JOIN_WAIT;
+  return node->standalone || node->ready
+         || fb_read_clock (node->clock) - node->join.started_at >= FD_JOIN_WAIT;
 }
 
 void
@@ -80,7 +83,7 @@
   fd_update_reader (node);
   if (source->outstanding || now < source->next_at || (!source->reader && !needs_source (node)))
     return;
-  if (!fd_take_token (&source->calls, now))
+  if (!node->standalone && !fd_take_token (&source->calls, now))
     return;
   if (needs_source (node))
     source->index = 0;
--- a/packages/dist/source/dist-state.h
+++ b/packages/dist/source/dist-state.h
@@ -179,7 +179,8 @@
   fd_counters_t counters;
   uint64_t next_request;
 
-  bool begun; /* the first tick has run */
+  bool standalone; /* no other node takes part */
+  bool begun;      /* the first tick has run */
   bool ready;
   fb_time_t ticked_at;
 
--- a/packages/foxtailrun/source/diff-fields.c
+++ b/packages/foxtailrun/source/diff-fields.c
@@ -39,6 +39,12 @@
   g_string_append_printf (text, "%" G_GUINT64_FORMAT, fc_get_number (snapshot));
 }
 
+static void
+format_idle (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  g_string_append_printf (text, "%u", fc_get_idle_ms (snapshot));
+}
+
 static const char *
 judge_version (const fc_snapshot_t *before, size_t from, const fc_snapshot_t *after, size_t to)
 {
@@ -160,12 +166,39 @@
   append_name (text, &fc_get_route (snapshot, index)->name);
 }
 
+static void
+format_host (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  append_str (text, fc_get_route (snapshot, index)->host);
+}
+
+static const char *
+judge_host (const fc_snapshot_t *before, size_t from, const fc_snapshot_t *after, size_t to)
+{
+  return fc_get_route (after, to)->host.len > 0
+             ? "requests for other hosts no longer match this route"
+             : NULL;
+}
+
 static void
 format_path (const fc_snapshot_t *snapshot, size_t index, GString *text)
 {
   append_str (text, fc_get_route (snapshot, index)->path);
 }
 
+static void
+format_below (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  g_string_append (text, fc_get_route (snapshot, index)->below ? "true" : "false");
+}
+
+static const char *
+judge_below (const fc_snapshot_t *before, size_t from, const fc_snapshot_t *after, size_t to)
+{
+  return fc_get_route (after, to)->below ? "requests for the prefix itself no longer match"
+                                         : NULL;
+}
+
 static const char *
 judge_path (const fc_snapshot_t *before, size_t from, const fc_snapshot_t *after, size_t to)
 {
@@ -237,6 +270,21 @@
              : "tickets issued before were for instances of the earlier service";
 }
 
+static void
+format_parts (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  const fc_route_t *route = fc_get_route (snapshot, index);
+
+  g_string_append_c (text, '[');
+  for (size_t i = 0; i < route->part_count; i++)
+    {
+      g_string_append (text, i ? ", " : "");
+      name_service (snapshot, route->parts[i].service, text);
+      g_string_append_printf (text, "=%u", route->parts[i].weight);
+    }
+  g_string_append_c (text, ']');
+}
+
 static void
 format_route_rank (const fc_snapshot_t *snapshot, size_t index, GString *text)
 {
@@ -249,6 +297,26 @@
   g_string_append_printf (text, "%u", fc_get_route (snapshot, index)->timeout_ms);
 }
 
+static void
+format_route_target (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  g_string_append_printf (text, "%u", fc_get_route (snapshot, index)->target_ms);
+}
+
+static void
+format_ticket (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  g_string_append (text, fc_get_route (snapshot, index)->ticket ? "true" : "false");
+}
+
+static const char *
+judge_ticket (const fc_snapshot_t *before, size_t from, const fc_snapshot_t *after, size_t to)
+{
+  return fc_get_route (after, to)->ticket
+             ? "callers must send a ticket for calls that are not repeatable"
+             : "a caller that repeats a request may run it twice";
+}
+
 static void
 format_repeatable (const fc_snapshot_t *snapshot, size_t index, GString *text)
 {
@@ -313,7 +381,8 @@
   append_number (text, fc_get_objective (snapshot, index)->ratio);
 }
 
-static const diff_field_t document_fields[] = { { "version", format_version, judge_version } };
+static const diff_field_t document_fields[]
+    = { { "version", format_version, judge_version }, { "idle_ms", format_idle, NULL } };
 
 static const diff_field_t rank_fields[] = {
   { "order", format_order, NULL },
@@ -329,12 +398,17 @@
 };
 
 static const diff_field_t route_fields[] = {
+  { "host", format_host, judge_host },
   { "path", format_path, judge_path },
+  { "below", format_below, judge_below },
   { "methods", format_methods, judge_methods },
   { "service", format_route_service, judge_route_service },
+  { "parts", format_parts, NULL },
   { "rank", format_route_rank, NULL },
   { "timeout_ms", format_timeout, NULL },
+  { "target_ms", format_route_target, NULL },
   { "repeatable", format_repeatable, judge_repeatable },
+  { "ticket", format_ticket, judge_ticket },
   { "retries", format_retries, NULL },
 };
 
--- a/packages/foxtailrund/source/main.c
+++ b/packages/foxtailrund/source/main.c
@@ -2,6 +2,7 @@
 #include <argtable2.h>
 #include <foxtailrun/config/settings.h>
 #include <foxtailrun/node/node.h>
+#include <foxtailrun/platform/platform.h>
 #include <glib.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -20,14 +21,17 @@
     }
 }
 
+/* Reads the settings of a node, or with PLATFORM those that the platform wrote. */
 static bool
-load_settings (const char *path, fc_settings_t *settings)
+load_settings (const char *path, bool platform, fc_settings_t *settings)
 {
   fc_problems_t *problems = fc_create_problems ();
   uint8_t *data = NULL;
   size_t length = 0;
   bool good = fc_read_file (path, SETTINGS_MAX, &data, &length, problems) == FB_OK
-              && fc_check_settings ((fb_bytes_t){ data, length }, settings, problems) == FB_OK;
+              && (platform ? fp_check_settings : fc_check_settings) (
+                     (fb_bytes_t){ data, length }, settings, problems)
+                     == FB_OK;
 
   print_problems (problems, path);
   g_free (data);
@@ -36,14 +40,14 @@
 }
 
 static int
-run_node (const fc_settings_t *settings)
+run_node (const fc_settings_t *settings, const fn_adapter_t *adapter)
 {
   fb_clock_t *clock = fb_create_system_clock ();
   fb_log_t *log = fb_create_log (clock, settings->log_format, settings->log_level, NULL, NULL);
   fk_kernel_t *kernel = fk_create_kernel (log);
   int code = EXIT_FAILURE;
 
-  fn_register_node (kernel, settings);
+  fn_register_node (kernel, settings, adapter);
   if (fk_start_services (kernel) == FB_OK)
     {
       FB_LOG (log, FB_LOG_INFO, "node", "started", FB_TEXT ("id", settings->id.data),
@@ -83,10 +87,17 @@
     }
   else if (errors > 0)
     arg_print_errors (stderr, end, "foxtailrund");
-  else if (settings_file->count == 0)
+  else if (settings_file->count == 0 && !fp_find_settings ())
     fprintf (stderr, "foxtailrund: --settings FILE is required\n");
-  else if (sodium_init () >= 0 && load_settings (settings_file->filename[0], &settings))
-    code = run_node (&settings);
+  else if (sodium_init () < 0)
+    fprintf (stderr, "foxtailrund: no source of random numbers\n");
+  else if (settings_file->count > 0)
+    {
+      if (load_settings (settings_file->filename[0], false, &settings))
+        code = run_node (&settings, NULL);
+    }
+  else if (load_settings (fp_find_settings (), true, &settings))
+    code = run_node (&settings, fp_get_adapter (&settings));
   arg_freetable (table, sizeof table / sizeof table[0]);
   return code;
 }
--- a/packages/http/include/foxtailrun/http/client.h
+++ b/packages/http/include/foxtailrun/http/client.h
@@ -23,7 +23,13 @@
   const fh_header_t
       *headers; /* connection headers, host and length are left out and made anew */
   fb_bytes_t body;
-  bool fresh; /* use a new connection, so that a stale one cannot leave the outcome open */
+  fb_str_t host;    /* host header; the server's address and port when empty */
+  fh_header_t echo; /* header that the server repeats in its response; a response with another
+                       value belongs to another request and is dropped. No name: not checked */
+  bool fresh;      /* use a new connection, so that a stale one cannot leave the outcome open */
+  bool repeatable; /* send again when the server closes a kept connection without a response */
+  bool
+      until_close; /* take a body without a length as whole when the connection ends in order */
 } fh_outgoing_t;
 
 /* A response; borrowed during the callback. */
@@ -48,7 +54,13 @@
 fh_client_t *fh_create_client (fk_kernel_t *kernel, const fb_name_t *address, uint16_t port,
                                size_t idle_max, size_t body_max, fb_time_t io_timeout);
 
-/* Frees the client; exchanges must have ended. NULL is allowed. */
+/* Bounds the time in which a connection must be established; at first as IO_TIMEOUT. */
+void fh_limit_connecting (fh_client_t *client, fb_time_t timeout);
+
+/* Closes the connections that no exchange uses. */
+void fh_close_idle (fh_client_t *client);
+
+/* Cancels all exchanges and frees the client; NULL is allowed. */
 void fh_destroy_client (fh_client_t *client);
 
 /* Sends a request, copying all parts. DONE is called once, later, from the loop, unless the
--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -23,6 +23,9 @@
 /* Stops accepting connections and ends idle ones; requests in flight go on. */
 void fh_stop_accepting (fh_server_t *server);
 
+/* Bounds the time in which a request must arrive, and for which a connection may stay idle. */
+void fh_limit_idle (fh_server_t *server, fb_time_t timeout);
+
 /* Returns the number of requests not yet answered. */
 size_t fh_count_requests (const fh_server_t *server);
 
@@ -33,6 +36,7 @@
 /* The request's parts, valid until fh_respond; empty once it was cancelled. */
 fb_str_t fh_get_method (const fh_request_t *request);
 fb_str_t fh_get_path (const fh_request_t *request);
+fb_str_t fh_get_host (const fh_request_t *request);
 fb_bytes_t fh_get_body (const fh_request_t *request);
 size_t fh_get_headers (const fh_request_t *request, const fh_header_t **headers);
 
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -294,6 +294,12 @@
   h2o_context_request_shutdown (&server->context);
 }
 
+void
+fh_limit_idle (fh_server_t *server, fb_time_t timeout)
+{
+  server->context.http1.req_timeout.timeout = (uint64_t)(timeout / FB_MILLISECOND);
+}
+
 size_t
 fh_count_requests (const fh_server_t *server)
 {
@@ -322,6 +328,14 @@
   return (fb_str_t){ request->req->path.base, request->req->path.len };
 }
 
+fb_str_t
+fh_get_host (const fh_request_t *request)
+{
+  if (!request->req)
+    return (fb_str_t){ "", 0 };
+  return (fb_str_t){ request->req->authority.base, request->req->authority.len };
+}
+
 fb_bytes_t
 fh_get_body (const fh_request_t *request)
 {
--- /dev/null
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -0,0 +1,49 @@
+/* Endpoints that a platform lists: kept while the list cannot be read, and for a while after it
+ * can again, since entries that lapsed meanwhile are written anew. */
+#ifndef FOXTAILRUN_MEMBER_LISTING_H
+#define FOXTAILRUN_MEMBER_LISTING_H
+
+#include <foxtailrun/base/clock.h>
+#include <foxtailrun/wire/member.h>
+
+/* Time after the return of the source within which a missing entry may come back. */
+#define FM_RETURN_TIME (2 * FB_SECOND)
+
+typedef struct
+{
+  fw_member_t member;
+  uint32_t slots; /* calls that the backend server runs at once */
+} fm_listed_t;
+
+/* An endpoint was listed or has changed; its state is FW_DEAD when it is no longer listed. */
+typedef void (*fm_listed_fn_t) (const fm_listed_t *endpoint, void *user);
+
+typedef struct fm_listing fm_listing_t;
+
+/* Creates an empty listing; CLOCK is borrowed. */
+fm_listing_t *fm_create_listing (const fb_clock_t *clock, fm_listed_fn_t changed, void *user);
+
+/* Frees the listing; NULL is allowed. */
+void fm_destroy_listing (fm_listing_t *listing);
+
+/* Takes the entry of one endpoint. */
+void fm_list_endpoint (fm_listing_t *listing, const fm_listed_t *endpoint);
+
+/* Takes that the entry of ID was removed, or describes no endpoint any more. */
+void fm_unlist_endpoint (fm_listing_t *listing, const fb_name_t *id);
+
+/* Surround a read of the whole list: what was not listed in between is taken as removed. */
+void fm_begin_list (fm_listing_t *listing);
+void fm_end_list (fm_listing_t *listing);
+
+/* The source can no longer be read, or can again. */
+void fm_lose_source (fm_listing_t *listing);
+void fm_regain_source (fm_listing_t *listing);
+
+/* Forgets endpoints whose time to come back is over; call it every 100 ms or so. */
+void fm_tick_listing (fm_listing_t *listing);
+
+/* Returns the number of endpoints, those that may come back included. */
+size_t fm_count_listed (const fm_listing_t *listing);
+
+#endif
--- /dev/null
+++ b/packages/member/source/member-listing.c
@@ -0,0 +1,191 @@
+/* Endpoints that a platform lists. */
+#include <foxtailrun/base/digest.h>
+#include <foxtailrun/member/listing.h>
+#include <glib.h>
+#include <string.h>
+
+typedef struct
+{
+  fm_listed_t endpoint;
+  bool seen;    /* in the list that is being read */
+  bool missing; /* removed while the source was away */
+} listed_t;
+
+struct fm_listing
+{
+  const fb_clock_t *clock;
+  fm_listed_fn_t changed;
+  void *user;
+  GHashTable *entries; /* listed_t by id */
+  bool lost;
+  fb_time_t settled_at; /* from here on a missing entry is gone */
+};
+
+static guint
+hash_name (gconstpointer name)
+{
+  return (guint)fb_hash_str (fb_get_name (name), 0);
+}
+
+static gboolean
+equal_names (gconstpointer a, gconstpointer b)
+{
+  return fb_equal_name (a, b);
+}
+
+fm_listing_t *
+fm_create_listing (const fb_clock_t *clock, fm_listed_fn_t changed, void *user)
+{
+  fm_listing_t *listing = g_new0 (fm_listing_t, 1);
+
+  listing->clock = clock;
+  listing->changed = changed;
+  listing->user = user;
+  listing->entries = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+  return listing;
+}
+
+void
+fm_destroy_listing (fm_listing_t *listing)
+{
+  if (!listing)
+    return;
+  g_hash_table_destroy (listing->entries);
+  g_free (listing);
+}
+
+static bool
+is_same_endpoint (const fm_listed_t *a, const fm_listed_t *b)
+{
+  const fw_member_t *left = &a->member;
+  const fw_member_t *right = &b->member;
+
+  return a->slots == b->slots && left->incarnation == right->incarnation
+         && left->state == right->state && left->call_port == right->call_port
+         && fb_equal_name (&left->address, &right->address)
+         && fb_equal_name (&left->zone, &right->zone)
+         && fb_equal_name (&left->service, &right->service);
+}
+
+void
+fm_list_endpoint (fm_listing_t *listing, const fm_listed_t *endpoint)
+{
+  listed_t *entry = g_hash_table_lookup (listing->entries, &endpoint->member.id);
+
+  if (entry && is_same_endpoint (&entry->endpoint, endpoint))
+    {
+      entry->seen = true;
+      entry->missing = false;
+      return;
+    }
+  if (!entry)
+    {
+      entry = g_new0 (listed_t, 1);
+      entry->endpoint = *endpoint;
+      g_hash_table_insert (listing->entries, &entry->endpoint.member.id, entry);
+    }
+  entry->endpoint = *endpoint;
+  entry->seen = true;
+  entry->missing = false;
+  listing->changed (&entry->endpoint, listing->user);
+}
+
+/* Tells that ENTRY is gone; the caller removes it. */
+static void
+report_gone (fm_listing_t *listing, const listed_t *entry)
+{
+  fm_listed_t gone = entry->endpoint;
+
+  gone.member.state = FW_DEAD;
+  listing->changed (&gone, listing->user);
+}
+
+static bool
+is_settled (const fm_listing_t *listing)
+{
+  return !listing->lost && fb_read_clock (listing->clock) >= listing->settled_at;
+}
+
+void
+fm_unlist_endpoint (fm_listing_t *listing, const fb_name_t *id)
+{
+  listed_t *entry = g_hash_table_lookup (listing->entries, id);
+
+  if (!entry)
+    return;
+  if (!is_settled (listing))
+    {
+      entry->missing = true;
+      return;
+    }
+  report_gone (listing, entry);
+  g_hash_table_remove (listing->entries, id);
+}
+
+void
+fm_begin_list (fm_listing_t *listing)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, listing->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((listed_t *)value)->seen = false;
+}
+
+void
+fm_end_list (fm_listing_t *listing)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, listing->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      listed_t *entry = value;
+
+      entry->missing = entry->missing || !entry->seen;
+    }
+  fm_tick_listing (listing);
+}
+
+void
+fm_lose_source (fm_listing_t *listing)
+{
+  listing->lost = true;
+}
+
+void
+fm_regain_source (fm_listing_t *listing)
+{
+  if (!listing->lost)
+    return;
+  listing->lost = false;
+  listing->settled_at = fb_read_clock (listing->clock) + FM_RETURN_TIME;
+}
+
+void
+fm_tick_listing (fm_listing_t *listing)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!is_settled (listing))
+    return;
+  g_hash_table_iter_init (&iter, listing->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      listed_t *entry = value;
+
+      if (!entry->missing)
+        continue;
+      report_gone (listing, entry);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+size_t
+fm_count_listed (const fm_listing_t *listing)
+{
+  return g_hash_table_size (listing->entries);
+}
--- /dev/null
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -0,0 +1,71 @@
+/* What an adapter to a platform supplies to a node, and what it may tell the node. */
+#ifndef FOXTAILRUN_NODE_ADAPTER_H
+#define FOXTAILRUN_NODE_ADAPTER_H
+
+#include <foxtailrun/base/status.h>
+#include <foxtailrun/kernel/kernel.h>
+#include <foxtailrun/wire/member.h>
+
+/* Headers that callers and backend servers use beside the usual ones. Names are in lower case;
+ * an empty name stands for a header that is not used. */
+typedef struct
+{
+  fb_str_t request_id; /* id of one request of a caller */
+  fb_str_t timeout_ms; /* time that the sender will wait, in ms */
+  fb_str_t outcome;    /* to callers: how the call ended */
+  fb_str_t customer;   /* from callers: the customer */
+  fb_str_t caller;     /* to backend servers: service on the host where the request began */
+  fb_str_t instance;   /* to backend servers: the only instance that may run the request */
+  fb_str_t not_run;    /* from backend servers: the request was refused without being run */
+  bool unframed;   /* a backend server may end a body without a length with its connection */
+  bool repeats_id; /* backend servers repeat the request id in their answers */
+  bool resolves_paths; /* backend servers resolve dot segments and escapes, so that a path that
+                          needs it could reach another route than the one found for it */
+} fn_dialect_t;
+
+/* Where configuration documents come from. A service of this name is registered on the kernel;
+ * its data starts with this struct. */
+#define FN_SOURCE "source"
+
+typedef struct fn_source fn_source_t;
+
+struct fn_source
+{
+  /* Starts a read that ends by fn_end_source_read: with INDEX 0 at once, otherwise when a
+   * document above INDEX is there. */
+  void (*read) (fn_source_t *source, uint64_t index);
+};
+
+typedef struct
+{
+  const fn_dialect_t *dialect;
+  /* Registers the service FN_SOURCE. USER is the adapter's. */
+  void (*register_source) (fk_kernel_t *kernel, void *user);
+  void *user;
+  /* The source lists the endpoints and every node reads it: there is no membership protocol,
+   * and no other node is asked for documents. */
+  bool listed;
+} fn_adapter_t;
+
+/* Ends a read of the source: STATUS FB_OK with INDEX and DOCUMENT, FB_NOT_FOUND when nothing is
+ * published, FB_TIMEOUT when the wait ended without a change, anything else for a failed read.
+ */
+void fn_finish_source_read (fk_kernel_t *kernel, fb_status_t status, uint64_t index,
+                            fb_bytes_t document);
+
+/* Takes the current description of an endpoint: FW_ALIVE may be called, FW_LEAVING gets no new
+ * calls, FW_DEAD is forgotten. */
+void fn_put_endpoint (fk_kernel_t *kernel, const fw_member_t *endpoint);
+
+/* The backend server beside this node, as the platform describes it. */
+typedef struct
+{
+  fb_name_t instance; /* empty when the platform lists none */
+  uint32_t slots;     /* calls that it runs at once; 0 when not known */
+  bool leaving;
+} fn_local_t;
+
+/* Takes the current description of the backend server beside this node. */
+void fn_set_local (fk_kernel_t *kernel, const fn_local_t *local);
+
+#endif
--- a/packages/node/source/node-backend-ticket.c
+++ b/packages/node/source/node-backend-ticket.c
@@ -3,40 +3,6 @@
 #include "node-backend.h"
 #include <string.h>
 
-/* Packs an answer for the records of at-most-once calls: the length of the header part, it, and
- * the body. */
-static GByteArray *
-pack_answer (const fw_call_t *answer)
-{
-  size_t length;
-  uint8_t *header = fw_encode_call (answer, &length);
-  uint32_t prefix = (uint32_t)length;
-  GByteArray *packed = g_byte_array_new ();
-
-  g_byte_array_append (packed, (const guint8 *)&prefix, sizeof prefix);
-  g_byte_array_append (packed, header, (guint)length);
-  g_byte_array_append (packed, answer->body.data, (guint)answer->body.len);
-  g_free (header);
-  return packed;
-}
-
-static bool
-unpack_answer (fb_bytes_t packed, fw_call_t *answer)
-{
-  uint32_t prefix;
-
-  if (packed.len < sizeof prefix)
-    return false;
-  memcpy (&prefix, packed.data, sizeof prefix);
-  if (prefix > packed.len - sizeof prefix)
-    return false;
-  return fw_decode_call ((fb_bytes_t){ packed.data + sizeof prefix, prefix },
-                         (fb_bytes_t){ packed.data + sizeof prefix + prefix,
-                                       packed.len - sizeof prefix - prefix },
-                         answer)
-         == FB_OK;
-}
-
 /* Answers every call that waits for the same ticket as ENDED. */
 static void
 answer_joined (fn_served_t *ended, const fw_call_t *answer)
@@ -77,7 +43,7 @@
       fr_end_once (once, &served->ticket, (fb_bytes_t){ NULL, 0 });
       return;
     }
-  packed = pack_answer (answer);
+  packed = fw_pack_call (answer);
   fr_end_once (once, &served->ticket, (fb_bytes_t){ packed->data, packed->len });
   g_byte_array_free (packed, TRUE);
 }
@@ -105,7 +71,7 @@
       return;
     case FR_ONCE_ANSWERED:
       fb_add_counter (served->backend->replayed, 1);
-      if (unpack_answer (recorded, &answer))
+      if (fw_unpack_call (recorded, &answer) == FB_OK)
         fn_answer_served (served, &answer);
       else
         fn_answer_outcome (served, FW_UNKNOWN, 504, "recorded answer is not readable");
@@ -134,7 +100,7 @@
 
   if (!served->has_ticket)
     {
-      fn_answer_outcome (served, FW_NOT_RUN, status, reason);
+      fn_refuse_elsewhere (served, status, reason);
       return;
     }
   state = fr_refuse_once (served->backend->once, &served->ticket,
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -5,7 +5,8 @@
 #include <stdio.h>
 #include <string.h>
 
-#define TICK_PERIOD (5 * FB_MILLISECOND)
+/* Precision of deadlines in the queue; a tick costs a wake-up of the process. */
+#define TICK_PERIOD (10 * FB_MILLISECOND)
 
 /* Bound on waiting for the backend server without any data; frees the slot of a silent
  * connection when no deadline does, as for calls that run at most once. */
@@ -13,6 +14,13 @@
 
 #define IDLE_CONNECTIONS_MAX 32
 
+/* Time in which the backend server on the same host must take a connection. */
+#define CONNECT_TIMEOUT (250 * FB_MILLISECOND)
+
+/* Time after a failed connection in which further calls are refused at once; then one is tried
+ * again. */
+#define AVOID_TIME (250 * FB_MILLISECOND)
+
 /* Bounds of the records of calls that run at most once. */
 #define ONCE_RECORDS_MAX 20000
 #define ONCE_BYTES_MAX (8 * 1024 * 1024)
@@ -52,6 +60,17 @@
   fn_answer_served (served, &answer);
 }
 
+void
+fn_refuse_elsewhere (fn_served_t *served, uint32_t status, const char *reason)
+{
+  fw_call_t answer = {
+    .outcome = FW_NOT_RUN, .status = status, .reason = fb_wrap_text (reason), .elsewhere = true
+  };
+
+  fb_add_counter (served->backend->refused, 1);
+  fn_answer_served (served, &answer);
+}
+
 static void
 end_running (fn_served_t *served, fw_call_t *answer)
 {
@@ -81,13 +100,39 @@
     }
 }
 
+/* Returns whether the backend server says that it has not run the request. */
+static bool
+is_not_run (fn_backend_t *backend, const fh_response_t *response)
+{
+  const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
+
+  return dialect->not_run.len > 0
+         && fh_find_header (response->headers, response->header_count, dialect->not_run).data;
+}
+
+static void
+avoid_server (fn_backend_t *backend)
+{
+  backend->avoid_until = fb_read_clock (fk_get_clock (backend->kernel)) + AVOID_TIME;
+  FB_LOG (fk_get_log (backend->kernel), FB_LOG_WARNING, FN_BACKEND,
+          "no connection to the backend server",
+          FB_TEXT ("instance", backend->local.instance.data),
+          FB_NUMBER ("refusing_ms", AVOID_TIME / FB_MILLISECOND));
+}
+
 static void
 end_exchange (const fh_response_t *response, void *user)
 {
   fn_served_t *served = user;
   fw_call_t answer = { .status = 502, .reason = fb_wrap_text (response->error) };
 
-  if (response->result == FH_ANSWERED)
+  if (response->result == FH_ANSWERED && is_not_run (served->backend, response))
+    {
+      answer.outcome = FW_NOT_RUN;
+      answer.status = 503;
+      answer.reason = FB_LITERAL ("refused by the backend server");
+    }
+  else if (response->result == FH_ANSWERED)
     {
       answer.outcome = FW_ANSWERED;
       answer.status = response->status;
@@ -98,9 +143,11 @@
     {
       answer.outcome = FW_NOT_RUN;
       answer.status = 503;
+      answer.elsewhere = true;
+      avoid_server (served->backend);
     }
   else
-    answer.outcome = served->has_ticket ? FW_UNKNOWN : FW_FAILED;
+    answer.outcome = served->has_ticket || served->call.single ? FW_UNKNOWN : FW_FAILED;
   end_running (served, &answer);
 }
 
@@ -109,20 +156,29 @@
 {
   fn_backend_t *backend = served->backend;
   fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
-  fh_header_t headers[FH_HEADERS_MAX + 1];
+  const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
+  const fb_name_t *instance = &backend->local.instance;
+  fh_header_t headers[FH_HEADERS_MAX + 2];
   fh_outgoing_t outgoing = { .method = served->call.method,
+                             .host = served->call.host,
                              .path = served->call.path,
                              .headers = headers,
                              .body = served->call.body,
-                             .fresh = served->has_ticket };
+                             .fresh = served->has_ticket || served->call.single,
+                             .repeatable = !served->has_ticket && !served->call.single,
+                             .until_close = dialect->unframed };
+  size_t count = served->call.header_count;
   char remaining[24];
 
-  for (size_t i = 0; i < served->call.header_count; i++)
+  for (size_t i = 0; i < count; i++)
     headers[i] = (fh_header_t){ served->call.headers[i].name, served->call.headers[i].value };
   snprintf (remaining, sizeof remaining, "%" PRId64, (served->deadline - now) / FB_MILLISECOND);
-  headers[served->call.header_count]
-      = (fh_header_t){ FB_LITERAL ("foxtailrun-timeout-ms"), fb_wrap_text (remaining) };
-  outgoing.header_count = served->call.header_count + 1;
+  headers[count++] = (fh_header_t){ dialect->timeout_ms, fb_wrap_text (remaining) };
+  if (dialect->instance.len > 0 && instance->len > 0)
+    headers[count++] = (fh_header_t){ dialect->instance, fb_get_name (instance) };
+  if (dialect->repeats_id)
+    outgoing.echo = (fh_header_t){ dialect->request_id, served->call.request_id };
+  outgoing.header_count = count;
   served->started = now;
   served->state = FN_CALL_RUNNING;
   fb_add_counter (backend->started, 1);
@@ -170,7 +226,8 @@
       rules[i] = (fr_rank_rule_t){ .share = rank->share,
                                    .target = rank->target_ms * FB_MILLISECOND };
     }
-  fr_set_rules (backend->admission, service->slots, rules, count);
+  fr_set_rules (backend->admission,
+                backend->local.slots > 0 ? backend->local.slots : service->slots, rules, count);
 }
 
 /* Cancels running calls whose deadline has passed; those with a ticket go on, so that their
@@ -195,7 +252,7 @@
   for (guint i = 0; i < late->len; i++)
     {
       fn_served_t *served = g_ptr_array_index (late, i);
-      fw_call_t answer = { .outcome = FW_FAILED,
+      fw_call_t answer = { .outcome = served->call.single ? FW_UNKNOWN : FW_FAILED,
                            .status = 504,
                            .reason = FB_LITERAL ("deadline passed at the backend server") };
       fh_cancel_exchange (served->exchange);
@@ -221,6 +278,11 @@
       || !fb_equal_str (call->service, fb_get_name (&settings->service))
       || !fc_find_service (snapshot, call->service, NULL))
     return "service is not served here";
+  if (fn_get_adapter (backend->kernel)->listed
+      && (backend->local.instance.len == 0 || backend->local.leaving))
+    return "backend server is leaving or gone";
+  if (fb_read_clock (fk_get_clock (backend->kernel)) < backend->avoid_until)
+    return "backend server takes no connections";
   if (backend->closed || (backend->draining && call->ticket.len == 0))
     return "draining";
   return NULL;
@@ -231,9 +293,9 @@
 {
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
-  const fc_route_t *route = fc_find_route (snapshot, call->method, call->path);
+  const fc_route_t *route = fc_find_route (snapshot, call->host, call->method, call->path);
 
-  return route && !route->repeatable;
+  return route && !route->repeatable && route->ticket;
 }
 
 static fn_served_t *
@@ -282,6 +344,8 @@
     backend->client
         = fh_create_client (kernel, &settings->backend.address, settings->backend.port,
                             IDLE_CONNECTIONS_MAX, FW_ANSWER_BODY_MAX, BACKEND_IO_TIMEOUT);
+  if (backend->client)
+    fh_limit_connecting (backend->client, CONNECT_TIMEOUT);
   backend->tick = fk_create_timer (kernel, TICK_PERIOD, tick_backend, backend);
   return FB_OK;
 }
@@ -342,6 +406,21 @@
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
 }
 
+void
+fn_set_local (fk_kernel_t *kernel, const fn_local_t *local)
+{
+  fn_backend_t *backend = fk_find_service (kernel, FN_BACKEND);
+
+  if (backend->local.slots != local->slots)
+    g_clear_pointer (&backend->rules, fc_release_snapshot);
+  if (!fb_equal_name (&backend->local.instance, &local->instance) && backend->client)
+    fh_close_idle (backend->client);
+  backend->local = *local;
+  FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_BACKEND, "backend server described",
+          FB_TEXT ("instance", local->instance.data), FB_NUMBER ("slots", local->slots),
+          FB_NUMBER ("leaving", local->leaving));
+}
+
 uint64_t
 fn_serve_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered,
                void *user)
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -43,7 +43,9 @@
   fk_timer_t *tick;
   GHashTable *calls; /* fn_served_t by handle */
   uint64_t last_handle;
-  fc_snapshot_t *rules; /* whose ranks and slots admission has; NULL at first */
+  fc_snapshot_t *rules;  /* whose ranks and slots admission has; NULL when they are to be set */
+  fn_local_t local;      /* the backend server as the platform describes it */
+  fb_time_t avoid_until; /* no connection was had; calls are refused until then */
   bool draining;
   bool closed;
   fb_counter_t *started;
@@ -59,6 +61,9 @@
 void fn_answer_outcome (fn_served_t *served, fw_outcome_t outcome, uint32_t status,
                         const char *reason);
 
+/* Refuses a call for a reason that other instances need not share. */
+void fn_refuse_elsewhere (fn_served_t *served, uint32_t status, const char *reason);
+
 /* Begins the use of a call's ticket; returns false when the call was answered, or joined to a
  * running one, from what is known of the ticket. */
 bool fn_begin_ticket (fn_served_t *served);
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -1,161 +1,199 @@
+/* Calls between the entry nodes and the nodes beside backend servers: one HTTP exchange each,
+ * so that the end of its connection cancels a call. */
 #include "node-services.h"
-#include <foxtailrun/transport/bus.h>
+#include <foxtailrun/http/client.h>
+#include <foxtailrun/http/server.h>
 #include <glib.h>
 #include <string.h>
 
+#define CALL_PATH "/call"
+
+/* Room for the encoded header beside the body. */
+#define HEADER_MAX (256 * 1024)
+
+/* Connections to one node kept for the next call. */
+#define IDLE_MAX 64
+
+/* Time in which a node must take a connection. A refused call goes to another instance, which
+ * is worth more than a retransmitted opening packet after 1 s. */
+#define CONNECT_TIMEOUT (250 * FB_MILLISECOND)
+
+/* Bounds a call without a deadline of its own; the entry gives up earlier. */
+#define IO_TIMEOUT (600 * FB_SECOND)
+
 struct fn_calls
 {
   fk_kernel_t *kernel;
-  ft_bus_t *bus;
-  GHashTable *open; /* remote_t of calls not yet answered, by requester and id */
+  fh_server_t *server;
+  GHashTable *peers; /* fh_client_t by "address:port" */
+  GHashTable *sent;  /* sent_t by id of the attempt */
   fb_counter_t *malformed;
 };
 
-/* A call from another node that is being served here. */
+/* A call that another node serves. */
 typedef struct
 {
   fn_calls_t *calls;
-  ft_requester_t from;
   uint64_t id;
-  uint64_t handle;
-} remote_t;
+  fh_exchange_t *exchange;
+} sent_t;
 
-static guint
-hash_remote (const void *key)
+/* A call of another node that is served here. */
+typedef struct
 {
-  const remote_t *remote = key;
-
-  return (guint)fb_hash_str ((fb_str_t){ (const char *)remote->from.data, remote->from.len },
-                             remote->id);
-}
+  fn_calls_t *calls;
+  fh_request_t *request;
+  uint64_t handle;
+} remote_t;
 
-static gboolean
-equal_remote (const void *a, const void *b)
+static bool
+decode_call (fn_calls_t *calls, fb_bytes_t bytes, fw_call_t *call)
 {
-  const remote_t *left = a;
-  const remote_t *right = b;
-
-  return left->id == right->id && left->from.len == right->from.len
-         && memcmp (left->from.data, right->from.data, left->from.len) == 0;
+  if (fw_unpack_call (bytes, call) == FB_OK)
+    return true;
+  fb_add_counter (calls->malformed, 1);
+  FB_LOG (fk_get_log (calls->kernel), FB_LOG_WARNING, FN_CALLS,
+          "dropped a malformed call message", FB_NUMBER ("bytes", bytes.len));
+  return false;
 }
 
 static void
-send_answer (fn_calls_t *calls, const ft_requester_t *to, const fw_call_t *answer)
+answer_remote (const fw_call_t *answer, void *user)
 {
-  size_t length;
-  uint8_t *header = fw_encode_call (answer, &length);
+  remote_t *remote = user;
+  fw_call_t message = *answer;
+  GByteArray *bytes;
 
-  ft_answer (calls->bus, to, (fb_bytes_t){ header, length }, answer->body);
-  g_free (header);
+  message.kind = FW_ANSWER;
+  bytes = fw_pack_call (&message);
+  fh_respond (remote->request, 200, NULL, 0, (fb_bytes_t){ bytes->data, bytes->len });
+  g_byte_array_unref (bytes);
+  g_free (remote);
 }
 
+/* The entry node gave the call up or is gone. */
 static void
-answer_remote (const fw_call_t *answer, void *user)
+cancel_remote (fh_request_t *request, void *user)
 {
   remote_t *remote = user;
-  fw_call_t message = *answer;
 
-  message.kind = FW_ANSWER;
-  message.id = remote->id;
-  if (remote->calls->bus)
-    send_answer (remote->calls, &remote->from, &message);
-  g_hash_table_remove (remote->calls->open, remote);
+  fn_cancel_call (fk_find_service (remote->calls->kernel, FN_BACKEND), remote->handle);
+  fh_respond (request, 499, NULL, 0, (fb_bytes_t){ NULL, 0 });
+  g_free (remote);
 }
 
 static void
-serve_remote (fn_calls_t *calls, const ft_requester_t *from, const fw_call_t *call)
+receive_request (fh_request_t *request, void *user)
 {
-  fn_backend_t *backend = fk_find_service (calls->kernel, FN_BACKEND);
-  remote_t *remote = g_new0 (remote_t, 1);
+  fn_calls_t *calls = user;
+  fw_call_t call;
+  remote_t *remote;
   uint64_t handle;
 
-  remote->calls = calls;
-  remote->from = *from;
-  remote->id = call->id;
-  if (g_hash_table_contains (calls->open, remote))
+  if (!fb_equal_str (fh_get_path (request), FB_LITERAL (CALL_PATH))
+      || !decode_call (calls, fh_get_body (request), &call) || call.kind != FW_CALL)
     {
-      g_free (remote);
+      fh_respond (request, 400, NULL, 0, (fb_bytes_t){ NULL, 0 });
       return;
     }
-  g_hash_table_add (calls->open, remote);
-  handle = fn_serve_call (backend, call, answer_remote, remote);
-  if (handle != 0)
-    remote->handle = handle;
+  remote = g_new0 (remote_t, 1);
+  remote->calls = calls;
+  remote->request = request;
+  handle = fn_serve_call (fk_find_service (calls->kernel, FN_BACKEND), &call, answer_remote,
+                          remote);
+  /* The answer has freed REMOTE unless the handle says that the call waits. */
+  if (handle == 0)
+    return;
+  remote->handle = handle;
+  fh_watch_cancel (request, cancel_remote, remote);
 }
 
 static void
-cancel_remote (fn_calls_t *calls, const ft_requester_t *from, uint64_t id)
+receive_answer (const fh_response_t *response, void *user)
 {
-  remote_t probe = { .from = *from, .id = id };
-  remote_t *remote = g_hash_table_lookup (calls->open, &probe);
-
-  if (!remote)
-    return;
-  fn_cancel_call (fk_find_service (calls->kernel, FN_BACKEND), remote->handle);
-  g_hash_table_remove (calls->open, remote);
-}
+  sent_t *sent = user;
+  fn_calls_t *calls = sent->calls;
+  fn_entry_t *entry = fk_find_service (calls->kernel, FN_ENTRY);
+  uint64_t id = sent->id;
+  fw_call_t answer;
 
-static bool
-decode_call (fn_calls_t *calls, fb_bytes_t header, fb_bytes_t body, fw_call_t *call)
-{
-  if (fw_decode_call (header, body, call) == FB_OK)
-    return true;
-  fb_add_counter (calls->malformed, 1);
-  FB_LOG (fk_get_log (calls->kernel), FB_LOG_WARNING, FN_CALLS,
-          "dropped a malformed call message", FB_NUMBER ("bytes", header.len));
-  return false;
+  g_hash_table_remove (calls->sent, &id);
+  if (response->result == FH_NOT_SENT)
+    fn_fail_unsent (entry, id);
+  else if (response->result == FH_ANSWERED && response->status == 200
+           && decode_call (calls, response->body, &answer) && answer.kind == FW_ANSWER)
+    {
+      answer.id = id;
+      fn_end_attempt (entry, &answer);
+    }
+  else
+    fn_fail_lost (entry, id, response->error ? response->error : "no call message");
 }
 
-static void
-receive_request (const ft_requester_t *from, fb_bytes_t header, fb_bytes_t body, void *user)
+static char *
+format_peer_key (const fb_name_t *address, uint16_t port)
 {
-  fn_calls_t *calls = user;
-  fw_call_t call;
-
-  if (!decode_call (calls, header, body, &call))
-    return;
-  if (call.kind == FW_CALL)
-    serve_remote (calls, from, &call);
-  else if (call.kind == FW_CANCEL)
-    cancel_remote (calls, from, call.id);
+  return g_strdup_printf ("%s:%u", address->data, port);
 }
 
-static void
-receive_answer (const fb_name_t *address, uint16_t port, fb_bytes_t header, fb_bytes_t body,
-                void *user)
+static fh_client_t *
+find_peer (fn_calls_t *calls, const fb_name_t *address, uint16_t port)
 {
-  fn_calls_t *calls = user;
-  fw_call_t answer;
+  char *key = format_peer_key (address, port);
+  fh_client_t *client = g_hash_table_lookup (calls->peers, key);
 
-  if (decode_call (calls, header, body, &answer) && answer.kind == FW_ANSWER)
-    fn_end_attempt (fk_find_service (calls->kernel, FN_ENTRY), &answer);
+  if (client)
+    {
+      g_free (key);
+      return client;
+    }
+  client = fh_create_client (calls->kernel, address, port, IDLE_MAX,
+                             FW_ANSWER_BODY_MAX + HEADER_MAX, IO_TIMEOUT);
+  fh_limit_connecting (client, CONNECT_TIMEOUT);
+  g_hash_table_insert (calls->peers, key, client);
+  return client;
 }
 
+/* Closes the idle connections to an endpoint that left; calls in flight go on. */
 static void
-report_not_sent (uint64_t tag, void *user)
+forget_endpoint (const fw_member_t *endpoint, void *user)
 {
   fn_calls_t *calls = user;
+  char *key = format_peer_key (&endpoint->address, endpoint->call_port);
+  fh_client_t *client = g_hash_table_lookup (calls->peers, key);
 
-  /* Cancellations carry tag 0: nothing waits for them. */
-  if (tag != 0)
-    fn_fail_unsent (fk_find_service (calls->kernel, FN_ENTRY), tag);
+  if (client && endpoint->state == FW_DEAD)
+    fh_close_idle (client);
+  g_free (key);
 }
 
-static void
-report_disconnect (const fb_name_t *address, uint16_t port, void *user)
+void
+fn_send_call (fn_calls_t *calls, const fw_member_t *node, const fw_call_t *call)
 {
-  fn_calls_t *calls = user;
+  sent_t *sent = g_new0 (sent_t, 1);
+  GByteArray *bytes = fw_pack_call (call);
+  fh_outgoing_t outgoing = { .method = FB_LITERAL ("POST"),
+                             .path = FB_LITERAL (CALL_PATH),
+                             .body = { bytes->data, bytes->len },
+                             .repeatable = !call->single };
 
-  fn_fail_peer (fk_find_service (calls->kernel, FN_ENTRY), address, port);
+  sent->calls = calls;
+  sent->id = call->id;
+  g_hash_table_insert (calls->sent, &sent->id, sent);
+  sent->exchange = fh_send_request (find_peer (calls, &node->address, node->call_port),
+                                    &outgoing, receive_answer, sent);
+  g_byte_array_unref (bytes);
 }
 
-static void
-forget_member (const fw_member_t *member, void *user)
+void
+fn_cancel_sent (fn_calls_t *calls, uint64_t id)
 {
-  fn_calls_t *calls = user;
+  sent_t *sent = g_hash_table_lookup (calls->sent, &id);
 
-  if (member->state == FW_DEAD && calls->bus)
-    ft_disconnect (calls->bus, &member->address, member->call_port);
+  if (!sent)
+    return;
+  fh_cancel_exchange (sent->exchange);
+  g_hash_table_remove (calls->sent, &id);
 }
 
 static fb_status_t
@@ -163,21 +201,26 @@
 {
   fn_calls_t *calls = data;
   const fc_settings_t *settings = fn_get_settings (kernel);
-  ft_bus_hooks_t hooks
-      = { receive_request, receive_answer, report_not_sent, report_disconnect, calls };
 
-  calls->bus = ft_create_bus (kernel, "calls", &settings->address, settings->call_port, &hooks);
-  return calls->bus ? FB_OK : FB_IO;
+  calls->server = fh_create_server (kernel, &settings->address, settings->call_port,
+                                    FW_REQUEST_BODY_MAX + HEADER_MAX, receive_request, calls);
+  return calls->server ? FB_OK : FB_IO;
+}
+
+static void
+destroy_peer (void *data)
+{
+  fh_destroy_client (data);
 }
 
 static void
 stop_calls (void *data)
 {
   fn_calls_t *calls = data;
-  ft_bus_t *bus = calls->bus;
 
-  calls->bus = NULL;
-  ft_destroy_bus (bus);
+  if (calls->server)
+    fh_stop_accepting (calls->server);
+  g_hash_table_remove_all (calls->peers);
 }
 
 static void
@@ -185,7 +228,9 @@
 {
   fn_calls_t *calls = data;
 
-  g_hash_table_destroy (calls->open);
+  fh_destroy_server (calls->server);
+  g_hash_table_destroy (calls->peers);
+  g_hash_table_destroy (calls->sent);
   g_free (calls);
 }
 
@@ -196,31 +241,9 @@
   fn_calls_t *calls = g_new0 (fn_calls_t, 1);
 
   calls->kernel = kernel;
-  calls->open = g_hash_table_new_full (hash_remote, equal_remote, g_free, NULL);
+  calls->peers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, destroy_peer);
+  calls->sent = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   calls->malformed = fb_find_counter (fk_get_counters (kernel), "malformed_call_messages", "");
-  fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), forget_member, calls);
+  fn_watch_endpoints (fk_find_service (kernel, FN_DIRECTORY), forget_endpoint, calls);
   fk_register_service (kernel, FN_CALLS, &vtable, calls);
 }
-
-void
-fn_send_call (fn_calls_t *calls, const fw_member_t *node, const fw_call_t *call)
-{
-  size_t length;
-  uint8_t *header = fw_encode_call (call, &length);
-
-  ft_send (calls->bus, &node->address, node->call_port, call->id,
-           (fb_bytes_t){ header, length }, call->body);
-  g_free (header);
-}
-
-void
-fn_send_cancel (fn_calls_t *calls, const fw_member_t *node, uint64_t id)
-{
-  fw_call_t cancel = { .kind = FW_CANCEL, .id = id };
-  size_t length;
-  uint8_t *header = fw_encode_call (&cancel, &length);
-
-  ft_send (calls->bus, &node->address, node->call_port, 0, (fb_bytes_t){ header, length },
-           (fb_bytes_t){ NULL, 0 });
-  g_free (header);
-}
--- /dev/null
+++ b/packages/node/source/node-dialect.c
@@ -0,0 +1,10 @@
+/* The headers of the product's own interface. */
+#include "node-services.h"
+
+const fn_dialect_t fn_own_dialect = {
+  .request_id = { "foxtailrun-request-id", 21 },
+  .timeout_ms = { "foxtailrun-timeout-ms", 21 },
+  .outcome = { "foxtailrun-outcome", 18 },
+  .customer = { "foxtailrun-customer", 19 },
+  .resolves_paths = true,
+};
--- /dev/null
+++ b/packages/node/source/node-directory.c
@@ -0,0 +1,97 @@
+/* The endpoints that calls may go to, by id. */
+#include "node-services.h"
+#include <foxtailrun/base/digest.h>
+#include <foxtailrun/base/invariant.h>
+#include <glib.h>
+#include <string.h>
+
+#define WATCHERS_MAX 4
+
+typedef struct
+{
+  fn_member_changed_fn_t changed;
+  void *user;
+} watcher_t;
+
+struct fn_directory
+{
+  fk_kernel_t *kernel;
+  GHashTable *endpoints; /* fw_member_t by id */
+  watcher_t watchers[WATCHERS_MAX];
+  size_t watcher_count;
+};
+
+static guint
+hash_name (gconstpointer name)
+{
+  return (guint)fb_hash_str (fb_get_name (name), 0);
+}
+
+static gboolean
+equal_names (gconstpointer a, gconstpointer b)
+{
+  return fb_equal_name (a, b);
+}
+
+static void
+destroy_directory (void *data)
+{
+  fn_directory_t *directory = data;
+
+  g_hash_table_destroy (directory->endpoints);
+  g_free (directory);
+}
+
+static void
+take_member (const fw_member_t *member, void *user)
+{
+  fn_put_endpoint (user, member);
+}
+
+void
+fn_register_directory (fk_kernel_t *kernel)
+{
+  static const fk_service_t vtable = { .destroy = destroy_directory };
+  fn_directory_t *directory = g_new0 (fn_directory_t, 1);
+
+  directory->kernel = kernel;
+  directory->endpoints = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+  fk_register_service (kernel, FN_DIRECTORY, &vtable, directory);
+  if (!fn_get_adapter (kernel)->listed)
+    fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), take_member, kernel);
+}
+
+void
+fn_put_endpoint (fk_kernel_t *kernel, const fw_member_t *endpoint)
+{
+  fn_directory_t *directory = fk_find_service (kernel, FN_DIRECTORY);
+  fw_member_t *known = g_hash_table_lookup (directory->endpoints, &endpoint->id);
+  fw_member_t current = *endpoint;
+
+  if (!known && endpoint->state == FW_DEAD)
+    return;
+  if (!known)
+    {
+      known = g_new0 (fw_member_t, 1);
+      *known = *endpoint;
+      g_hash_table_insert (directory->endpoints, &known->id, known);
+    }
+  *known = *endpoint;
+  for (size_t i = 0; i < directory->watcher_count; i++)
+    directory->watchers[i].changed (&current, directory->watchers[i].user);
+  if (current.state == FW_DEAD)
+    g_hash_table_remove (directory->endpoints, &current.id);
+}
+
+const fw_member_t *
+fn_find_endpoint (fn_directory_t *directory, const fb_name_t *id)
+{
+  return g_hash_table_lookup (directory->endpoints, id);
+}
+
+void
+fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user)
+{
+  FB_INVARIANT (directory->watcher_count < WATCHERS_MAX);
+  directory->watchers[directory->watcher_count++] = (watcher_t){ changed, user };
+}
--- a/packages/node/source/node-distribution.c
+++ b/packages/node/source/node-distribution.c
@@ -36,7 +36,9 @@
 {
   fn_distribution_t *distribution = user;
 
-  fn_read_source (fk_find_service (distribution->kernel, FN_SOURCE), index);
+  fn_source_t *source = fk_find_service (distribution->kernel, FN_SOURCE);
+
+  source->read (source, index);
 }
 
 static void
@@ -137,10 +139,15 @@
   ft_bus_hooks_t hooks
       = { receive_request, receive_answer, ignore_not_sent, ignore_disconnect, distribution };
 
-  distribution->bus
-      = ft_create_bus (kernel, "control", &settings->address, settings->control_port, &hooks);
-  if (!distribution->bus)
-    return FB_IO;
+  if (fn_get_adapter (kernel)->listed)
+    fd_set_standalone (distribution->node);
+  else
+    {
+      distribution->bus = ft_create_bus (kernel, "control", &settings->address,
+                                         settings->control_port, &hooks);
+      if (!distribution->bus)
+        return FB_IO;
+    }
   distribution->tick = fk_create_timer (kernel, TICK_PERIOD, tick_distribution, distribution);
   tick_distribution (distribution);
   return FB_OK;
@@ -217,9 +224,11 @@
 }
 
 void
-fn_end_source_read (fn_distribution_t *distribution, fb_status_t status, uint64_t index,
-                    fb_bytes_t document)
+fn_finish_source_read (fk_kernel_t *kernel, fb_status_t status, uint64_t index,
+                       fb_bytes_t document)
 {
+  fn_distribution_t *distribution = fk_find_service (kernel, FN_DISTRIBUTION);
+
   fd_handle_source_value (distribution->node, status, index, document);
 }
 
--- a/packages/node/source/node-drain.c
+++ b/packages/node/source/node-drain.c
@@ -4,10 +4,6 @@
 
 #define CHECK_PERIOD (20 * FB_MILLISECOND)
 
-/* Bound on the whole drain. Longer than the longest timeout of a route, after which every call
- * has ended. */
-#define DRAIN_LIMIT (120 * FB_SECOND)
-
 typedef struct
 {
   fk_kernel_t *kernel;
@@ -38,7 +34,8 @@
       fn_drain_backend (fk_find_service (drain->kernel, FN_BACKEND), true);
       return;
     }
-  if (count_open_calls (drain->kernel) > 0 && elapsed < DRAIN_LIMIT)
+  if (count_open_calls (drain->kernel) > 0
+      && elapsed < fn_get_settings (drain->kernel)->drain_limit)
     return;
   FB_LOG (fk_get_log (drain->kernel), FB_LOG_INFO, FN_DRAIN, "drained",
           FB_NUMBER ("ms_taken", elapsed / FB_MILLISECOND),
@@ -87,8 +84,13 @@
   drain->began = fb_read_clock (fk_get_clock (kernel));
   FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_DRAIN, "draining",
           FB_NUMBER ("open_calls", count_open_calls (kernel)));
-  fm_announce_leaving (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP)));
-  fn_drain_backend (fk_find_service (kernel, FN_BACKEND), false);
+  /* Without a membership protocol the other nodes learn of it by the first refused call. Until
+   * the entry closes, the backend server beside this node goes on taking calls. */
+  if (!fn_get_adapter (kernel)->listed)
+    {
+      fm_announce_leaving (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP)));
+      fn_drain_backend (fk_find_service (kernel, FN_BACKEND), false);
+    }
   drain->timer = fk_create_timer (kernel, CHECK_PERIOD, check_drain, drain);
 }
 
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -13,16 +13,26 @@
   return fb_read_clock (fk_get_clock (entry->kernel));
 }
 
+/* Returns whether NODE, an endpoint, is the one beside this node. */
 static bool
-is_self (fn_entry_t *entry, const fb_name_t *id)
+is_local (fn_entry_t *entry, const fw_member_t *node)
 {
-  return fb_equal_name (id, &fn_get_settings (entry->kernel)->id);
+  const fc_settings_t *settings = fn_get_settings (entry->kernel);
+
+  return node->call_port == settings->call_port
+         && fb_equal_name (&node->address, &settings->address);
 }
 
 static const fw_member_t *
-find_member (fn_entry_t *entry, const fb_name_t *id)
+find_node (fn_entry_t *entry, const fb_name_t *id)
 {
-  return fm_find_member (fn_get_members (fk_find_service (entry->kernel, FN_MEMBERSHIP)), id);
+  return fn_find_endpoint (fk_find_service (entry->kernel, FN_DIRECTORY), id);
+}
+
+static fb_str_t
+get_service_name (const fn_entry_call_t *call)
+{
+  return fb_get_name (&fc_get_service (call->snapshot, call->service)->name);
 }
 
 /* Closes the open attempt's books; returns the name of the instance tried. */
@@ -38,6 +48,8 @@
 static fr_result_t
 judge_answer (const fw_call_t *answer)
 {
+  if (answer->outcome == FW_NOT_RUN && answer->elsewhere)
+    return FR_RESULT_UNREACHABLE;
   if (answer->outcome == FW_NOT_RUN)
     return answer->status == 428 ? FR_RESULT_GOOD : FR_RESULT_REFUSED;
   if (answer->outcome == FW_ANSWERED && answer->status < 500)
@@ -45,30 +57,33 @@
   return FR_RESULT_FAILED;
 }
 
-/* Returns whether another attempt follows ANSWER. A drain must not cost a call, so that its
- * refusals are retried beyond the route's limit and the budget. */
+/* Returns whether the backend server's answer says that it failed and another may do better. */
+static bool
+is_server_failure (const fw_call_t *answer)
+{
+  return answer->outcome == FW_ANSWERED
+         && (answer->status == 500 || (answer->status >= 502 && answer->status <= 504));
+}
+
+/* Returns whether another attempt follows ANSWER. A refusal that other instances need not share
+ * must not cost a call, so that it is retried beyond the route's limit and the budget. */
 static bool
 may_try_again (fn_entry_call_t *call, const fw_call_t *answer)
 {
   const fc_route_t *route = call->route;
-  bool draining
-      = answer->outcome == FW_NOT_RUN && fb_equal_str (answer->reason, FB_LITERAL ("draining"));
-  uint32_t limit = 1 + route->retries + (draining ? FN_DRAIN_RETRIES : 0);
-  fw_outcome_t outcome = answer->outcome;
+  bool elsewhere = answer->outcome == FW_NOT_RUN && answer->elsewhere;
+  fw_outcome_t outcome = is_server_failure (answer) ? FW_FAILED : answer->outcome;
 
-  if (outcome == FW_ANSWERED && answer->status >= 502 && answer->status <= 504)
-    outcome = FW_FAILED;
   if (outcome == FW_ANSWERED || answer->status == 428 || answer->status == 422)
     return false;
-  if (call->attempt_count >= limit || call->attempt_count >= FN_ATTEMPTS_MAX
-      || read_time (call->entry) >= call->deadline)
+  if (call->attempt_count >= FN_ATTEMPTS_MAX || read_time (call->entry) >= call->deadline)
     return false;
   if (!fr_may_retry (outcome, route->repeatable, call->ticket.len > 0))
     return false;
-  return draining
-         || fr_take_retry (
-             call->entry->budget,
-             fb_get_name (&fc_get_service (call->snapshot, route->service)->name));
+  if (elsewhere)
+    return call->elsewhere_count++ < FN_ELSEWHERE_RETRIES;
+  return call->attempt_count - call->elsewhere_count <= route->retries
+         && fr_take_retry (call->entry->budget, get_service_name (call));
 }
 
 static void
@@ -76,12 +91,11 @@
 {
   fn_entry_t *entry = call->entry;
   const fb_name_t *tried = close_attempt (call);
-  const fc_service_t *service = fc_get_service (call->snapshot, call->route->service);
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
   fr_report_ranked (entry->picker, tried, call->route->rank, judge_answer (answer),
                     read_time (entry) - call->attempt_start, answer->load);
-  fr_report_customer (entry->throttle, fb_get_name (&service->name), call->route->rank,
+  fr_report_customer (entry->throttle, get_service_name (call), call->route->rank,
                       call->customer, accepted);
   call->may_have_run |= answer->outcome != FW_NOT_RUN;
   if (may_try_again (call, answer))
@@ -98,9 +112,11 @@
 static void
 fail_attempt (fn_entry_call_t *call, fw_outcome_t outcome, uint32_t status, const char *reason)
 {
-  fw_call_t answer = {
-    .kind = FW_ANSWER, .outcome = outcome, .status = status, .reason = fb_wrap_text (reason)
-  };
+  fw_call_t answer = { .kind = FW_ANSWER,
+                       .outcome = outcome,
+                       .status = status,
+                       .reason = fb_wrap_text (reason),
+                       .elsewhere = outcome == FW_NOT_RUN };
 
   if (call->ticket.len > 0)
     {
@@ -116,19 +132,32 @@
   end_attempt (user, answer);
 }
 
+/* Returns whether header NAME of a caller is replaced or kept back by this node. */
+static bool
+is_own_header (const fn_dialect_t *dialect, fb_str_t name)
+{
+  return fb_has_prefix (name, FB_LITERAL ("foxtailrun-"))
+         || fb_equal_str (name, dialect->timeout_ms) || fb_equal_str (name, dialect->instance)
+         || fb_equal_str (name, dialect->caller);
+}
+
 static void
-copy_headers (fw_call_t *message, fh_request_t *request)
+copy_headers (fn_entry_call_t *call, fw_call_t *message)
 {
+  const fn_dialect_t *dialect = fn_get_adapter (call->entry->kernel)->dialect;
+  const fc_settings_t *settings = fn_get_settings (call->entry->kernel);
   const fh_header_t *headers;
-  size_t count = fh_get_headers (request, &headers);
+  size_t count = fh_get_headers (call->request, &headers);
 
   for (size_t i = 0; i < count; i++)
     {
-      if (!fh_is_hop_header (headers[i].name)
-          && !fb_has_prefix (headers[i].name, FB_LITERAL ("foxtailrun-")))
+      if (!fh_is_hop_header (headers[i].name) && !is_own_header (dialect, headers[i].name))
         message->headers[message->header_count++]
             = (fw_header_t){ headers[i].name, headers[i].value };
     }
+  if (dialect->caller.len > 0 && message->header_count < FW_HEADERS_MAX)
+    message->headers[message->header_count++]
+        = (fw_header_t){ dialect->caller, fb_get_name (&settings->service) };
 }
 
 static void
@@ -140,18 +169,20 @@
     .kind = FW_CALL,
     .id = call->attempt,
     .remaining_us = (uint64_t)((call->deadline - call->attempt_start) / FB_MICROSECOND),
-    .service = fb_get_name (&fc_get_service (call->snapshot, route->service)->name),
+    .service = get_service_name (call),
     .rank = fb_get_name (&fc_get_rank (call->snapshot, route->rank)->name),
     .customer = call->customer,
     .method = fh_get_method (call->request),
+    .host = fh_get_host (call->request),
     .path = fh_get_path (call->request),
+    .single = !route->repeatable,
     .ticket = call->ticket,
     .request_id = fb_wrap_text (call->request_id),
     .body = fh_get_body (call->request),
   };
-  if (message->ticket.len == 0 && !route->repeatable)
+  if (message->ticket.len == 0 && !route->repeatable && route->ticket)
     message->ticket = FN_TICKET_WANTED;
-  copy_headers (message, call->request);
+  copy_headers (call, message);
 }
 
 static void
@@ -164,7 +195,7 @@
 
   call->attempt = attempt;
   call->attempt_start = read_time (entry);
-  call->is_local = is_self (entry, &node->id);
+  call->is_local = is_local (entry, node);
   g_hash_table_insert (entry->attempts, &call->attempt, call);
   fill_message (call, &message);
   if (!call->is_local)
@@ -191,7 +222,7 @@
       fn_finish_with (call, FW_NOT_RUN, 422, "malformed ticket");
       return;
     }
-  node = find_member (entry, &ticket.node);
+  node = find_node (entry, &ticket.node);
   if (!node || node->state == FW_DEAD)
     {
       fn_finish_with (call, FW_UNKNOWN, 504, "the node that issued the ticket is gone");
@@ -206,7 +237,7 @@
 fn_start_attempt (fn_entry_call_t *call)
 {
   fn_entry_t *entry = call->entry;
-  fb_str_t service = fb_get_name (&fc_get_service (call->snapshot, call->route->service)->name);
+  fb_str_t service = get_service_name (call);
   fb_name_t picked;
   const fw_member_t *node;
 
@@ -223,7 +254,7 @@
       return;
     }
   call->tried[call->attempt_count++] = picked;
-  node = find_member (entry, &picked);
+  node = find_node (entry, &picked);
   if (!node)
     {
       fr_report_ranked (entry->picker, &picked, call->route->rank, FR_RESULT_LOST, 0, 0);
@@ -240,7 +271,6 @@
   uint64_t attempt = call->attempt;
   uint64_t handle = call->local_handle;
   const fb_name_t *tried;
-  const fw_member_t *node;
 
   if (attempt == 0)
     return;
@@ -251,9 +281,7 @@
       fn_cancel_call (find_backend (entry), handle);
       return;
     }
-  node = find_member (entry, tried);
-  if (node && node->state != FW_DEAD)
-    fn_send_cancel (fk_find_service (entry->kernel, FN_CALLS), node, attempt);
+  fn_cancel_sent (fk_find_service (entry->kernel, FN_CALLS), attempt);
 }
 
 void
@@ -279,27 +307,10 @@
 }
 
 void
-fn_fail_peer (fn_entry_t *entry, const fb_name_t *address, uint16_t port)
+fn_fail_lost (fn_entry_t *entry, uint64_t id, const char *reason)
 {
-  GArray *lost = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  GHashTableIter iter;
-  gpointer value;
+  fn_entry_call_t *call = g_hash_table_lookup (entry->attempts, &id);
 
-  g_hash_table_iter_init (&iter, entry->attempts);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      fn_entry_call_t *call = value;
-      const fw_member_t *node = find_member (entry, &call->tried[call->attempt_count - 1]);
-      if (!call->is_local && node && node->call_port == port
-          && fb_equal_name (&node->address, address))
-        g_array_append_val (lost, call->attempt);
-    }
-  for (guint i = 0; i < lost->len; i++)
-    {
-      fn_entry_call_t *call
-          = g_hash_table_lookup (entry->attempts, &g_array_index (lost, uint64_t, i));
-      if (call)
-        fail_attempt (call, FW_UNKNOWN, 504, "connection to the node was lost");
-    }
-  g_array_free (lost, TRUE);
+  if (call)
+    fail_attempt (call, FW_UNKNOWN, 504, reason);
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -7,6 +7,10 @@
 /* Longest request id that a caller may set, in bytes. */
 #define REQUEST_ID_MAX 63
 
+/* Time in s after which a caller that was refused may come back: about two calls of the usual
+ * kinds, in which slots become free. */
+#define RETRY_AFTER_S "0.1"
+
 static const fb_str_t default_customer = { "default", 7 };
 
 static fb_str_t
@@ -22,6 +26,7 @@
 respond (fn_entry_t *entry, fh_request_t *request, const fw_call_t *answer,
          const char *request_id)
 {
+  const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
   fh_header_t headers[FH_HEADERS_MAX + 3];
   size_t count = 0;
   GString *text = NULL;
@@ -29,10 +34,13 @@
 
   for (size_t i = 0; i < answer->header_count; i++)
     headers[count++] = (fh_header_t){ answer->headers[i].name, answer->headers[i].value };
-  headers[count++] = (fh_header_t){ FB_LITERAL ("foxtailrun-outcome"),
-                                    fb_wrap_text (fw_describe_outcome (answer->outcome)) };
-  headers[count++]
-      = (fh_header_t){ FB_LITERAL ("foxtailrun-request-id"), fb_wrap_text (request_id) };
+  if (dialect->outcome.len > 0)
+    headers[count++] = (fh_header_t){ dialect->outcome,
+                                      fb_wrap_text (fw_describe_outcome (answer->outcome)) };
+  if (!fh_find_header (headers, count, dialect->request_id).data)
+    headers[count++] = (fh_header_t){ dialect->request_id, fb_wrap_text (request_id) };
+  if (answer->outcome == FW_NOT_RUN && answer->status == 503)
+    headers[count++] = (fh_header_t){ FB_LITERAL ("retry-after"), FB_LITERAL (RETRY_AFTER_S) };
   if (answer->outcome != FW_ANSWERED)
     {
       text = g_string_new_len (answer->reason.data, (gssize)answer->reason.len);
@@ -118,7 +126,8 @@
 static void
 set_request_id (fn_entry_t *entry, fh_request_t *request, char text[REQUEST_ID_MAX + 1])
 {
-  fb_str_t given = find_request_header (request, FB_LITERAL ("foxtailrun-request-id"));
+  const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
+  fb_str_t given = find_request_header (request, dialect->request_id);
 
   if (given.len > 0 && given.len <= REQUEST_ID_MAX)
     {
@@ -131,12 +140,14 @@
 
 /* Returns the time allowed for the call in ns: the route's, or less when the caller says so. */
 static fb_time_t
-read_timeout (fh_request_t *request, const fc_route_t *route)
+read_timeout (fn_entry_t *entry, fh_request_t *request, const fc_route_t *route)
 {
   uint64_t milliseconds = route->timeout_ms;
   uint64_t asked;
 
-  if (fb_parse_u64 (find_request_header (request, FB_LITERAL ("foxtailrun-timeout-ms")), &asked)
+  if (fb_parse_u64 (
+          find_request_header (request, fn_get_adapter (entry->kernel)->dialect->timeout_ms),
+          &asked)
       && asked < milliseconds)
     milliseconds = asked;
   return (fb_time_t)milliseconds * FB_MILLISECOND;
@@ -183,8 +194,9 @@
 /* Returns why a request is malformed, or NULL. Control bytes could otherwise split the header
  * lines that are written to the backend server. */
 static const char *
-find_fault (fh_request_t *request)
+find_fault (fn_entry_t *entry, fh_request_t *request)
 {
+  const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
   const fh_header_t *headers;
   size_t count = fh_get_headers (request, &headers);
   fb_str_t path = fh_get_path (request);
@@ -194,7 +206,7 @@
       if ((unsigned char)path.data[i] <= ' ')
         return "path holds a control byte or a space";
     }
-  if (!is_plain_path (path))
+  if (dialect->resolves_paths && !is_plain_path (path))
     return "path holds an empty, dot or escaped segment";
   for (size_t i = 0; i < count; i++)
     {
@@ -203,31 +215,33 @@
           || memchr (headers[i].name.data, '\n', headers[i].name.len))
         return "header holds a line break";
     }
-  if (find_request_header (request, FB_LITERAL ("foxtailrun-customer")).len > FB_NAME_MAX)
+  if (find_request_header (request, dialect->customer).len > FB_NAME_MAX)
     return "customer name is too long";
   return NULL;
 }
 
 static fb_str_t
-read_customer (fh_request_t *request)
+read_customer (fn_entry_t *entry, fh_request_t *request)
 {
-  fb_str_t customer = find_request_header (request, FB_LITERAL ("foxtailrun-customer"));
+  const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
+  fb_str_t customer = find_request_header (request, dialect->customer);
 
   return customer.len > 0 ? customer : default_customer;
 }
 
 static fn_entry_call_t *
 create_call (fn_entry_t *entry, fh_request_t *request, fc_snapshot_t *snapshot,
-             const fc_route_t *route, const char *request_id)
+             const fc_route_t *route, uint32_t service, const char *request_id)
 {
   fn_entry_call_t *call = g_new0 (fn_entry_call_t, 1);
-  fb_time_t timeout = read_timeout (request, route);
+  fb_time_t timeout = read_timeout (entry, request, route);
 
   call->entry = entry;
   call->request = request;
   call->snapshot = fc_retain_snapshot (snapshot);
   call->route = route;
-  call->customer = read_customer (request);
+  call->service = service;
+  call->customer = read_customer (entry, request);
   call->ticket = find_request_header (request, FB_LITERAL ("foxtailrun-ticket"));
   g_strlcpy (call->request_id, request_id, sizeof call->request_id);
   call->start = fb_read_clock (fk_get_clock (entry->kernel));
@@ -246,8 +260,9 @@
    * snapshot. */
   bool ready = fn_check_ready (distribution);
   fc_snapshot_t *snapshot = fn_get_snapshot (distribution);
-  const char *fault = find_fault (request);
-  const fc_route_t *route;
+  const char *fault = find_fault (entry, request);
+  const fc_route_t *route = NULL;
+  uint32_t part;
   fb_str_t service;
   fb_str_t customer;
   char request_id[REQUEST_ID_MAX + 1];
@@ -259,8 +274,9 @@
       refuse_request (entry, request, 400, fault, request_id);
       return;
     }
-  route = snapshot ? fc_find_route (snapshot, fh_get_method (request), fh_get_path (request))
-                   : NULL;
+  if (snapshot)
+    route = fc_find_route (snapshot, fh_get_host (request), fh_get_method (request),
+                           fh_get_path (request));
   if (!ready || !snapshot)
     {
       fn_count_refusal (fk_find_service (entry->kernel, FN_BURN), snapshot, route);
@@ -272,8 +288,9 @@
       refuse_request (entry, request, 404, "no route for this path and method", request_id);
       return;
     }
-  service = fb_get_name (&fc_get_service (snapshot, route->service)->name);
-  customer = read_customer (request);
+  part = fr_split_call (entry->splitter, route);
+  service = fb_get_name (&fc_get_service (snapshot, part)->name);
+  customer = read_customer (entry, request);
   /* A refusal here would leave the outcome of a ticket unknown; its own node can say more. */
   if (find_request_header (request, FB_LITERAL ("foxtailrun-ticket")).len == 0
       && !fr_admit_customer (entry->throttle, service, route->rank, customer))
@@ -283,7 +300,8 @@
       refuse_request (entry, request, 429, "service is overloaded for this rank", request_id);
       return;
     }
-  call = create_call (entry, request, snapshot, route, request_id);
+  fh_limit_idle (entry->server, (fb_time_t)fc_get_idle_ms (snapshot) * FB_MILLISECOND);
+  call = create_call (entry, request, snapshot, route, part, request_id);
   fh_watch_cancel (request, cancel_call, call);
   fr_earn_retry (entry->budget, service);
   fn_start_attempt (call);
@@ -300,9 +318,13 @@
 {
   fn_entry_t *entry = data;
   const fc_settings_t *settings = fn_get_settings (kernel);
+  fw_member_t self = *fm_get_self (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP)));
 
-  update_instance (fm_get_self (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP))),
-                   entry);
+  /* The picker learns the region from this node's own description, which is no endpoint itself
+   * where the platform lists them. */
+  if (fn_get_adapter (kernel)->listed)
+    self.service = (fb_name_t){ 0 };
+  update_instance (&self, entry);
   entry->server = fh_create_server (kernel, &settings->address, settings->caller_port,
                                     FW_REQUEST_BODY_MAX, handle_request, entry);
   return entry->server ? FB_OK : FB_IO;
@@ -323,6 +345,7 @@
   fr_destroy_picker (entry->picker);
   fr_destroy_retry_budget (entry->budget);
   fr_destroy_throttle (entry->throttle);
+  fr_destroy_splitter (entry->splitter);
   g_hash_table_destroy (entry->attempts);
   g_free (entry);
 }
@@ -354,11 +377,12 @@
   entry->picker = fr_create_picker (FR_PICK_TWO, &settings->id, &settings->zone,
                                     randombytes_random (), fk_get_clock (kernel));
   entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
+  entry->splitter = fr_create_splitter (randombytes_random ());
   entry->throttle = fr_create_throttle (randombytes_random (), fk_get_clock (kernel));
   entry->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
   entry->next_id = (uint64_t)randombytes_random () << 24;
   find_entry_counters (entry, fk_get_counters (kernel));
-  fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), update_instance, entry);
+  fn_watch_endpoints (fk_find_service (kernel, FN_DIRECTORY), update_instance, entry);
   fk_register_service (kernel, FN_ENTRY, &vtable, entry);
 }
 
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -5,14 +5,16 @@
 #include "node-services.h"
 #include <foxtailrun/call/picker.h>
 #include <foxtailrun/call/retry.h>
+#include <foxtailrun/call/splitter.h>
 #include <foxtailrun/http/server.h>
 #include <glib.h>
 
 /* Most attempts of one call, the first included. */
 #define FN_ATTEMPTS_MAX 6
 
-/* Attempts that a draining node may cause beyond the route's retries. */
-#define FN_DRAIN_RETRIES 2
+/* Attempts beyond the route's retries that refusals by single nodes, such as a draining one,
+ * may cause. */
+#define FN_ELSEWHERE_RETRIES 3
 
 struct fn_entry
 {
@@ -21,6 +23,7 @@
   fr_picker_t *picker;
   fr_retry_budget_t *budget;
   fr_throttle_t *throttle;
+  fr_splitter_t *splitter;
   GHashTable *attempts; /* fn_entry_call_t by id of the open attempt */
   size_t calls;
   uint64_t next_id; /* random start, so that ids of an earlier process do not match */
@@ -43,8 +46,10 @@
   fb_time_t start;
   fb_time_t deadline;
   fk_timer_t *timer;
+  uint32_t service; /* index; the part of the route that was drawn */
   uint32_t attempt_count;
-  bool may_have_run; /* an attempt reached a node and was not refused */
+  uint32_t elsewhere_count; /* of those, ended by refusals of single nodes */
+  bool may_have_run;        /* an attempt reached a node and was not refused */
   fb_name_t tried[FN_ATTEMPTS_MAX];
   uint64_t attempt; /* id of the open attempt, 0 when none */
   fb_time_t attempt_start;
--- a/packages/node/source/node-explain.c
+++ b/packages/node/source/node-explain.c
@@ -112,6 +112,7 @@
   bool ready = fn_check_ready (distribution);
   char *method = read_parameter (query, "method");
   char *path = read_parameter (query, "path");
+  char *host = read_parameter (query, "host");
   const fc_route_t *route = NULL;
   const char *result = "503 not run: no configuration is in force";
   json_t *answer;
@@ -126,7 +127,8 @@
                        (json_int_t)fn_get_version (distribution)->number, "route", "instances");
       if (snapshot)
         {
-          route = fc_find_route (snapshot, fb_wrap_text (method), fb_wrap_text (path));
+          route = fc_find_route (snapshot, fb_wrap_text (host), fb_wrap_text (method),
+                                 fb_wrap_text (path));
           result = route ? explain_route (kernel, snapshot, route, answer)
                          : "404 not run: no route for this path and method";
           if (!ready)
@@ -139,6 +141,7 @@
       *status = 400;
       answer = json_pack ("{s:s}", "error", "needs ?method=METHOD&path=/PATH in UTF-8");
     }
+  g_free (host);
   g_free (path);
   g_free (method);
   return answer;
--- a/packages/node/source/node-membership.c
+++ b/packages/node/source/node-membership.c
@@ -126,6 +126,8 @@
   fn_membership_t *membership = data;
   const fc_settings_t *settings = fn_get_settings (kernel);
 
+  if (fn_get_adapter (kernel)->listed)
+    return FB_OK;
   membership->udp = ft_create_udp (kernel, &settings->address, settings->control_port,
                                    receive_datagram, membership);
   if (!membership->udp)
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -7,19 +7,21 @@
 #include <foxtailrun/dist/node.h>
 #include <foxtailrun/kernel/kernel.h>
 #include <foxtailrun/member/table.h>
+#include <foxtailrun/node/adapter.h>
 #include <foxtailrun/wire/call.h>
 #include <jansson.h>
 
 #define FN_SETTINGS "settings"
 #define FN_MEMBERSHIP "membership"
 #define FN_DISTRIBUTION "distribution"
-#define FN_SOURCE "source"
+#define FN_DIRECTORY "directory"
 #define FN_BACKEND "backend"
 #define FN_CALLS "calls"
 #define FN_ENTRY "entry"
 #define FN_BURN "burn"
 #define FN_ADMIN "admin"
 #define FN_DRAIN "drain"
+#define FN_READY "ready"
 
 /* Time after the start of a drain in which callers are still served and tickets are still
  * honoured. */
@@ -31,7 +33,14 @@
 /* Returns the random number drawn when this process started; tickets carry it. */
 uint64_t fn_get_start_id (fk_kernel_t *kernel);
 
-void fn_register_settings (fk_kernel_t *kernel, const fc_settings_t *settings);
+/* Returns the adapter that the node was registered with, or the product's own. */
+const fn_adapter_t *fn_get_adapter (fk_kernel_t *kernel);
+
+/* The headers of the product's own interface. */
+extern const fn_dialect_t fn_own_dialect;
+
+void fn_register_settings (fk_kernel_t *kernel, const fc_settings_t *settings,
+                           const fn_adapter_t *adapter);
 
 /* membership: gossip over UDP. */
 typedef struct fn_membership fn_membership_t;
@@ -45,6 +54,17 @@
 /* Calls CHANGED for each later change of a member; only before the services start. */
 void fn_watch_members (fn_membership_t *membership, fn_member_changed_fn_t changed, void *user);
 
+/* directory: the endpoints that calls may go to, from the membership or from the platform. */
+typedef struct fn_directory fn_directory_t;
+
+void fn_register_directory (fk_kernel_t *kernel);
+
+/* Returns the endpoint called ID, or NULL; owned by the directory until it changes. */
+const fw_member_t *fn_find_endpoint (fn_directory_t *directory, const fb_name_t *id);
+
+/* Calls CHANGED for each later change of an endpoint; only before the services start. */
+void fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user);
+
 /* distribution: the configuration in force. */
 typedef struct fn_distribution fn_distribution_t;
 
@@ -65,10 +85,6 @@
 /* Returns the last refused version and its first problem as text, or NULL. */
 const char *fn_get_refusal (fn_distribution_t *distribution);
 
-/* Ends a source read; see fd_handle_source_value. */
-void fn_end_source_read (fn_distribution_t *distribution, fb_status_t status, uint64_t index,
-                         fb_bytes_t document);
-
 /* A summary heard by the membership. */
 void fn_hear_version (fn_distribution_t *distribution, const fw_member_t *sender,
                       const fb_version_t *version);
@@ -76,13 +92,9 @@
 /* The member lists of this node and PEER differ: asks PEER for its list. */
 void fn_handle_divergence (fn_distribution_t *distribution, const fw_member_t *peer);
 
-/* source: reads of the platform's configuration service and host list. */
-typedef struct fn_source fn_source_t;
-
-void fn_register_source (fk_kernel_t *kernel);
-
-/* Starts a read; see fd_hooks_t. */
-void fn_read_source (fn_source_t *source, uint64_t index);
+/* Registers the product's own source: the configuration service and host list in Consul's
+ * protocols. */
+void fn_register_source (fk_kernel_t *kernel, void *user);
 
 /* backend: calls at the node beside the backend server. */
 typedef struct fn_backend fn_backend_t;
@@ -110,17 +122,16 @@
  * the node asked issues it. */
 #define FN_TICKET_WANTED FB_LITERAL ("new")
 
-/* calls: the bus between the entry nodes and the nodes beside backend servers. */
+/* calls: between the entry nodes and the nodes beside backend servers. */
 typedef struct fn_calls fn_calls_t;
 
 void fn_register_calls (fk_kernel_t *kernel);
 
-/* Sends CALL to NODE; its id comes back with the answer, or by the entry's not-sent and
- * disconnect functions below. */
+/* Sends CALL to NODE; its id comes back later, by one of the entry's functions below. */
 void fn_send_call (fn_calls_t *calls, const fw_member_t *node, const fw_call_t *call);
 
-/* Tells NODE that nobody waits for call ID any more. */
-void fn_send_cancel (fn_calls_t *calls, const fw_member_t *node, uint64_t id);
+/* Gives up call ID: it does not come back, and the node that serves it is told. */
+void fn_cancel_sent (fn_calls_t *calls, uint64_t id);
 
 /* entry: calls from callers, routed to a node beside a backend server. */
 typedef struct fn_entry fn_entry_t;
@@ -139,8 +150,8 @@
 /* Attempt ID provably never left this node. */
 void fn_fail_unsent (fn_entry_t *entry, uint64_t id);
 
-/* The connection to a node was lost: its open attempts have an unknown outcome. */
-void fn_fail_peer (fn_entry_t *entry, const fb_name_t *address, uint16_t port);
+/* Attempt ID was sent and has no whole answer, for REASON: its outcome is unknown. */
+void fn_fail_lost (fn_entry_t *entry, uint64_t id, const char *reason);
 
 /* Describes instance state of SERVICE for the administration. */
 size_t fn_count_instances (fn_entry_t *entry, fb_str_t service);
@@ -163,6 +174,7 @@
 
 void fn_register_admin (fk_kernel_t *kernel);
 void fn_register_drain (fk_kernel_t *kernel);
+void fn_register_ready (fk_kernel_t *kernel);
 
 /* Returns whether a drain has begun. */
 bool fn_is_draining (fk_kernel_t *kernel);
--- a/packages/node/source/node-source.c
+++ b/packages/node/source/node-source.c
@@ -27,8 +27,9 @@
 /* Largest host list: 3,000 hosts of some 500 bytes. */
 #define HOSTS_MAX (4 * 1024 * 1024)
 
-struct fn_source
+typedef struct
 {
+  fn_source_t base;
   fk_kernel_t *kernel;
   fh_client_t *client;
   fh_exchange_t *document_read;
@@ -38,7 +39,7 @@
   fk_timer_t *hosts_start;
   fk_timer_t *hosts_period;
   fb_counter_t *calls;
-};
+} consul_t;
 
 static uint64_t
 parse_index (const fh_response_t *response)
@@ -54,8 +55,7 @@
 static void
 end_document_read (const fh_response_t *response, void *user)
 {
-  fn_source_t *source = user;
-  fn_distribution_t *distribution = fk_find_service (source->kernel, FN_DISTRIBUTION);
+  consul_t *source = user;
   fb_status_t status = FB_UNAVAILABLE;
 
   source->document_read = NULL;
@@ -63,8 +63,8 @@
     status = FB_OK;
   else if (response->result == FH_ANSWERED && response->status == 404)
     status = FB_NOT_FOUND;
-  fn_end_source_read (distribution, status, status == FB_OK ? parse_index (response) : 0,
-                      response->body);
+  fn_finish_source_read (source->kernel, status, status == FB_OK ? parse_index (response) : 0,
+                         response->body);
 }
 
 static const char *
@@ -84,7 +84,7 @@
 /* Probes the hosts of the list that are not known as members, and marks those that are to
  * leave. */
 static void
-probe_hosts (fn_source_t *source, json_t *list)
+probe_hosts (consul_t *source, json_t *list)
 {
   fm_table_t *members = fn_get_members (fk_find_service (source->kernel, FN_MEMBERSHIP));
   size_t i;
@@ -110,7 +110,7 @@
 static void
 end_hosts_read (const fh_response_t *response, void *user)
 {
-  fn_source_t *source = user;
+  consul_t *source = user;
   json_t *list = NULL;
 
   source->hosts_read = NULL;
@@ -130,7 +130,7 @@
 }
 
 static fh_exchange_t *
-send_get (fn_source_t *source, const char *path, fh_done_fn_t done)
+send_get (consul_t *source, const char *path, fh_done_fn_t done)
 {
   fh_outgoing_t outgoing = { .method = FB_LITERAL ("GET"), .path = fb_wrap_text (path) };
 
@@ -141,7 +141,7 @@
 static void
 read_hosts (void *user)
 {
-  fn_source_t *source = user;
+  consul_t *source = user;
   char path[128];
 
   if (source->hosts_read || fb_read_clock (fk_get_clock (source->kernel)) < source->hosts_next)
@@ -157,7 +157,7 @@
 static void
 read_hosts_when_alone (void *user)
 {
-  fn_source_t *source = user;
+  consul_t *source = user;
 
   if (fm_count_members (fn_get_members (fk_find_service (source->kernel, FN_MEMBERSHIP)),
                         FW_ALIVE)
@@ -168,7 +168,7 @@
 static void
 read_hosts_as_reader (void *user)
 {
-  fn_source_t *source = user;
+  consul_t *source = user;
 
   if (fn_check_reader (fk_find_service (source->kernel, FN_DISTRIBUTION)))
     read_hosts (source);
@@ -179,7 +179,7 @@
 static fb_status_t
 start_source (fk_kernel_t *kernel, void *data)
 {
-  fn_source_t *source = data;
+  consul_t *source = data;
   const fc_settings_t *settings = fn_get_settings (kernel);
 
   if (settings->platform.port == 0)
@@ -196,7 +196,7 @@
 static void
 stop_source (void *data)
 {
-  fn_source_t *source = data;
+  consul_t *source = data;
 
   if (!source->client)
     return;
@@ -209,20 +209,10 @@
   fh_destroy_client (source->client);
 }
 
-void
-fn_register_source (fk_kernel_t *kernel)
-{
-  static const fk_service_t vtable = { start_source, stop_source, g_free };
-  fn_source_t *source = g_new0 (fn_source_t, 1);
-
-  source->kernel = kernel;
-  source->calls = fb_find_counter (fk_get_counters (kernel), "source_calls", "");
-  fk_register_service (kernel, FN_SOURCE, &vtable, source);
-}
-
-void
-fn_read_source (fn_source_t *source, uint64_t index)
+static void
+read_document (fn_source_t *base, uint64_t index)
 {
+  consul_t *source = (consul_t *)base;
   char path[128];
 
   if (!source->client || source->document_read)
@@ -234,3 +224,15 @@
               (int)(FD_WATCH_WAIT / FB_SECOND));
   source->document_read = send_get (source, path, end_document_read);
 }
+
+void
+fn_register_source (fk_kernel_t *kernel, void *user)
+{
+  static const fk_service_t vtable = { start_source, stop_source, g_free };
+  consul_t *source = g_new0 (consul_t, 1);
+
+  source->base.read = read_document;
+  source->kernel = kernel;
+  source->calls = fb_find_counter (fk_get_counters (kernel), "source_calls", "");
+  fk_register_service (kernel, FN_SOURCE, &vtable, source);
+}
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -4,6 +4,7 @@
 
 #include <foxtailrun/base/status.h>
 #include <foxtailrun/base/string.h>
+#include <glib.h>
 
 /* Largest request body and answer body in bytes. */
 #define FW_REQUEST_BODY_MAX (1024 * 1024)
@@ -45,13 +46,17 @@
   fb_str_t rank;
   fb_str_t customer;
   fb_str_t method;
+  fb_str_t host; /* that the caller asked for */
   fb_str_t path;
-  fb_str_t ticket; /* empty unless the route runs at most once */
+  bool single;        /* may run at most once */
+  uint64_t target_us; /* time left until the latency target; 0 when it has passed */
+  fb_str_t ticket;    /* empty unless the route needs one */
   fb_str_t request_id;
   /* ANSWER */
   fw_outcome_t outcome;
   uint32_t status;     /* HTTP status */
   fb_str_t reason;     /* why a call was not run or is unknown */
+  bool elsewhere;      /* not run for a reason that other instances need not share */
   uint32_t load;       /* slots in use plus waiting, per 1,000 slots */
   uint64_t service_us; /* time at the backend server */
   /* CALL and ANSWER */
@@ -68,6 +73,13 @@
  * a limit. */
 fb_status_t fw_decode_call (fb_bytes_t header, fb_bytes_t body, fw_call_t *message);
 
+/* Packs MESSAGE with its body into one new array: the length of the encoded header, it, and the
+ * body. */
+GByteArray *fw_pack_call (const fw_call_t *message);
+
+/* Reads what fw_pack_call has made; PACKED must outlive MESSAGE. FB_INVALID as above. */
+fb_status_t fw_unpack_call (fb_bytes_t packed, fw_call_t *message);
+
 /* Returns the lower-case name of OUTCOME, such as "not-run". */
 const char *fw_describe_outcome (fw_outcome_t outcome);
 
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -5,8 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
-#define CALL_FORMAT 1
-#define CALL_FIELDS 17
+#define CALL_FORMAT 2
+#define CALL_FIELDS 21
 
 /* Longest path, header value, ticket or reason in bytes. */
 #define TEXT_MAX (16 * 1024)
@@ -29,12 +29,16 @@
   fw_pack_str (&packer, message->rank);
   fw_pack_str (&packer, message->customer);
   fw_pack_str (&packer, message->method);
+  fw_pack_str (&packer, message->host);
   fw_pack_str (&packer, message->path);
+  msgpack_pack_uint64 (&packer, message->single);
+  msgpack_pack_uint64 (&packer, message->target_us);
   fw_pack_str (&packer, message->ticket);
   fw_pack_str (&packer, message->request_id);
   msgpack_pack_uint64 (&packer, (uint64_t)message->outcome);
   msgpack_pack_uint64 (&packer, message->status);
   fw_pack_str (&packer, message->reason);
+  msgpack_pack_uint64 (&packer, message->elsewhere);
   msgpack_pack_uint64 (&packer, message->load);
   msgpack_pack_uint64 (&packer, message->service_us);
   msgpack_pack_array (&packer, 2 * message->header_count);
@@ -64,12 +68,16 @@
   message->rank = fw_read_str (&reader, FB_NAME_MAX);
   message->customer = fw_read_str (&reader, FB_NAME_MAX);
   message->method = fw_read_str (&reader, FB_NAME_MAX);
+  message->host = fw_read_str (&reader, TEXT_MAX);
   message->path = fw_read_str (&reader, TEXT_MAX);
+  message->single = fw_read_u64 (&reader, 1) == 1;
+  message->target_us = fw_read_u64 (&reader, UINT64_MAX);
   message->ticket = fw_read_str (&reader, TEXT_MAX);
   message->request_id = fw_read_str (&reader, TEXT_MAX);
   message->outcome = (fw_outcome_t)fw_read_u64 (&reader, FW_FAILED);
   message->status = (uint32_t)fw_read_u64 (&reader, 999);
   message->reason = fw_read_str (&reader, TEXT_MAX);
+  message->elsewhere = fw_read_u64 (&reader, 1) == 1;
   message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
   message->service_us = fw_read_u64 (&reader, UINT64_MAX);
   headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
@@ -100,6 +108,37 @@
   return FB_OK;
 }
 
+GByteArray *
+fw_pack_call (const fw_call_t *message)
+{
+  size_t length;
+  uint8_t *header = fw_encode_call (message, &length);
+  uint32_t prefix = (uint32_t)length;
+  GByteArray *packed = g_byte_array_new ();
+
+  g_byte_array_append (packed, (const guint8 *)&prefix, sizeof prefix);
+  g_byte_array_append (packed, header, (guint)length);
+  g_byte_array_append (packed, message->body.data, (guint)message->body.len);
+  g_free (header);
+  return packed;
+}
+
+fb_status_t
+fw_unpack_call (fb_bytes_t packed, fw_call_t *message)
+{
+  uint32_t prefix;
+
+  if (packed.len < sizeof prefix)
+    return FB_INVALID;
+  memcpy (&prefix, packed.data, sizeof prefix);
+  if (prefix > packed.len - sizeof prefix)
+    return FB_INVALID;
+  return fw_decode_call (
+      (fb_bytes_t){ packed.data + sizeof prefix, prefix },
+      (fb_bytes_t){ packed.data + sizeof prefix + prefix, packed.len - sizeof prefix - prefix },
+      message);
+}
+
 const char *
 fw_describe_outcome (fw_outcome_t outcome)
 {
