Relay answers without a length as such; refuse requests late in a drain

Change: such answers go on without a length and end their connection; from SIGTERM on every answer ends its connection, and after the entry has closed, requests on open connections are refused as not run.

--- a/packages/http/include/foxtailrun/http/client.h
+++ b/packages/http/include/foxtailrun/http/client.h
@@ -40,6 +40,8 @@
   size_t header_count;
   const fh_header_t *headers;
   fb_bytes_t body;
+  bool unframed; /* the body ended with the connection, which a server that breaks off may do
+                    too */
   const char *error; /* what went wrong, static */
 } fh_response_t;
 
--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -48,4 +48,11 @@
 void fh_respond (fh_request_t *request, uint32_t status, const fh_header_t *headers,
                  size_t count, fb_bytes_t body);
 
+/* The same for a body that may not be whole: it has no length and ends with the connection. */
+void fh_respond_unframed (fh_request_t *request, uint32_t status, const fh_header_t *headers,
+                          size_t count, fb_bytes_t body);
+
+/* From now on each response ends its connection. */
+void fh_end_connections (fh_server_t *server);
+
 #endif
--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -226,12 +226,6 @@
   return reader->headers;
 }
 
-bool
-fh_is_unframed (const fh_reader_t *reader)
-{
-  return reader->unframed;
-}
-
 bool
 fh_is_kept (const fh_reader_t *reader)
 {
@@ -252,5 +246,6 @@
   response->status = reader->parser.status_code;
   response->header_count = reader->header_count;
   response->headers = reader->views;
+  response->unframed = reader->unframed;
   response->body = (fb_bytes_t){ reader->body->data, reader->body->len };
 }
--- a/packages/http/source/http-response.h
+++ b/packages/http/source/http-response.h
@@ -36,9 +36,6 @@
 /* Returns whether the header section is whole. */
 bool fh_has_headers (const fh_reader_t *reader);
 
-/* Returns whether only the end of the connection ends the body. */
-bool fh_is_unframed (const fh_reader_t *reader);
-
 /* Returns whether the server keeps the connection open after this response. */
 bool fh_is_kept (const fh_reader_t *reader);
 
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -26,6 +26,7 @@
   h2o_accept_ctx_t accept;
   uv_tcp_t listener;
   bool listening;
+  bool ending; /* each response ends its connection, so that the process can stop */
   fh_handler_fn_t handler;
   void *user;
   GQueue requests; /* fh_request_t not yet answered */
@@ -284,9 +285,16 @@
   return NULL;
 }
 
+void
+fh_end_connections (fh_server_t *server)
+{
+  server->ending = true;
+}
+
 void
 fh_stop_accepting (fh_server_t *server)
 {
+  server->ending = true;
   if (!server->listening)
     return;
   server->listening = false;
@@ -358,9 +366,13 @@
   request->cancel_user = user;
 }
 
-void
-fh_respond (fh_request_t *request, uint32_t status, const fh_header_t *headers, size_t count,
-            fb_bytes_t body)
+/* HTTP/1.0 as h2o counts versions; it puts a body without a length into chunks for any later
+ * one. */
+#define VERSION_UNCHUNKED 0x100
+
+static void
+send_response (fh_request_t *request, uint32_t status, const fh_header_t *headers, size_t count,
+               fb_bytes_t body, bool framed)
 {
   h2o_req_t *req = request->req;
 
@@ -370,14 +382,29 @@
       request->guard->request = NULL;
       req->res.status = (int)status;
       req->res.reason = describe_code (status);
-      req->res.content_length = body.len;
+      if (framed)
+        req->res.content_length = body.len;
+      else
+        req->version = VERSION_UNCHUNKED;
       for (size_t i = 0; i < count; i++)
         add_header (req, &headers[i]);
-      /* After the listener has closed, each response ends its connection so that the process
-       * can stop. */
-      if (!request->server->listening)
+      if (request->server->ending || !framed)
         req->http1_is_persistent = 0;
       h2o_send_inline (req, (const char *)body.data, body.len);
     }
   g_free (request);
 }
+
+void
+fh_respond (fh_request_t *request, uint32_t status, const fh_header_t *headers, size_t count,
+            fb_bytes_t body)
+{
+  send_response (request, status, headers, count, body, true);
+}
+
+void
+fh_respond_unframed (fh_request_t *request, uint32_t status, const fh_header_t *headers,
+                     size_t count, fb_bytes_t body)
+{
+  send_response (request, status, headers, count, body, false);
+}
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -137,6 +137,7 @@
       answer.outcome = FW_ANSWERED;
       answer.status = response->status;
       answer.body = response->body;
+      answer.unframed = response->unframed;
       set_answer_headers (&answer, response);
     }
   else if (response->result == FH_NOT_SENT)
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -50,7 +50,10 @@
       body = (fb_bytes_t){ (const uint8_t *)text->str, text->len };
     }
   fb_add_counter (entry->outcomes[answer->outcome], 1);
-  fh_respond (request, answer->status, headers, count, body);
+  if (answer->unframed)
+    fh_respond_unframed (request, answer->status, headers, count, body);
+  else
+    fh_respond (request, answer->status, headers, count, body);
   if (text)
     g_string_free (text, TRUE);
 }
@@ -277,10 +280,12 @@
   if (snapshot)
     route = fc_find_route (snapshot, fh_get_host (request), fh_get_method (request),
                            fh_get_path (request));
-  if (!ready || !snapshot)
+  if (!ready || !snapshot || entry->closed)
     {
       fn_count_refusal (fk_find_service (entry->kernel, FN_BURN), snapshot, route);
-      refuse_request (entry, request, 503, "node is not ready", request_id);
+      refuse_request (entry, request, 503,
+                      entry->closed ? "node is shutting down" : "node is not ready",
+                      request_id);
       return;
     }
   if (!route)
@@ -386,9 +391,17 @@
   fk_register_service (kernel, FN_ENTRY, &vtable, entry);
 }
 
+void
+fn_end_connections (fn_entry_t *entry)
+{
+  if (entry->server)
+    fh_end_connections (entry->server);
+}
+
 void
 fn_close_entry (fn_entry_t *entry)
 {
+  entry->closed = true;
   if (entry->server)
     fh_stop_accepting (entry->server);
 }
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -26,6 +26,7 @@
   fr_splitter_t *splitter;
   GHashTable *attempts; /* fn_entry_call_t by id of the open attempt */
   size_t calls;
+  bool closed; /* takes no more calls */
   uint64_t next_id; /* random start, so that ids of an earlier process do not match */
   fb_counter_t *outcomes[5];
   fb_counter_t *retries;
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -138,7 +138,10 @@
 
 void fn_register_entry (fk_kernel_t *kernel);
 
-/* Stops taking callers' connections. */
+/* From now on each answer ends its caller's connection. */
+void fn_end_connections (fn_entry_t *entry);
+
+/* Stops taking callers' connections and refuses requests on those that are open. */
 void fn_close_entry (fn_entry_t *entry);
 
 /* Returns calls of callers not yet answered. */
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -55,6 +55,7 @@
   /* ANSWER */
   fw_outcome_t outcome;
   uint32_t status;     /* HTTP status */
+  bool unframed;       /* only the end of its connection ended the body */
   fb_str_t reason;     /* why a call was not run or is unknown */
   bool elsewhere;      /* not run for a reason that other instances need not share */
   uint32_t load;       /* slots in use plus waiting, per 1,000 slots */
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define CALL_FORMAT 2
-#define CALL_FIELDS 21
+#define CALL_FIELDS 22
 
 /* Longest path, header value, ticket or reason in bytes. */
 #define TEXT_MAX (16 * 1024)
@@ -37,6 +37,7 @@
   fw_pack_str (&packer, message->request_id);
   msgpack_pack_uint64 (&packer, (uint64_t)message->outcome);
   msgpack_pack_uint64 (&packer, message->status);
+  msgpack_pack_uint64 (&packer, message->unframed);
   fw_pack_str (&packer, message->reason);
   msgpack_pack_uint64 (&packer, message->elsewhere);
   msgpack_pack_uint64 (&packer, message->load);
@@ -76,6 +77,7 @@
   message->request_id = fw_read_str (&reader, TEXT_MAX);
   message->outcome = (fw_outcome_t)fw_read_u64 (&reader, FW_FAILED);
   message->status = (uint32_t)fw_read_u64 (&reader, 999);
+  message->unframed = fw_read_u64 (&reader, 1) == 1;
   message->reason = fw_read_str (&reader, TEXT_MAX);
   message->elsewhere = fw_read_u64 (&reader, 1) == 1;
   message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
