Pick the nearest instance unless a detour saves a third of the target

Change: answers carry the time at the backend server and the expected wait of the rank; the picker compares the expected times and goes to another zone only when that saves 0.35 of the route's latency target.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -83,6 +83,9 @@
 /* Returns slots in use plus calls waiting, per 1,000 slots. */
 uint32_t fr_get_load (const fr_admission_t *admission);
 
+/* Returns the time in ns that a new call of RANK may expect to wait. */
+fb_time_t fr_get_wait (const fr_admission_t *admission, uint32_t rank);
+
 /* Returns calls started and not finished, and calls waiting. */
 size_t fr_count_started (const fr_admission_t *admission);
 size_t fr_count_waiting (const fr_admission_t *admission);
--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -5,9 +5,10 @@
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/member/table.h>
 
-/* How an instance is chosen; FR_PICK_TWO is the product's, the others are baselines. */
+/* How an instance is chosen; FR_PICK_NEAR is the product's, the others are baselines. */
 typedef enum
 {
+  FR_PICK_NEAR,
   FR_PICK_TWO,
   FR_PICK_LEAST,
   FR_PICK_ROUND_ROBIN,
@@ -56,6 +57,16 @@
  * wait of a more urgent one. The functions above stand for rank 0. */
 bool fr_pick_ranked (fr_picker_t *picker, fb_str_t service, uint32_t rank, fb_str_t key,
                      const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
+
+/* The same for a call with latency TARGET in ns, of which a detour to another zone may cost a
+ * part. */
+bool fr_pick_target (fr_picker_t *picker, fb_str_t service, uint32_t rank, fb_time_t target,
+                     const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
+
+/* Takes from an answer the time SERVICE at the backend server, 0 when it did not run there, and
+ * the WAIT that a further call of RANK may expect, both in ns. */
+void fr_report_wait (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
+                     fb_time_t service, fb_time_t wait);
 void fr_begin_ranked (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank);
 void fr_report_ranked (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
                        fr_result_t result, fb_time_t latency, uint32_t load);
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -165,14 +165,26 @@
   return MAX (MAX (available, rank->rule.share), AVAILABLE_MIN);
 }
 
+/* Returns the expected wait of a call that AHEAD calls of RANK start before. */
+static double
+estimate_turn (const fr_admission_t *admission, const rank_t *rank, double ahead)
+{
+  if (admission->started < admission->slots && admission->waiting == 0)
+    return 0;
+  return (ahead + 1) * rank->service / (admission->slots * get_available (admission, rank));
+}
+
 double
 fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow)
 {
-  const rank_t *rank = flow->rank;
-  double ahead;
+  return estimate_turn (admission, flow->rank, fr_count_ahead (flow));
+}
 
-  if (admission->started < admission->slots && admission->waiting == 0)
-    return 0;
-  ahead = fr_count_ahead (flow) + 1;
-  return ahead * rank->service / (admission->slots * get_available (admission, rank));
+fb_time_t
+fr_get_wait (const fr_admission_t *admission, uint32_t index)
+{
+  const rank_t *rank
+      = g_ptr_array_index (admission->ranks, MIN (index, admission->ranks->len - 1));
+
+  return (fb_time_t)estimate_turn (admission, rank, (double)rank->waiting);
 }
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -100,7 +100,7 @@
       = fb_weigh_rendezvous (fb_get_name (&picker->self), fb_get_name (&member->id));
   instance->gone = false;
   for (int i = 0; i < FC_RANKS_MAX; i++)
-    instance->ranks[i].latency = 0;
+    instance->ranks[i] = (traffic_t){ .in_flight = instance->ranks[i].in_flight };
   instance->load = 0;
   instance->failures = 0;
   instance->ejections = 0;
@@ -293,6 +293,40 @@
   instance->ranks[limit_rank (rank)].in_flight++;
 }
 
+/* Collects the candidates of FR_PICK_NEAR, which weighs distance itself. */
+static void
+find_all (const fr_picker_t *picker, const service_t *service, const fb_name_t *excluded,
+          size_t excluded_count, candidates_t *candidates)
+{
+  collect_candidates (picker, service, NEAR_OTHER, FW_ALIVE, false, excluded, excluded_count,
+                      candidates);
+  if (candidates->count == 0)
+    fr_find_candidates (picker, service, excluded, excluded_count, candidates);
+}
+
+bool
+fr_pick_target (fr_picker_t *picker, fb_str_t service_name, uint32_t rank, fb_time_t target,
+                const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
+{
+  service_t *service = fr_find_service (picker, service_name);
+  candidates_t candidates;
+  instance_t *instance;
+
+  if (picker->policy != FR_PICK_NEAR)
+    return fr_pick_ranked (picker, service_name, rank, FB_LITERAL (""), excluded,
+                           excluded_count, picked);
+  if (service == NULL)
+    return false;
+  find_all (picker, service, excluded, excluded_count, &candidates);
+  if (candidates.count == 0)
+    return false;
+  instance = fr_pick_near (picker, &candidates, limit_rank (rank), target,
+                           fb_read_clock (picker->clock));
+  begin_attempt (instance, rank);
+  *picked = instance->member.id;
+  return true;
+}
+
 bool
 fr_pick_ranked (fr_picker_t *picker, fb_str_t service_name, uint32_t rank, fb_str_t key,
                 const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
--- a/packages/call/source/route-score.c
+++ b/packages/call/source/route-score.c
@@ -55,6 +55,15 @@
   *usual = move_median (*usual, sample);
 }
 
+void
+fr_sample_service (instance_t *instance, uint32_t rank, fb_time_t service)
+{
+  double sample = log ((double)CLAMP (service, LATENCY_MIN, LATENCY_MAX));
+
+  instance->ranks[rank].service = move_median (instance->ranks[rank].service, sample);
+  instance->service->services[rank] = move_median (instance->service->services[rank], sample);
+}
+
 bool
 fr_is_full (const instance_t *instance, fb_time_t now)
 {
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -33,6 +33,9 @@
   uint32_t in_flight;
   double latency;         /* moving median of the logarithm of ns; 0 before the first sample */
   fb_time_t latency_time; /* of the last sample */
+  double service;         /* the same of the time at the backend server */
+  fb_time_t wait;         /* that a call may expect, as last reported */
+  fb_time_t wait_time;
 } traffic_t;
 
 typedef struct
@@ -60,6 +63,7 @@
   GPtrArray *subset;              /* of the above, at most SUBSET_MAX; valid unless stale */
   bool stale;                     /* the instances changed since the subset was chosen */
   double latencies[FC_RANKS_MAX]; /* by rank, over all instances */
+  double services[FC_RANKS_MAX];
   uint64_t turn;                  /* FR_PICK_ROUND_ROBIN */
 };
 
@@ -92,6 +96,12 @@
                          const fb_name_t *excluded, size_t excluded_count,
                          candidates_t *candidates);
 
+/* route-near.c */
+
+/* Chooses among CANDIDATES, of which there is at least one, for a call with latency TARGET. */
+instance_t *fr_pick_near (fr_picker_t *picker, const candidates_t *candidates, uint32_t rank,
+                          fb_time_t target, fb_time_t now);
+
 /* route-subset.c */
 
 /* Returns how far INSTANCE is away. */
@@ -122,6 +132,9 @@
 void fr_sample_latency (instance_t *instance, uint32_t rank, fb_time_t latency, bool failed,
                         fb_time_t now);
 
+/* Takes one sample of the time at the backend server. */
+void fr_sample_service (instance_t *instance, uint32_t rank, fb_time_t service);
+
 /* Returns the expected cost of one more call of RANK on INSTANCE; the lower is better. */
 double fr_score_instance (const instance_t *instance, uint32_t rank, fb_time_t now);
 
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -35,6 +35,19 @@
   g_free (served);
 }
 
+/* Returns the index of the call's rank; the least urgent when the snapshot does not know it. */
+static uint32_t
+find_rank (const fn_served_t *served)
+{
+  const fc_snapshot_t *snapshot
+      = fn_get_snapshot (fk_find_service (served->backend->kernel, FN_DISTRIBUTION));
+  uint32_t rank = snapshot ? (uint32_t)fc_count_ranks (snapshot) - 1 : 0;
+
+  if (snapshot)
+    fc_find_rank (snapshot, served->call.rank, &rank);
+  return rank;
+}
+
 void
 fn_answer_served (fn_served_t *served, fw_call_t *answer)
 {
@@ -42,6 +55,8 @@
 
   answer->kind = FW_ANSWER;
   answer->load = fr_get_load (backend->admission);
+  answer->wait_us
+      = (uint64_t)(fr_get_wait (backend->admission, find_rank (served)) / FB_MICROSECOND);
   if (served->answered)
     served->answered (answer, served->user);
   g_hash_table_remove (backend->calls, &served->handle);
@@ -325,14 +340,13 @@
   fn_backend_t *backend = served->backend;
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
-  uint32_t rank = (uint32_t)fc_count_ranks (snapshot) - 1;
 
   if (served->has_ticket && !fn_begin_ticket (served))
     return;
   update_rules (backend, snapshot);
-  fc_find_rank (snapshot, served->call.rank, &rank);
-  fr_offer_call (backend->admission, served->handle, served, rank, served->call.customer,
-                 fc_weigh_customer (snapshot, served->call.customer), served->deadline);
+  fr_offer_call (backend->admission, served->handle, served, find_rank (served),
+                 served->call.customer, fc_weigh_customer (snapshot, served->call.customer),
+                 served->deadline);
 }
 
 static fb_status_t
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -35,6 +35,17 @@
   return fb_get_name (&fc_get_service (call->snapshot, call->service)->name);
 }
 
+/* Returns the latency target of the call in ns. */
+static fb_time_t
+get_target (const fn_entry_call_t *call)
+{
+  uint32_t target = call->route->target_ms;
+
+  if (target == 0)
+    target = fc_get_rank (call->snapshot, call->route->rank)->target_ms;
+  return target * FB_MILLISECOND;
+}
+
 /* Closes the open attempt's books; returns the name of the instance tried. */
 static const fb_name_t *
 close_attempt (fn_entry_call_t *call)
@@ -93,6 +104,9 @@
   const fb_name_t *tried = close_attempt (call);
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
+  fr_report_wait (entry->picker, tried, call->route->rank,
+                  (fb_time_t)answer->service_us * FB_MICROSECOND,
+                  (fb_time_t)answer->wait_us * FB_MICROSECOND);
   fr_report_ranked (entry->picker, tried, call->route->rank, judge_answer (answer),
                     read_time (entry) - call->attempt_start, answer->load);
   fr_report_customer (entry->throttle, get_service_name (call), call->route->rank,
@@ -246,9 +260,8 @@
       start_ticket_attempt (call);
       return;
     }
-  if (!fr_pick_ranked (entry->picker, service, call->route->rank,
-                       fb_wrap_text (call->request_id), call->tried, call->attempt_count,
-                       &picked))
+  if (!fr_pick_target (entry->picker, service, call->route->rank, get_target (call),
+                       call->tried, call->attempt_count, &picked))
     {
       fn_finish_with (call, FW_NOT_RUN, 503, "no instance of the service is available");
       return;
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -379,7 +379,7 @@
   fn_entry_t *entry = g_new0 (fn_entry_t, 1);
 
   entry->kernel = kernel;
-  entry->picker = fr_create_picker (FR_PICK_TWO, &settings->id, &settings->zone,
+  entry->picker = fr_create_picker (FR_PICK_NEAR, &settings->id, &settings->zone,
                                     randombytes_random (), fk_get_clock (kernel));
   entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
   entry->splitter = fr_create_splitter (randombytes_random ());
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -60,6 +60,7 @@
   bool elsewhere;      /* not run for a reason that other instances need not share */
   uint32_t load;       /* slots in use plus waiting, per 1,000 slots */
   uint64_t service_us; /* time at the backend server */
+  uint64_t wait_us;    /* that a further call of the same rank may expect */
   /* CALL and ANSWER */
   size_t header_count;
   fw_header_t headers[FW_HEADERS_MAX];
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define CALL_FORMAT 2
-#define CALL_FIELDS 22
+#define CALL_FIELDS 23
 
 /* Longest path, header value, ticket or reason in bytes. */
 #define TEXT_MAX (16 * 1024)
@@ -42,6 +42,7 @@
   msgpack_pack_uint64 (&packer, message->elsewhere);
   msgpack_pack_uint64 (&packer, message->load);
   msgpack_pack_uint64 (&packer, message->service_us);
+  msgpack_pack_uint64 (&packer, message->wait_us);
   msgpack_pack_array (&packer, 2 * message->header_count);
   for (size_t i = 0; i < message->header_count; i++)
     {
@@ -82,6 +83,7 @@
   message->elsewhere = fw_read_u64 (&reader, 1) == 1;
   message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
   message->service_us = fw_read_u64 (&reader, UINT64_MAX);
+  message->wait_us = fw_read_u64 (&reader, UINT64_MAX);
   headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
   if (!fw_finish_reader (&reader) || message->kind < FW_CALL || headers.count % 2 != 0)
     return false;
