Admit by each call's own target and serve callers who return first

Change: calls carry the time left until their own target, which counts from the caller's first try; what cannot start in time is refused on arrival, a late one gives way when others wait, a caller who has come back goes first; a full queue is tried once elsewhere.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -67,6 +67,20 @@
 void fr_offer_call (fr_admission_t *admission, uint64_t id, void *call, uint32_t rank,
                     fb_str_t customer, double weight, fb_time_t deadline);
 
+/* When a call is worth what. */
+typedef struct
+{
+  fb_time_t deadline; /* absolute, ns */
+  fb_time_t aim;      /* absolute: until here it counts as served in time; 0 stands for the
+                         target of its rank from now on */
+  bool again;         /* it was refused before and has come back: it goes before the others of
+                         its customer */
+} fr_times_t;
+
+/* The same for a call with a latency target of its own. */
+void fr_offer_timed (fr_admission_t *admission, uint64_t id, void *call, uint32_t rank,
+                     fb_str_t customer, double weight, const fr_times_t *times);
+
 /* Ends a started call and frees its slot. */
 void fr_finish_call (fr_admission_t *admission, uint64_t id);
 
--- a/packages/call/source/admission-queue.c
+++ b/packages/call/source/admission-queue.c
@@ -91,7 +91,10 @@
 
   entry->within_turn = idle && flow->pass <= flow->rank->virtual_time;
   entry->link.data = entry;
-  g_queue_push_tail_link (&flow->waiting, &entry->link);
+  if (entry->again)
+    g_queue_push_nth_link (&flow->waiting, (gint)flow->again++, &entry->link);
+  else
+    g_queue_push_tail_link (&flow->waiting, &entry->link);
   flow->rank->waiting++;
   if (!idle)
     return;
@@ -117,6 +120,8 @@
   FB_INVARIANT (entry->link.data == entry);
   g_queue_unlink (&flow->waiting, &entry->link);
   entry->link.data = NULL;
+  if (entry->again)
+    flow->again--;
   flow->rank->waiting--;
   if (g_queue_is_empty (&flow->waiting))
     leave_turns (flow);
@@ -229,6 +234,7 @@
           g_queue_unlink (&flow->waiting, &entry->link);
           g_queue_push_tail_link (&target->waiting, &entry->link);
           entry->flow = target;
+          entry->again = false;
         }
       take_turn (target);
     }
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -175,9 +175,9 @@
 }
 
 double
-fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow)
+fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow, bool again)
 {
-  return estimate_turn (admission, flow->rank, fr_count_ahead (flow));
+  return estimate_turn (admission, flow->rank, again ? flow->again : fr_count_ahead (flow));
 }
 
 fb_time_t
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -24,6 +24,7 @@
   double weight;
   double pass;         /* virtual time of its next turn, in slot nanoseconds by weight */
   GQueue waiting;      /* entry_t, oldest first */
+  uint32_t again;      /* of those, calls that have come back; they wait first */
   uint32_t started;    /* calls that hold a slot */
   GSequenceIter *turn; /* position in the rank's turns; NULL when nothing waits */
 } flow_t;
@@ -36,6 +37,8 @@
   uint64_t order; /* of arrival */
   fb_time_t arrived;
   fb_time_t deadline;
+  fb_time_t aim;
+  bool again;
   fb_time_t started; /* valid when link.data is NULL */
   bool within_turn;  /* its customer owed nothing and had nothing waiting when it arrived */
   double charged;    /* slot time charged to the flow at the start, ns */
@@ -95,7 +98,8 @@
 /* Returns the flow of CUSTOMER in RANK, created when missing. */
 flow_t *fr_find_flow (rank_t *rank, fb_str_t customer, double weight);
 
-/* Appends ENTRY to its flow. */
+/* Appends ENTRY to its flow; one that has come back goes after the others that have, before the
+ * rest. */
 void fr_push_entry (entry_t *entry);
 
 /* Returns the entry whose turn it is in RANK, which must have one waiting. */
@@ -134,8 +138,8 @@
 /* Returns the rank that gets the next slot, or NULL when nothing waits. */
 rank_t *fr_choose_rank (const fr_admission_t *admission);
 
-/* Returns the expected wait in ns of a new call of FLOW. */
-double fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow);
+/* Returns the expected wait in ns of a new call of FLOW, or of one that comes AGAIN. */
+double fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow, bool again);
 
 /* admission-limit.c */
 
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -75,6 +75,17 @@
          && (double)(entry->deadline - now) < rank->service;
 }
 
+/* Factor of the average service time that a call is expected to take at most; about as much
+ * again as the spread of usual calls. */
+#define SERVICE_MARGIN 1.25
+
+/* Returns whether a call of RANK that starts at START is expected to miss AIM. */
+static bool
+misses_aim (const rank_t *rank, fb_time_t start, fb_time_t aim)
+{
+  return (double)start + rank->service * SERVICE_MARGIN > (double)aim;
+}
+
 /* Returns whether a call that has waited in a rank over its share would miss its target: its
  * slot goes to a newer one. A call of a customer within its turn is served late instead, so
  * that a rank that one customer floods does not refuse the others. */
@@ -83,6 +94,9 @@
 {
   const rank_t *rank = entry->flow->rank;
 
+  if (entry->aim > 0)
+    return admission->policy == FR_POLICY_SHARES && rank->waiting > 1
+           && misses_aim (rank, now, entry->aim) && !fr_is_below_share (admission, rank);
   return admission->policy == FR_POLICY_SHARES && rank->rule.target > 0 && rank->started > 0
          && !entry->within_turn
          && (double)(now - entry->arrived) + rank->service > (double)rank->rule.target
@@ -234,11 +248,12 @@
 
 /* Decides whether a new call of FLOW is refused, as REFUSAL. */
 static bool
-is_refused (fr_admission_t *admission, const flow_t *flow, fb_time_t deadline,
+is_refused (fr_admission_t *admission, const flow_t *flow, const fr_times_t *times,
             fr_refusal_t *refusal)
 {
   const rank_t *rank = flow->rank;
   fb_time_t now = fb_read_clock (admission->clock);
+  fb_time_t deadline = times->deadline;
 
   *refusal = FR_REFUSED_DRAINING;
   if (admission->draining)
@@ -248,11 +263,15 @@
     return true;
   if (admission->policy == FR_POLICY_SHARES && rank->started > 0)
     {
-      double time = fr_estimate_wait (admission, flow) + rank->service;
+      double wait = fr_estimate_wait (admission, flow, times->again);
+      double time = wait + rank->service;
 
       if (time > (double)(deadline - now))
         return true;
       *refusal = FR_REFUSED_FULL;
+      if (times->aim > 0)
+        return wait > 0 && misses_aim (rank, now + (fb_time_t)wait, times->aim)
+               && !fr_is_below_share (admission, rank);
       /* A call that waits longer than its target is worth little; only the guaranteed share is
        * served late rather than not at all. */
       if (rank->rule.target > 0 && time > (double)rank->rule.target && admission->waiting > 0
@@ -266,6 +285,15 @@
 void
 fr_offer_call (fr_admission_t *admission, uint64_t id, void *call, uint32_t rank,
                fb_str_t customer, double weight, fb_time_t deadline)
+{
+  fr_times_t times = { .deadline = deadline };
+
+  fr_offer_timed (admission, id, call, rank, customer, weight, &times);
+}
+
+void
+fr_offer_timed (fr_admission_t *admission, uint64_t id, void *call, uint32_t rank,
+                fb_str_t customer, double weight, const fr_times_t *times)
 {
   size_t index = MIN (rank, admission->ranks->len - 1);
   /* The baselines know ranks but not customers. */
@@ -277,7 +305,7 @@
 
   FB_INVARIANT (!g_hash_table_contains (admission->entries, &id));
   fr_update_usage (admission);
-  if (is_refused (admission, flow, deadline, &refusal))
+  if (is_refused (admission, flow, times, &refusal))
     add_event (admission, call, false, refusal);
   else
     {
@@ -288,7 +316,9 @@
       entry->flow = flow;
       entry->order = admission->arrivals++;
       entry->arrived = fb_read_clock (admission->clock);
-      entry->deadline = deadline;
+      entry->deadline = times->deadline;
+      entry->aim = times->aim;
+      entry->again = times->again;
       g_hash_table_insert (admission->entries, &entry->id, entry);
       admission->waiting++;
       fr_push_entry (entry);
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -64,7 +64,7 @@
   bool stale;                     /* the instances changed since the subset was chosen */
   double latencies[FC_RANKS_MAX]; /* by rank, over all instances */
   double services[FC_RANKS_MAX];
-  uint64_t turn;                  /* FR_PICK_ROUND_ROBIN */
+  uint64_t turn; /* FR_PICK_ROUND_ROBIN */
 };
 
 struct fr_picker
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -12,6 +12,9 @@
  * connection when no deadline does, as for calls that run at most once. */
 #define BACKEND_IO_TIMEOUT (30 * FB_SECOND)
 
+/* Longest time that a call may have left, in us; bounds what another node claims. */
+#define TIME_MAX_US 3600000000U
+
 #define IDLE_CONNECTIONS_MAX 32
 
 /* Time in which the backend server on the same host must take a connection. */
@@ -318,6 +321,7 @@
 copy_call (fn_backend_t *backend, const fw_call_t *call)
 {
   fn_served_t *served = g_new0 (fn_served_t, 1);
+  fb_time_t now;
   size_t length;
 
   served->backend = backend;
@@ -327,8 +331,9 @@
   FB_INVARIANT (fw_decode_call ((fb_bytes_t){ served->header, length },
                                 (fb_bytes_t){ served->body, call->body.len }, &served->call)
                 == FB_OK);
-  served->deadline = fb_read_clock (fk_get_clock (backend->kernel))
-                     + (fb_time_t)MIN (call->remaining_us, 3600000000U) * FB_MICROSECOND;
+  now = fb_read_clock (fk_get_clock (backend->kernel));
+  served->deadline = now + (fb_time_t)MIN (call->remaining_us, TIME_MAX_US) * FB_MICROSECOND;
+  served->aim = now + (fb_time_t)MIN (call->target_us, TIME_MAX_US) * FB_MICROSECOND;
   return served;
 }
 
@@ -340,13 +345,14 @@
   fn_backend_t *backend = served->backend;
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
+  fr_times_t times = { served->deadline, served->aim, served->call.again };
 
   if (served->has_ticket && !fn_begin_ticket (served))
     return;
   update_rules (backend, snapshot);
-  fr_offer_call (backend->admission, served->handle, served, find_rank (served),
-                 served->call.customer, fc_weigh_customer (snapshot, served->call.customer),
-                 served->deadline);
+  fr_offer_timed (backend->admission, served->handle, served, find_rank (served),
+                  served->call.customer, fc_weigh_customer (snapshot, served->call.customer),
+                  &times);
 }
 
 static fb_status_t
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -26,6 +26,7 @@
   uint8_t *body;
   fw_call_t call; /* refers to HEADER and BODY */
   fb_time_t deadline;
+  fb_time_t aim; /* until which the answer is in time */
   fb_time_t started;
   bool has_ticket;
   fr_ticket_t ticket;
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -35,17 +35,6 @@
   return fb_get_name (&fc_get_service (call->snapshot, call->service)->name);
 }
 
-/* Returns the latency target of the call in ns. */
-static fb_time_t
-get_target (const fn_entry_call_t *call)
-{
-  uint32_t target = call->route->target_ms;
-
-  if (target == 0)
-    target = fc_get_rank (call->snapshot, call->route->rank)->target_ms;
-  return target * FB_MILLISECOND;
-}
-
 /* Closes the open attempt's books; returns the name of the instance tried. */
 static const fb_name_t *
 close_attempt (fn_entry_call_t *call)
@@ -93,7 +82,13 @@
     return false;
   if (elsewhere)
     return call->elsewhere_count++ < FN_ELSEWHERE_RETRIES;
-  return call->attempt_count - call->elsewhere_count <= route->retries
+  /* A full queue costs the other node little, and another instance may have room. */
+  if (outcome == FW_NOT_RUN && answer->status == 429 && call->full_count < FN_FULL_RETRIES)
+    {
+      call->full_count++;
+      return true;
+    }
+  return call->attempt_count - call->elsewhere_count - call->full_count <= route->retries
          && fr_take_retry (call->entry->budget, get_service_name (call));
 }
 
@@ -190,6 +185,8 @@
     .host = fh_get_host (call->request),
     .path = fh_get_path (call->request),
     .single = !route->repeatable,
+    .target_us = (uint64_t)(MAX (call->aim - call->attempt_start, 0) / FB_MICROSECOND),
+    .again = call->again,
     .ticket = call->ticket,
     .request_id = fb_wrap_text (call->request_id),
     .body = fh_get_body (call->request),
@@ -260,8 +257,8 @@
       start_ticket_attempt (call);
       return;
     }
-  if (!fr_pick_target (entry->picker, service, call->route->rank, get_target (call),
-                       call->tried, call->attempt_count, &picked))
+  if (!fr_pick_target (entry->picker, service, call->route->rank, call->target, call->tried,
+                       call->attempt_count, &picked))
     {
       fn_finish_with (call, FW_NOT_RUN, 503, "no instance of the service is available");
       return;
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -7,6 +7,9 @@
 /* Longest request id that a caller may set, in bytes. */
 #define REQUEST_ID_MAX 63
 
+/* Longest wait of a caller, in ms; bounds what it claims. */
+#define ASKED_MAX_MS 3600000
+
 /* Time in s after which a caller that was refused may come back: about two calls of the usual
  * kinds, in which slots become free. */
 #define RETRY_AFTER_S "0.1"
@@ -141,19 +144,63 @@
   snprintf (text, REQUEST_ID_MAX + 1, "%016" PRIx64, ++entry->next_id);
 }
 
-/* Returns the time allowed for the call in ns: the route's, or less when the caller says so. */
+/* Returns the time in ns that the caller says it will wait; as the route allows when it says
+ * nothing. */
 static fb_time_t
-read_timeout (fn_entry_t *entry, fh_request_t *request, const fc_route_t *route)
+read_wait (fn_entry_t *entry, fh_request_t *request, const fc_route_t *route)
 {
-  uint64_t milliseconds = route->timeout_ms;
   uint64_t asked;
 
   if (fb_parse_u64 (
           find_request_header (request, fn_get_adapter (entry->kernel)->dialect->timeout_ms),
-          &asked)
-      && asked < milliseconds)
-    milliseconds = asked;
-  return (fb_time_t)milliseconds * FB_MILLISECOND;
+          &asked))
+    return (fb_time_t)MIN (asked, ASKED_MAX_MS) * FB_MILLISECOND;
+  return route->timeout_ms * FB_MILLISECOND;
+}
+
+/* Period over which the longest wait of a route's callers is kept. */
+#define WAIT_PERIOD (10 * FB_SECOND)
+
+/* A caller with that much less time than others of the route has spent it on an earlier try. */
+#define AGAIN_MIN (20 * FB_MILLISECOND)
+
+/* Returns the time that a caller of ROUTE with ASKED left has spent on earlier tries: callers
+ * of a route start with about the same time. */
+static fb_time_t
+guess_spent (fn_entry_t *entry, const fc_route_t *route, fb_time_t asked)
+{
+  fn_wait_t *wait = g_hash_table_lookup (entry->waits, route->name.data);
+  fb_time_t now = fb_read_clock (fk_get_clock (entry->kernel));
+  fb_time_t longest;
+
+  if (!wait)
+    {
+      wait = g_new0 (fn_wait_t, 1);
+      g_hash_table_insert (entry->waits, g_strdup (route->name.data), wait);
+    }
+  if (now >= wait->until)
+    {
+      wait->before = now < wait->until + WAIT_PERIOD ? wait->longest : 0;
+      wait->longest = 0;
+      wait->until = now + WAIT_PERIOD;
+    }
+  wait->longest = MAX (wait->longest, asked);
+  longest = MAX (wait->longest, wait->before);
+  return longest - asked >= AGAIN_MIN ? longest - asked : 0;
+}
+
+/* Sets the time until which the call is in time, counted from the caller's first try. */
+static void
+set_aim (fn_entry_call_t *call, fb_time_t asked)
+{
+  uint32_t target = call->route->target_ms;
+  fb_time_t spent = guess_spent (call->entry, call->route, asked);
+
+  if (target == 0)
+    target = fc_get_rank (call->snapshot, call->route->rank)->target_ms;
+  call->target = target * FB_MILLISECOND;
+  call->again = spent > 0;
+  call->aim = call->start + MAX (call->target - spent, 0);
 }
 
 /* Returns whether a path segment is read the same by everyone: not empty, no dot segment, no
@@ -237,7 +284,8 @@
              const fc_route_t *route, uint32_t service, const char *request_id)
 {
   fn_entry_call_t *call = g_new0 (fn_entry_call_t, 1);
-  fb_time_t timeout = read_timeout (entry, request, route);
+  fb_time_t asked = read_wait (entry, request, route);
+  fb_time_t timeout = MIN (asked, route->timeout_ms * FB_MILLISECOND);
 
   call->entry = entry;
   call->request = request;
@@ -249,6 +297,7 @@
   g_strlcpy (call->request_id, request_id, sizeof call->request_id);
   call->start = fb_read_clock (fk_get_clock (entry->kernel));
   call->deadline = call->start + timeout;
+  set_aim (call, asked);
   call->timer = fk_create_timeout (entry->kernel, timeout, expire_call, call);
   entry->calls++;
   return call;
@@ -351,6 +400,7 @@
   fr_destroy_retry_budget (entry->budget);
   fr_destroy_throttle (entry->throttle);
   fr_destroy_splitter (entry->splitter);
+  g_hash_table_destroy (entry->waits);
   g_hash_table_destroy (entry->attempts);
   g_free (entry);
 }
@@ -384,6 +434,7 @@
   entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
   entry->splitter = fr_create_splitter (randombytes_random ());
   entry->throttle = fr_create_throttle (randombytes_random (), fk_get_clock (kernel));
+  entry->waits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   entry->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
   entry->next_id = (uint64_t)randombytes_random () << 24;
   find_entry_counters (entry, fk_get_counters (kernel));
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -16,6 +16,17 @@
  * may cause. */
 #define FN_ELSEWHERE_RETRIES 3
 
+/* Attempts beyond the route's retries that full queues may cause. */
+#define FN_FULL_RETRIES 1
+
+/* How long callers of a route are ready to wait. */
+typedef struct
+{
+  fb_time_t longest; /* in the present period */
+  fb_time_t before;  /* in the period before */
+  fb_time_t until;   /* end of the present period */
+} fn_wait_t;
+
 struct fn_entry
 {
   fk_kernel_t *kernel;
@@ -24,9 +35,10 @@
   fr_retry_budget_t *budget;
   fr_throttle_t *throttle;
   fr_splitter_t *splitter;
+  GHashTable *waits;    /* fn_wait_t by name of the route */
   GHashTable *attempts; /* fn_entry_call_t by id of the open attempt */
   size_t calls;
-  bool closed; /* takes no more calls */
+  bool closed;      /* takes no more calls */
   uint64_t next_id; /* random start, so that ids of an earlier process do not match */
   fb_counter_t *outcomes[5];
   fb_counter_t *retries;
@@ -46,9 +58,13 @@
   char request_id[64];
   fb_time_t start;
   fb_time_t deadline;
+  fb_time_t target; /* latency target of the route */
+  fb_time_t aim;    /* until which the answer is in time */
+  bool again;       /* the caller was refused before and has come back */
   fk_timer_t *timer;
   uint32_t service; /* index; the part of the route that was drawn */
   uint32_t attempt_count;
+  uint32_t full_count;      /* of those, ended by full queues */
   uint32_t elsewhere_count; /* of those, ended by refusals of single nodes */
   bool may_have_run;        /* an attempt reached a node and was not refused */
   fb_name_t tried[FN_ATTEMPTS_MAX];
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -50,6 +50,7 @@
   fb_str_t path;
   bool single;        /* may run at most once */
   uint64_t target_us; /* time left until the latency target; 0 when it has passed */
+  bool again;         /* the caller was refused before and has come back */
   fb_str_t ticket;    /* empty unless the route needs one */
   fb_str_t request_id;
   /* ANSWER */
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #define CALL_FORMAT 2
-#define CALL_FIELDS 23
+#define CALL_FIELDS 24
 
 /* Longest path, header value, ticket or reason in bytes. */
 #define TEXT_MAX (16 * 1024)
@@ -33,6 +33,7 @@
   fw_pack_str (&packer, message->path);
   msgpack_pack_uint64 (&packer, message->single);
   msgpack_pack_uint64 (&packer, message->target_us);
+  msgpack_pack_uint64 (&packer, message->again);
   fw_pack_str (&packer, message->ticket);
   fw_pack_str (&packer, message->request_id);
   msgpack_pack_uint64 (&packer, (uint64_t)message->outcome);
@@ -74,6 +75,7 @@
   message->path = fw_read_str (&reader, TEXT_MAX);
   message->single = fw_read_u64 (&reader, 1) == 1;
   message->target_us = fw_read_u64 (&reader, UINT64_MAX);
+  message->again = fw_read_u64 (&reader, 1) == 1;
   message->ticket = fw_read_str (&reader, TEXT_MAX);
   message->request_id = fw_read_str (&reader, TEXT_MAX);
   message->outcome = (fw_outcome_t)fw_read_u64 (&reader, FW_FAILED);
