Extend the expected keys in tests and the configuration page; list the node itself among the endpoints

Cause: six tests failed: the lists of allowed keys grew by the new ones, the limit on routes was raised to 8,000 for configurations of 1 MB, and a node without a platform's list did not find itself in the directory, so that it refused calls to its own backend server. Change: the expectations name the new keys and the new limit, as strict as before; the node puts itself into the directory.

--- a/packages/config/tests/test-document.c
+++ b/packages/config/tests/test-document.c
@@ -7,7 +7,7 @@
 #define V "version = 1\n"
 
 #define VERSION_TEXT "an integer from 1 to 9007199254740991"
-#define TOP_KEYS "one of version, rank, service, route, customer, objective"
+#define TOP_KEYS "one of version, idle_ms, rank, service, route, customer, objective"
 #define NAME_TEXT "1 to 47 letters, digits, '.', '_' or '-'"
 #define PATH_TEXT                                                                              \
   "\"/\" or at most 255 bytes in up to 32 segments, each with a \"/\" before it, without "     \
@@ -34,8 +34,8 @@
   { "version-table", "[version]\n",
     "f:1: version: found a table, allowed: " VERSION_TEXT "\n" },
   { "unknown-top", V "colour = 1\n[[route_]]\n",
-    "f:2: colour: found an unknown key, allowed: one of version, rank, service, route, customer, objective\n"
-    "f:3: route_: found an unknown key, allowed: one of version, rank, service, route, customer, objective\n" },
+    "f:2: colour: found an unknown key, allowed: one of version, idle_ms, rank, service, route, customer, objective\n"
+    "f:3: route_: found an unknown key, allowed: one of version, idle_ms, rank, service, route, customer, objective\n" },
   { "unknown-key", V RANK "weight = 1\n",
     "f:5: rank[0].weight: found an unknown key, allowed: one of name, order, target_ms, worth, share\n" },
   { "unknown-odd-keys",
@@ -317,9 +317,9 @@
     { V, "[[service]]\nname = \"s%\"\nslots = 1\nconnections = 1\n", 1001,
       "f:2: service: found 1001 tables, allowed: at most 1000\n" },
     { V RANK SERVICE, "[[route]]\nname=\"r%\"\npath=\"/%\"\nservice=\"shop\"\nrank=\"fast\"\n",
-      4000, "" },
+      8000, "" },
     { V RANK SERVICE, "[[route]]\nname=\"r%\"\npath=\"/%\"\nservice=\"shop\"\nrank=\"fast\"\n",
-      4001, "f:9: route: found 4001 tables, allowed: at most 4000\n" },
+      8001, "f:9: route: found 8001 tables, allowed: at most 8000\n" },
     { V, "[[customer]]\nname=\"c%\"\n", 4001,
       "f:2: customer: found 4001 tables, allowed: at most 4000\n" },
     { V "x = ", "[", 100000,
--- a/packages/config/tests/test-settings.c
+++ b/packages/config/tests/test-settings.c
@@ -27,7 +27,7 @@
     "f: node.zone: found nothing, allowed: " NAME_TEXT "\n" },
   { "unknown", NODE "name = \"x\"\n" LISTEN "[other]\n",
     "f:5: node.name: found an unknown key, allowed: one of id, zone, region, service\n"
-    "f:8: other: found an unknown key, allowed: one of node, listen, backend, platform, seeds, admin, log\n" },
+    "f:8: other: found an unknown key, allowed: one of node, listen, drain, backend, platform, seeds, admin, log\n" },
   { "section-kind", NODE LISTEN "[[log]]\n",
     "f:7: log: found an array of tables, allowed: one [log] table\n" },
   { "section-value", "node = 1\n" LISTEN,
--- a/packages/foxtailrun/tests/test-commands.c
+++ b/packages/foxtailrun/tests/test-commands.c
@@ -133,7 +133,7 @@
     "customers 0, objectives 0\n",
     "" },
   { "check bad.toml", 2,
-    "bad.toml:2: colour: found an unknown key, allowed: one of version, rank, service, route, "
+    "bad.toml:2: colour: found an unknown key, allowed: one of version, idle_ms, rank, service, route, "
     "customer, objective\nbad.toml: 1 problem\n",
     "" },
   { "check none.toml", 2,
@@ -147,7 +147,7 @@
   { "check --json bad.toml", 2,
     "{\n  \"file\": \"bad.toml\",\n  \"good\": false,\n  \"problems\": [\n    {\n"
     "      \"line\": 2,\n      \"key\": \"colour\",\n      \"found\": \"an unknown key\",\n"
-    "      \"allowed\": \"one of version, rank, service, route, customer, objective\"\n"
+    "      \"allowed\": \"one of version, idle_ms, rank, service, route, customer, objective\"\n"
     "    }\n  ]\n}\n",
     "" },
   { "check --json good.toml", 0,
@@ -160,7 +160,10 @@
   { "diff --json good.toml good.toml", 0, "[]\n", "" },
   { "schema", 0,
     "top level\n  version       number of the publication, increased with each one\n"
-    "                integer, required: an integer from 1 to 9007199254740991\n\n[[rank]]\n*",
+    "                integer, required: an integer from 1 to 9007199254740991\n"
+    "  idle_ms       time in which a request must arrive, and for which a caller's connection may "
+    "stay idle\n"
+    "                integer in ms, default 10000: an integer from 100 to 3600000\n\n[[rank]]\n*",
     "" },
   { "schema --json --settings", 0,
     "[\n  {\n    \"section\": \"node\",\n    \"key\": \"id\",\n    \"type\": \"string\",\n*",
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -377,8 +377,12 @@
   /* The picker learns the region from this node's own description, which is no endpoint itself
    * where the platform lists them. */
   if (fn_get_adapter (kernel)->listed)
-    self.service = (fb_name_t){ 0 };
-  update_instance (&self, entry);
+    {
+      self.service = (fb_name_t){ 0 };
+      update_instance (&self, entry);
+    }
+  else
+    fn_put_endpoint (kernel, &self);
   entry->server = fh_create_server (kernel, &settings->address, settings->caller_port,
                                     FW_REQUEST_BODY_MAX, handle_request, entry);
   return entry->server ? FB_OK : FB_IO;
