--- a/packages/foxtailrun/source/diff-fields.c
+++ b/packages/foxtailrun/source/diff-fields.c
@@ -398,17 +398,17 @@
 };
 
 static const diff_field_t route_fields[] = {
-  { "host", format_host, judge_host },
+  { "host", format_host, judge_host, "" },
   { "path", format_path, judge_path },
-  { "below", format_below, judge_below },
+  { "below", format_below, judge_below, "false" },
   { "methods", format_methods, judge_methods },
   { "service", format_route_service, judge_route_service },
-  { "parts", format_parts, NULL },
+  { "parts", format_parts, NULL, "[]" },
   { "rank", format_route_rank, NULL },
   { "timeout_ms", format_timeout, NULL },
-  { "target_ms", format_route_target, NULL },
+  { "target_ms", format_route_target, NULL, "0" },
   { "repeatable", format_repeatable, judge_repeatable },
-  { "ticket", format_ticket, judge_ticket },
+  { "ticket", format_ticket, judge_ticket, "true" },
   { "retries", format_retries, NULL },
 };
 
--- a/packages/foxtailrun/source/diff.c
+++ b/packages/foxtailrun/source/diff.c
@@ -88,7 +88,9 @@
     {
       char *value = format_value (&kind->fields[i], snapshot, index);
 
-      g_string_append_printf (text, "%s%s %s", i ? ", " : "", kind->fields[i].key, value);
+      if (g_strcmp0 (value, kind->fields[i].usual) != 0)
+        g_string_append_printf (text, "%s%s %s", text->len ? ", " : "", kind->fields[i].key,
+                                value);
       g_free (value);
     }
   return g_string_free (text, FALSE);
--- a/packages/foxtailrun/source/diff.h
+++ b/packages/foxtailrun/source/diff.h
@@ -27,6 +27,8 @@
   /* Returns the risk of a change, or NULL; may be NULL. */
   const char *(*judge) (const fc_snapshot_t *before, size_t from, const fc_snapshot_t *after,
                         size_t to);
+  /* Value that is left out of an element that is added or removed; NULL when none is. */
+  const char *usual;
 } diff_field_t;
 
 /* One kind of element, matched between documents by name. */
