--- a/packages/call/source/route-split.c
+++ b/packages/call/source/route-split.c
@@ -6,6 +6,9 @@
 /* Routes whose state is held; beyond this all start anew, which costs one call of precision. */
 #define ROUTES_MAX 10000
 
+/* Bound on the random number of turns that a node skips at the start. */
+#define SKIP_MAX 100
+
 typedef struct
 {
   fc_part_t *parts; /* as they were when the credits started */
@@ -56,6 +59,24 @@
          && memcmp (turn->parts, route->parts, turn->count * sizeof *turn->parts) == 0;
 }
 
+/* Returns the part that takes the next call. */
+static size_t
+take_turn (turn_t *turn)
+{
+  int64_t total = 0;
+  size_t best = 0;
+
+  for (size_t i = 0; i < turn->count; i++)
+    {
+      turn->credits[i] += turn->parts[i].weight;
+      total += turn->parts[i].weight;
+      if (turn->credits[i] > turn->credits[best])
+        best = i;
+    }
+  turn->credits[best] -= total;
+  return best;
+}
+
 static turn_t *
 start_turn (fr_splitter_t *splitter, const fc_route_t *route)
 {
@@ -64,9 +85,8 @@
   turn->count = route->part_count;
   turn->parts = g_memdup2 (route->parts, turn->count * sizeof *turn->parts);
   turn->credits = g_new0 (int64_t, turn->count);
-  for (size_t i = 0; i < turn->count; i++)
-    turn->credits[i]
-        = g_rand_int_range (splitter->random, 0, (gint32)turn->parts[i].weight + 1);
+  for (int skip = g_rand_int_range (splitter->random, 0, SKIP_MAX); skip > 0; skip--)
+    take_turn (turn);
   if (g_hash_table_size (splitter->turns) >= ROUTES_MAX)
     g_hash_table_remove_all (splitter->turns);
   g_hash_table_replace (splitter->turns, g_strdup (route->name.data), turn);
@@ -77,21 +97,11 @@
 fr_split_call (fr_splitter_t *splitter, const fc_route_t *route)
 {
   turn_t *turn;
-  int64_t total = 0;
-  size_t best = 0;
 
   if (route->part_count == 0)
     return route->service;
   turn = g_hash_table_lookup (splitter->turns, route->name.data);
   if (turn == NULL || !has_parts (turn, route))
     turn = start_turn (splitter, route);
-  for (size_t i = 0; i < turn->count; i++)
-    {
-      turn->credits[i] += turn->parts[i].weight;
-      total += turn->parts[i].weight;
-      if (turn->credits[i] > turn->credits[best])
-        best = i;
-    }
-  turn->credits[best] -= total;
-  return turn->parts[best].service;
+  return turn->parts[take_turn (turn)].service;
 }
--- /dev/null
+++ b/packages/call/tests/test-split.c
@@ -0,0 +1,154 @@
+/* Division of a route's calls by weight, and the choice of near instances. */
+#include <foxtailrun/call/picker.h>
+#include <foxtailrun/call/splitter.h>
+#include <glib.h>
+
+#define CALLS 300
+#define ROUTES 40
+
+/* Guards against shares that stray from the weights over some run of calls, and against nodes
+ * that all start with the same part. */
+static void
+test_shares (void)
+{
+  static const struct
+  {
+    uint32_t weights[3];
+    size_t count;
+  } cases[] = {
+    { { 90, 10 }, 2 }, { { 1, 1 }, 2 }, { { 1 }, 1 }, { { 50, 30, 20 }, 3 }, { { 999, 1 }, 2 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fc_part_t parts[3];
+      fc_route_t route
+          = { .name = fb_make_name ("r"), .parts = parts, .part_count = cases[i].count };
+      uint32_t total = 0;
+      GHashTable *first = g_hash_table_new (NULL, NULL);
+
+      for (size_t j = 0; j < cases[i].count; j++)
+        {
+          parts[j] = (fc_part_t){ (uint32_t)j + 5, cases[i].weights[j] };
+          total += cases[i].weights[j];
+        }
+      for (uint32_t seed = 0; seed < ROUTES; seed++)
+        {
+          fr_splitter_t *splitter = fr_create_splitter (seed);
+          uint32_t counts[3] = { 0 };
+
+          for (int call = 1; call <= CALLS; call++)
+            {
+              uint32_t service = fr_split_call (splitter, &route);
+
+              if (call == 1)
+                g_hash_table_add (first, GUINT_TO_POINTER (service));
+              counts[service - 5]++;
+              for (size_t j = 0; j < cases[i].count; j++)
+                {
+                  double share = (double)call * cases[i].weights[j] / total;
+
+                  g_assert_cmpfloat (ABS (counts[j] - share), <=, 2);
+                }
+            }
+          fr_destroy_splitter (splitter);
+        }
+      if (cases[i].count > 1 && cases[i].weights[0] < 500)
+        g_assert_cmpuint (g_hash_table_size (first), >, 1);
+      g_hash_table_unref (first);
+    }
+}
+
+/* Guards against weights of an earlier configuration that stay in force. */
+static void
+test_change (void)
+{
+  fc_part_t parts[] = { { 1, 1 }, { 2, 99 } };
+  fc_route_t route = { .name = fb_make_name ("r"), .parts = parts, .part_count = 2 };
+  fr_splitter_t *splitter = fr_create_splitter (3);
+  int second = 0;
+
+  for (int i = 0; i < 100; i++)
+    fr_split_call (splitter, &route);
+  parts[0].weight = 99;
+  parts[1].weight = 1;
+  for (int i = 0; i < 100; i++)
+    second += fr_split_call (splitter, &route) == 2;
+  g_assert_cmpint (second, <=, 2);
+  route.part_count = 0;
+  route.service = 7;
+  g_assert_cmpuint (fr_split_call (splitter, &route), ==, 7);
+  fr_destroy_splitter (splitter);
+}
+
+static const fb_str_t service = FB_LITERAL ("shop");
+
+static void
+add_instance (fr_picker_t *picker, const char *id, const char *zone)
+{
+  fw_member_t member = { .id = fb_make_name (id),
+                         .zone = fb_make_name (zone),
+                         .region = fb_make_name ("region"),
+                         .service = fb_make_name (service.data) };
+
+  fr_update_instance (picker, &member);
+}
+
+/* Guards against calls that leave the zone when the detour saves little, calls that stay when
+ * their zone is much slower, and an unreachable instance that is tried again at once. */
+static void
+test_near (void)
+{
+  static const struct
+  {
+    int near_wait_ms; /* expected wait at the instance of the own zone */
+    bool unreachable;
+    const char *picked;
+  } cases[] = {
+    { 0, false, "near" },
+    { 30, false, "near" },
+    { 150, false, "far" },
+    { 0, true, "far" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_name_t self = fb_make_name ("entry");
+      fb_name_t zone = fb_make_name ("zone-a");
+      fw_member_t own = { .id = self, .zone = zone, .region = fb_make_name ("region") };
+      fr_picker_t *picker = fr_create_picker (FR_PICK_NEAR, &self, &zone, 1, clock);
+      fb_name_t near = fb_make_name ("near");
+      fb_name_t far = fb_make_name ("far");
+      fb_name_t picked;
+
+      fr_update_instance (picker, &own);
+      add_instance (picker, "near", "zone-a");
+      add_instance (picker, "far", "zone-b");
+      fb_advance_clock (clock, 60 * FB_SECOND);
+      fr_report_wait (picker, &near, 0, 60 * FB_MILLISECOND,
+                      cases[i].near_wait_ms * FB_MILLISECOND);
+      fr_report_wait (picker, &far, 0, 60 * FB_MILLISECOND, 0);
+      if (cases[i].unreachable)
+        fr_report_ranked (picker, &near, 0, FR_RESULT_UNREACHABLE, 0, 0);
+      g_assert_true (
+          fr_pick_target (picker, service, 0, 200 * FB_MILLISECOND, NULL, 0, &picked));
+      g_assert_cmpstr (picked.data, ==, cases[i].picked);
+      fb_advance_clock (clock, 2 * FB_SECOND);
+      g_assert_true (
+          fr_pick_target (picker, service, 0, 200 * FB_MILLISECOND, NULL, 0, &picked));
+      g_assert_cmpstr (picked.data, ==, "near");
+      fr_destroy_picker (picker);
+      fb_destroy_clock (clock);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/call/split/shares", test_shares);
+  g_test_add_func ("/call/split/change", test_change);
+  g_test_add_func ("/call/near", test_near);
+  return g_test_run ();
+}
--- /dev/null
+++ b/packages/call/tests/test-timed.c
@@ -0,0 +1,138 @@
+/* Admission of calls with targets of their own. */
+#include <foxtailrun/call/admission.h>
+#include <glib.h>
+
+#define SLOTS 2
+#define SERVICE (100 * FB_MILLISECOND)
+
+typedef struct
+{
+  fb_clock_t *clock;
+  fr_admission_t *admission;
+  GString *events; /* "+N" for a start, "-N" for a refusal */
+} fixture_t;
+
+static void
+note_start (void *call, void *user)
+{
+  g_string_append_printf (((fixture_t *)user)->events, "+%d ", GPOINTER_TO_INT (call));
+}
+
+static void
+note_refusal (void *call, fr_refusal_t refusal, void *user)
+{
+  g_string_append_printf (((fixture_t *)user)->events, "-%d ", GPOINTER_TO_INT (call));
+}
+
+static void
+offer (fixture_t *fixture, int number, int target_ms, bool again)
+{
+  fb_time_t now = fb_read_clock (fixture->clock);
+  fr_times_t times = { now + FB_SECOND, now + target_ms * FB_MILLISECOND, again };
+
+  fr_offer_timed (fixture->admission, (uint64_t)number, GINT_TO_POINTER (number), 0,
+                  FB_LITERAL ("c"), 1, &times);
+}
+
+/* Starts with calls of SERVICE in every slot and one past, so that the service time is known.
+ */
+static void
+set_up (fixture_t *fixture)
+{
+  fr_rank_rule_t rule = { .target = FB_SECOND };
+  fr_admission_hooks_t hooks = { note_start, note_refusal, fixture };
+
+  fixture->clock = fb_create_manual_clock (100 * FB_SECOND);
+  fixture->events = g_string_new ("");
+  fixture->admission = fr_create_admission (FR_POLICY_SHARES, SLOTS, &rule, 1, fixture->clock,
+                                            fb_create_counters (), &hooks);
+  offer (fixture, 1, 1000, false);
+  fb_advance_clock (fixture->clock, SERVICE);
+  fr_finish_call (fixture->admission, 1);
+  offer (fixture, 2, 1000, false);
+  offer (fixture, 3, 1000, false);
+  g_string_truncate (fixture->events, 0);
+}
+
+static void
+tear_down (fixture_t *fixture)
+{
+  fr_destroy_admission (fixture->admission);
+  g_string_free (fixture->events, TRUE);
+  fb_destroy_clock (fixture->clock);
+}
+
+/* Guards against a call that is queued although it would miss its target, which costs its
+ * caller the time and the others a slot. */
+static void
+test_refuse_early (void)
+{
+  static const struct
+  {
+    int target_ms;
+    const char *events;
+  } cases[] = { { 80, "-4 " }, { 120, "-4 " }, { 400, "" } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+
+      set_up (&fixture);
+      offer (&fixture, 4, cases[i].target_ms, false);
+      g_assert_cmpstr (fixture.events->str, ==, cases[i].events);
+      tear_down (&fixture);
+    }
+}
+
+/* Guards against a caller who was refused, came back and is served behind newer ones. */
+static void
+test_again_first (void)
+{
+  fixture_t fixture;
+
+  set_up (&fixture);
+  offer (&fixture, 4, 900, false);
+  offer (&fixture, 5, 900, true);
+  offer (&fixture, 6, 900, true);
+  fr_finish_call (fixture.admission, 2);
+  fr_finish_call (fixture.admission, 3);
+  fr_finish_call (fixture.admission, 5);
+  g_assert_cmpstr (fixture.events->str, ==, "+5 +6 +4 ");
+  tear_down (&fixture);
+}
+
+/* Guards against a slot for a call that has become late while one in time waits behind it, and
+ * against the refusal of a late one when nobody else wants the slot. */
+static void
+test_late_gives_way (void)
+{
+  static const struct
+  {
+    bool other;
+    const char *events;
+  } cases[] = { { true, "-4 +5 " }, { false, "+4 " } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+
+      set_up (&fixture);
+      offer (&fixture, 4, 300, false);
+      fb_advance_clock (fixture.clock, 250 * FB_MILLISECOND);
+      if (cases[i].other)
+        offer (&fixture, 5, 900, false);
+      fr_finish_call (fixture.admission, 2);
+      g_assert_cmpstr (fixture.events->str, ==, cases[i].events);
+      tear_down (&fixture);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/call/timed/refuse-early", test_refuse_early);
+  g_test_add_func ("/call/timed/again-first", test_again_first);
+  g_test_add_func ("/call/timed/late-gives-way", test_late_gives_way);
+  return g_test_run ();
+}
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -1,7 +1,10 @@
 /* HTTP client: exchanges over connections that are kept for reuse. */
 #include "http-response.h"
 #include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 /* Idle connections are closed after this time in ms, before usual servers close them. */
 #define IDLE_TIMEOUT_MS 4000
@@ -9,6 +12,15 @@
 /* Part of the idle time that a server announces after which a connection is not reused. */
 #define KEEP_ALIVE_PART 0.8
 
+/* Probes that find a connection which went silent: after this idle time in s, that many, so far
+ * apart in s. A silent server is noticed within 3 s. */
+#define PROBE_IDLE_S 1
+#define PROBE_INTERVAL_S 1
+#define PROBE_COUNT 2
+
+/* Time in ms after which written bytes that nobody acknowledges end the connection. */
+#define USER_TIMEOUT_MS 3000
+
 typedef struct connection connection_t;
 
 struct fh_client
@@ -329,6 +341,28 @@
     end_write (&write->write, UV_EIO);
 }
 
+static void
+set_option (int descriptor, int level, int option, int value)
+{
+  setsockopt (descriptor, level, option, &value, sizeof value);
+}
+
+/* Has the operating system end the connection when the other end no longer acknowledges.
+ * Without these options, which a system may lack, the time-outs of exchanges still hold. */
+static void
+probe_connection (connection_t *connection)
+{
+  uv_os_fd_t descriptor;
+
+  if (uv_fileno ((const uv_handle_t *)&connection->stream, &descriptor) != 0)
+    return;
+  set_option (descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  set_option (descriptor, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
+  set_option (descriptor, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S);
+  set_option (descriptor, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
+  set_option (descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+}
+
 static void
 end_connect (uv_connect_t *request, int status)
 {
@@ -342,6 +376,7 @@
       return;
     }
   uv_tcp_nodelay (&connection->stream, 1);
+  probe_connection (connection);
   uv_read_start ((uv_stream_t *)&connection->stream, provide_buffer, receive_bytes);
   write_request (connection);
 }
--- /dev/null
+++ b/packages/member/tests/test-listing.c
@@ -0,0 +1,130 @@
+/* Endpoints that a platform lists, through outages of the list. */
+#include <foxtailrun/member/listing.h>
+#include <glib.h>
+#include <string.h>
+
+typedef struct
+{
+  fb_clock_t *clock;
+  fm_listing_t *listing;
+  GString *seen; /* "ID=STATE " for each change */
+} fixture_t;
+
+static void
+note_change (const fm_listed_t *endpoint, void *user)
+{
+  fixture_t *fixture = user;
+
+  g_string_append_printf (fixture->seen, "%s=%s ", endpoint->member.id.data,
+                          fw_describe_state (endpoint->member.state));
+}
+
+static void
+list (fixture_t *fixture, const char *id, fw_member_state_t state)
+{
+  fm_listed_t endpoint = { .member = { .id = fb_make_name (id),
+                                       .state = state,
+                                       .address = fb_make_name ("10.0.0.1"),
+                                       .service = fb_make_name ("shop") },
+                           .slots = 9 };
+
+  fm_list_endpoint (fixture->listing, &endpoint);
+}
+
+static void
+unlist (fixture_t *fixture, const char *id)
+{
+  fb_name_t name = fb_make_name (id);
+
+  fm_unlist_endpoint (fixture->listing, &name);
+}
+
+/* Runs one step: "+a" lists a, "~a" lists it as leaving, "-a" removes it, "(" and ")" surround
+ * a whole list, "!" loses the source, "?" regains it, a digit passes so many half seconds. */
+static void
+run_step (fixture_t *fixture, const char *step)
+{
+  switch (step[0])
+    {
+    case '+':
+      list (fixture, step + 1, FW_ALIVE);
+      break;
+    case '~':
+      list (fixture, step + 1, FW_LEAVING);
+      break;
+    case '-':
+      unlist (fixture, step + 1);
+      break;
+    case '(':
+      fm_begin_list (fixture->listing);
+      break;
+    case ')':
+      fm_end_list (fixture->listing);
+      break;
+    case '!':
+      fm_lose_source (fixture->listing);
+      break;
+    case '?':
+      fm_regain_source (fixture->listing);
+      break;
+    default:
+      fb_advance_clock (fixture->clock, (step[0] - '0') * FB_SECOND / 2);
+      fm_tick_listing (fixture->listing);
+    }
+}
+
+/* Guards against an endpoint that is dropped because the list cannot be read, or because its
+ * entry lapsed meanwhile; against one that is kept when it is gone; and against a leaving mark
+ * or a removal that waits although the list is sound. */
+static void
+test_outages (void)
+{
+  static const struct
+  {
+    const char *steps;
+    const char *seen;
+    size_t count;
+  } cases[] = {
+    { "+a +a", "a=alive ", 1 },
+    { "+a ~a ~a", "a=alive a=leaving ", 1 },
+    { "+a -a", "a=alive a=dead ", 0 },
+    { "-a", "", 0 },
+    { "( +a +b ) ( +b )", "a=alive b=alive a=dead ", 1 },
+    { "+a ! 9 9", "a=alive ", 1 },
+    { "+a ! -a 9 9", "a=alive ", 1 },
+    { "+a ! 2 ? -a 3", "a=alive ", 1 },
+    { "+a ! 2 ? -a 4", "a=alive a=dead ", 0 },
+    { "+a ! 2 ? ( ) 3 +a 4", "a=alive ", 1 },
+    { "+a ! 2 ? ( ) 4", "a=alive a=dead ", 0 },
+    { "+a ! 2 ? ~a", "a=alive a=leaving ", 1 },
+    { "+a ! ? 4 -a", "a=alive a=dead ", 0 },
+    { "+a ! ? -a 2 ! 9 ? 3", "a=alive ", 1 },
+    { "+a ? -a", "a=alive a=dead ", 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture = { .clock = fb_create_manual_clock (100 * FB_SECOND) };
+      char **steps = g_strsplit (cases[i].steps, " ", -1);
+
+      fixture.seen = g_string_new ("");
+      fixture.listing = fm_create_listing (fixture.clock, note_change, &fixture);
+      for (size_t j = 0; steps[j]; j++)
+        run_step (&fixture, steps[j]);
+      g_test_message ("%s", cases[i].steps);
+      g_assert_cmpstr (fixture.seen->str, ==, cases[i].seen);
+      g_assert_cmpuint (fm_count_listed (fixture.listing), ==, cases[i].count);
+      g_strfreev (steps);
+      g_string_free (fixture.seen, TRUE);
+      fm_destroy_listing (fixture.listing);
+      fb_destroy_clock (fixture.clock);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/member/listing/outages", test_outages);
+  return g_test_run ();
+}
