Log one line a request that was not answered in time, on standard output

Change: the entry logs each call that was refused, failed or late, and one in 64 of the others by its id, with the inputs of its outcome; at most 100 lines of each outcome in 10 s; lines go to standard output, which never blocks.

--- a/packages/base/include/foxtailrun/base/log.h
+++ b/packages/base/include/foxtailrun/base/log.h
@@ -44,6 +44,18 @@
 /* Overrides the level of one SERVICE. */
 void fb_set_log_level (fb_log_t *log, const char *service, fb_log_level_t level);
 
+/* Allows LINES of each message of SERVICE in 10 s, in place of 10. */
+void fb_set_log_limit (fb_log_t *log, const char *service, uint32_t lines);
+
+/* A sink that writes to standard output and drops, and counts, what it does not take at once;
+ * USER is an fb_output_t. */
+typedef struct
+{
+  uint64_t dropped; /* lines since the start */
+} fb_output_t;
+
+void fb_write_output (fb_str_t line, void *user);
+
 /* Writes one line; a NULL LOG drops it. The same service and message is written at most 10
  * times in 10 s, and the next line after that carries the number left out. */
 void fb_write_log (fb_log_t *log, fb_log_level_t level, const char *service,
--- a/packages/base/source/log.c
+++ b/packages/base/source/log.c
@@ -1,7 +1,10 @@
 #include <foxtailrun/base/log.h>
 #include <glib.h>
+#include <limits.h>
+#include <poll.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 /* Lines of one service and message passed in each period before the rest is counted only. */
 #define REPEAT_LIMIT 10
@@ -25,6 +28,7 @@
   fb_log_sink_fn_t sink;
   void *user;
   GHashTable *levels;
+  GHashTable *limits; /* lines in a period, by service */
   GHashTable *repeats;
 };
 
@@ -92,6 +96,14 @@
                             number);
 }
 
+static uint32_t
+get_limit (const fb_log_t *log, const char *service)
+{
+  gpointer limit = g_hash_table_lookup (log->limits, service);
+
+  return limit ? GPOINTER_TO_UINT (limit) : REPEAT_LIMIT;
+}
+
 /* Counts a line against the limit on repeats; returns whether to write it, and in DROPPED how
  * many were left out before it. */
 static bool
@@ -116,7 +128,7 @@
       *dropped = repeat->dropped;
       *repeat = (repeat_t){ .period_start = now };
     }
-  if (repeat->written >= REPEAT_LIMIT)
+  if (repeat->written >= get_limit (log, service))
     {
       repeat->dropped++;
       return false;
@@ -137,6 +149,7 @@
   log->sink = sink ? sink : write_stderr;
   log->user = user;
   log->levels = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  log->limits = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   log->repeats = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return log;
 }
@@ -147,6 +160,7 @@
   if (!log)
     return;
   g_hash_table_destroy (log->levels);
+  g_hash_table_destroy (log->limits);
   g_hash_table_destroy (log->repeats);
   g_free (log);
 }
@@ -157,6 +171,25 @@
   g_hash_table_insert (log->levels, g_strdup (service), GINT_TO_POINTER (level));
 }
 
+void
+fb_set_log_limit (fb_log_t *log, const char *service, uint32_t lines)
+{
+  if (log)
+    g_hash_table_insert (log->limits, g_strdup (service), GUINT_TO_POINTER (lines));
+}
+
+void
+fb_write_output (fb_str_t line, void *user)
+{
+  fb_output_t *output = user;
+  struct pollfd ready = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  /* A pipe that is ready takes PIPE_BUF bytes at once, which a line stays below. */
+  if (line.len > PIPE_BUF || poll (&ready, 1, 0) != 1 || !(ready.revents & POLLOUT)
+      || write (STDOUT_FILENO, line.data, line.len) != (ssize_t)line.len)
+    output->dropped++;
+}
+
 void
 fb_write_log (fb_log_t *log, fb_log_level_t level, const char *service, const char *message,
               const fb_log_field_t *fields, size_t count)
--- a/packages/foxtailrund/source/main.c
+++ b/packages/foxtailrund/source/main.c
@@ -43,7 +43,9 @@
 run_node (const fc_settings_t *settings, const fn_adapter_t *adapter)
 {
   fb_clock_t *clock = fb_create_system_clock ();
-  fb_log_t *log = fb_create_log (clock, settings->log_format, settings->log_level, NULL, NULL);
+  fb_output_t output = { 0 };
+  fb_log_t *log = fb_create_log (clock, settings->log_format, settings->log_level,
+                                 fb_write_output, &output);
   fk_kernel_t *kernel = fk_create_kernel (log);
   int code = EXIT_FAILURE;
 
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -68,6 +68,13 @@
   fw_call_t answer
       = { .outcome = FW_NOT_RUN, .status = status, .reason = fb_wrap_text (reason) };
 
+  FB_LOG (
+      fk_get_log (entry->kernel), FB_LOG_INFO, FN_REQUEST, "refused on arrival",
+      FB_TEXT ("id", request_id), FB_NUMBER ("status", status), FB_TEXT ("reason", reason),
+      FB_STR ("host", fh_get_host (request)), FB_STR ("path", fh_get_path (request)),
+      FB_NUMBER ("version",
+                 fn_get_version (fk_find_service (entry->kernel, FN_DISTRIBUTION))->number));
+
   /* A ticket may have been used through another node, so that only its own node can say "not
    * run". */
   if (find_request_header (request, FB_LITERAL ("foxtailrun-ticket")).len > 0)
@@ -78,6 +85,48 @@
   respond (entry, request, &answer, request_id);
 }
 
+/* Lines of each outcome in 10 s; a line costs about as much processor time as a call's head. */
+#define LOG_LINES 100
+
+/* One in so many calls that were answered in time is logged. */
+#define SAMPLE_RATE 64
+
+/* Returns whether the line of a call is written: always when it was not answered in time,
+ * otherwise by its id, so that all nodes it crosses keep or drop it together. */
+static bool
+is_logged (const fn_entry_call_t *call, const fw_call_t *answer)
+{
+  return answer->outcome != FW_ANSWERED || answer->status >= 500
+         || fb_read_clock (fk_get_clock (call->entry->kernel)) > call->aim
+         || fb_hash_str (fb_wrap_text (call->request_id), 0) % SAMPLE_RATE == 0;
+}
+
+static void
+log_call (const fn_entry_call_t *call, const fw_call_t *answer)
+{
+  fn_entry_t *entry = call->entry;
+  fb_time_t now = fb_read_clock (fk_get_clock (entry->kernel));
+  const char *instance
+      = call->attempt_count > 0 ? call->tried[call->attempt_count - 1].data : "";
+
+  if (!is_logged (call, answer))
+    return;
+  FB_LOG (fk_get_log (entry->kernel), FB_LOG_INFO, FN_REQUEST,
+          answer->outcome != FW_ANSWERED ? fw_describe_outcome (answer->outcome)
+          : now > call->aim              ? "answered late"
+                                         : "answered",
+          FB_TEXT ("id", call->request_id), FB_NUMBER ("status", answer->status),
+          FB_STR ("reason", answer->reason), FB_TEXT ("route", call->route->name.data),
+          FB_NUMBER ("version", fc_get_number (call->snapshot)), FB_TEXT ("instance", instance),
+          FB_NUMBER ("attempts", call->attempt_count), FB_NUMBER ("again", call->again),
+          FB_NUMBER ("total_ms", (now - call->start) / FB_MILLISECOND),
+          FB_NUMBER ("target_ms", (call->aim - call->start) / FB_MILLISECOND),
+          FB_NUMBER ("limit_ms", (call->deadline - call->start) / FB_MILLISECOND),
+          FB_NUMBER ("attempt_ms", (now - call->attempt_start) / FB_MILLISECOND),
+          FB_NUMBER ("service_ms", answer->service_us / 1000),
+          FB_NUMBER ("wait_ms", answer->wait_us / 1000), FB_NUMBER ("load", answer->load));
+}
+
 void
 fn_finish_entry_call (fn_entry_call_t *call, const fw_call_t *answer)
 {
@@ -90,6 +139,7 @@
       told.outcome = FW_UNKNOWN;
       told.status = 504;
     }
+  log_call (call, &told);
   fn_count_burn (fk_find_service (entry->kernel, FN_BURN), call->snapshot, call->route, &told,
                  call->start);
   respond (entry, call->request, &told, call->request_id);
@@ -433,6 +483,7 @@
   fn_entry_t *entry = g_new0 (fn_entry_t, 1);
 
   entry->kernel = kernel;
+  fb_set_log_limit (fk_get_log (kernel), FN_REQUEST, LOG_LINES);
   entry->picker = fr_create_picker (FR_PICK_NEAR, &settings->id, &settings->zone,
                                     randombytes_random (), fk_get_clock (kernel));
   entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -18,6 +18,7 @@
 #define FN_BACKEND "backend"
 #define FN_CALLS "calls"
 #define FN_ENTRY "entry"
+#define FN_REQUEST "request" /* log lines of callers' requests */
 #define FN_BURN "burn"
 #define FN_ADMIN "admin"
 #define FN_DRAIN "drain"
