Add a stand-in for the users' store and the instances' headers to the backend stand-in

Change: standin-store speaks keys, pages and watches, and is busy, slow, silent, forgetful or loses answers on demand; standin-backend repeats ids, checks the expected instance and says when it has not run a request.

--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -5,7 +5,11 @@
  * The answer echoes the request: "name=NAME path=PATH body=BODY runs=N", N counting the runs of
  * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503. Over
  * SLOTS requests at once it answers 503 and counts an overrun. GET /standin/runs gives one line
- * "PATH COUNT" for each path run, GET /standin/overruns the number of overruns. */
+ * "PATH COUNT" for each path run, GET /standin/overruns the number of overruns.
+ *
+ * A request with X-Attempt-Id is answered as the users' instances do: the id comes back with a
+ * signature, the caller's service is told in X-Seen-Caller, and a request that is not run says
+ * so by X-Not-Executed, with 421 when it expects another instance than NAME. */
 #include <foxtailrun/http/server.h>
 #include <glib.h>
 #include <stdio.h>
@@ -33,12 +37,54 @@
   fk_timer_t *timer;
 } job_t;
 
+static fb_str_t
+find_header (fh_request_t *request, fb_str_t name)
+{
+  const fh_header_t *headers;
+  size_t count = fh_get_headers (request, &headers);
+
+  return fh_find_header (headers, count, name);
+}
+
 static void
 respond_text (fh_request_t *request, uint32_t status, const char *text)
 {
-  static const fh_header_t type = { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") };
+  fh_header_t headers[] = {
+    { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") },
+    { FB_LITERAL ("x-attempt-id"), find_header (request, FB_LITERAL ("x-attempt-id")) },
+    { FB_LITERAL ("x-seen-caller"), find_header (request, FB_LITERAL ("x-caller-service")) },
+    { FB_LITERAL ("x-response-signature"), FB_LITERAL ("standin") },
+  };
+  size_t count = headers[1].value.data ? G_N_ELEMENTS (headers) : 1;
+
+  if (!headers[2].value.data)
+    headers[2].value = FB_LITERAL ("none");
+  fh_respond (request, status, headers, count,
+              (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+}
+
+/* Answers a request that is not run. */
+static void
+refuse_request (fh_request_t *request, uint32_t status, const char *text)
+{
+  fh_header_t headers[] = {
+    { FB_LITERAL ("x-attempt-id"), find_header (request, FB_LITERAL ("x-attempt-id")) },
+    { FB_LITERAL ("x-not-executed"), FB_LITERAL ("1") },
+  };
+
+  if (headers[0].value.data)
+    fh_respond (request, status, headers, G_N_ELEMENTS (headers),
+                (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+  else
+    respond_text (request, status, text);
+}
+
+static bool
+is_misdirected (const backend_t *backend, fh_request_t *request)
+{
+  fb_str_t expected = find_header (request, FB_LITERAL ("x-expected-instance"));
 
-  fh_respond (request, status, &type, 1, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+  return expected.data && !fb_equal_str (expected, fb_wrap_text (backend->name));
 }
 
 static void
@@ -135,12 +181,14 @@
       snprintf (text, sizeof text, "%" G_GUINT64_FORMAT "\n", backend->overruns);
       respond_text (request, 200, text);
     }
+  else if (is_misdirected (backend, request))
+    refuse_request (request, 421, "another instance\n");
   else if (strstr (path, "shed=1"))
-    respond_text (request, 503, "shed\n");
+    refuse_request (request, 503, "shed\n");
   else if (backend->in_use >= backend->slots)
     {
       backend->overruns++;
-      respond_text (request, 503, "no slot\n");
+      refuse_request (request, 503, "no slot\n");
     }
   else
     {
--- /dev/null
+++ b/standins/standin-store.c
@@ -0,0 +1,375 @@
+/* Stand-in for the users' store: items by key with one revision, read by key, by prefix and by
+ * watch, and trouble on demand.
+ *
+ * Usage: standin-store ADDRESS PORT
+ * PUT /standin/item?KEY with a body writes an item, DELETE removes it. PUT /standin/mode with a
+ * body sets what every other call meets: "good"; "busy" answers 503, "many" 429, "silent"
+ * nothing, "lost" closes the connection in place of each second answer, "slow" answers after
+ * 300 ms. PUT /standin/forget drops the history, so that older watches get 410. GET
+ * /standin/calls gives the number of reading calls. */
+#include <foxtailrun/http/server.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define BODY_MAX (4 * 1024 * 1024)
+#define POLL_PERIOD (10 * FB_MILLISECOND)
+#define SLOW_DELAY (300 * FB_MILLISECOND)
+#define PAGE_ITEMS 3 /* small, so that lists have several pages */
+
+typedef struct
+{
+  char *key;
+  char *value; /* base64; NULL once removed */
+  uint64_t revision;
+  uint64_t created;
+} item_t;
+
+typedef struct
+{
+  fh_request_t *request;
+  char *prefix;
+  uint64_t after;
+  fb_time_t expires;
+} watch_t;
+
+typedef struct
+{
+  fk_kernel_t *kernel;
+  GTree *items; /* item_t by key, the removed ones included */
+  GPtrArray *watches;
+  GPtrArray *held; /* requests that are never answered */
+  char mode[16];
+  uint64_t revision;
+  uint64_t oldest; /* watches from before get 410 */
+  uint64_t calls;
+} store_t;
+
+typedef struct
+{
+  store_t *store;
+  fh_request_t *request;
+  fk_timer_t *timer;
+} delayed_t;
+
+static void
+respond_json (fh_request_t *request, uint32_t status, json_t *object)
+{
+  static const fh_header_t type
+      = { FB_LITERAL ("content-type"), FB_LITERAL ("application/json") };
+  char *text = json_dumps (object, JSON_COMPACT);
+
+  fh_respond (request, status, &type, 1, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+  free (text);
+  json_decref (object);
+}
+
+static void
+respond_status (fh_request_t *request, uint32_t status)
+{
+  fh_respond (request, status, NULL, 0, (fb_bytes_t){ NULL, 0 });
+}
+
+/* Returns the decoded value of PARAMETER in the query of PATH, or NULL; free with g_free. */
+static char *
+read_parameter (const char *path, const char *parameter)
+{
+  const char *query = strchr (path, '?');
+  char **pairs = g_strsplit (query ? query + 1 : "", "&", -1);
+  char *name = g_strconcat (parameter, "=", NULL);
+  char *found = NULL;
+
+  for (size_t i = 0; pairs[i] && !found; i++)
+    if (g_str_has_prefix (pairs[i], name))
+      found = g_uri_unescape_string (pairs[i] + strlen (name), NULL);
+  g_free (name);
+  g_strfreev (pairs);
+  return found;
+}
+
+static json_t *
+describe_item (const item_t *item)
+{
+  if (!item->value)
+    return json_pack ("{s:s,s:I,s:b}", "Key", item->key, "Revision", (json_int_t)item->revision,
+                      "Compacted", 1);
+  return json_pack ("{s:s,s:s,s:I,s:I,s:i}", "Key", item->key, "Value", item->value, "Revision",
+                    (json_int_t)item->revision, "CreatedRevision", (json_int_t)item->created,
+                    "LeaseId", 0);
+}
+
+typedef struct
+{
+  json_t *list;
+  const char *prefix;
+  const char *after;  /* list: keys above */
+  uint64_t after_rev; /* watch: revisions above */
+  bool removed;       /* watch: the removed ones too */
+  bool more;
+  size_t limit;
+} selection_t;
+
+static gboolean
+select_item (gpointer key, gpointer value, gpointer user)
+{
+  selection_t *selection = user;
+  const item_t *item = value;
+
+  if (!g_str_has_prefix (item->key, selection->prefix) || item->revision <= selection->after_rev
+      || (!item->value && !selection->removed)
+      || (selection->after && strcmp (item->key, selection->after) <= 0))
+    return FALSE;
+  if (json_array_size (selection->list) == selection->limit)
+    {
+      selection->more = true;
+      return TRUE;
+    }
+  json_array_append_new (selection->list, describe_item (item));
+  return FALSE;
+}
+
+static void
+answer_key (store_t *store, fh_request_t *request, const char *path)
+{
+  char *key = read_parameter (path, "Key");
+  const item_t *item = key ? g_tree_lookup (store->items, key) : NULL;
+  json_t *answer;
+
+  if (item && item->value)
+    {
+      answer = describe_item (item);
+      json_object_set_new (answer, "At", json_integer ((json_int_t)store->revision));
+      respond_json (request, 200, answer);
+    }
+  else
+    respond_status (request, 404);
+  g_free (key);
+}
+
+static void
+answer_range (store_t *store, fh_request_t *request, const char *path)
+{
+  char *prefix = read_parameter (path, "PathPrefix");
+  char *after = read_parameter (path, "after");
+  selection_t selection
+      = { json_array (), prefix ? prefix : "", after, 0, false, false, PAGE_ITEMS };
+
+  g_tree_foreach (store->items, select_item, &selection);
+  respond_json (request, 200,
+                json_pack ("{s:o,s:b,s:I}", "items", selection.list, "HasMore", selection.more,
+                           "At", (json_int_t)store->revision));
+  g_free (prefix);
+  g_free (after);
+}
+
+/* Answers WATCH when something has changed or its time is over; returns whether it did. */
+static bool
+try_watch (store_t *store, watch_t *watch)
+{
+  selection_t selection
+      = { json_array (), watch->prefix, NULL, watch->after, true, false, SIZE_MAX };
+
+  g_tree_foreach (store->items, select_item, &selection);
+  if (json_array_size (selection.list) == 0
+      && fb_read_clock (fk_get_clock (store->kernel)) < watch->expires)
+    {
+      json_decref (selection.list);
+      return false;
+    }
+  respond_json (
+      watch->request, 200,
+      json_pack ("{s:o,s:I}", "events", selection.list, "At", (json_int_t)store->revision));
+  return true;
+}
+
+static void
+free_watch (void *data)
+{
+  watch_t *watch = data;
+
+  g_free (watch->prefix);
+  g_free (watch);
+}
+
+static void
+poll_watches (void *user)
+{
+  store_t *store = user;
+
+  for (guint i = store->watches->len; i > 0; i--)
+    if (try_watch (store, store->watches->pdata[i - 1]))
+      g_ptr_array_remove_index_fast (store->watches, i - 1);
+}
+
+static void
+cancel_watch (fh_request_t *request, void *user)
+{
+  store_t *store = user;
+
+  for (guint i = store->watches->len; i > 0; i--)
+    if (((watch_t *)store->watches->pdata[i - 1])->request == request)
+      g_ptr_array_remove_index_fast (store->watches, i - 1);
+  respond_status (request, 499);
+}
+
+static void
+answer_watch (store_t *store, fh_request_t *request, const char *path)
+{
+  char *after = read_parameter (path, "after");
+  char *wait = read_parameter (path, "WaitMs");
+  watch_t *watch = g_new0 (watch_t, 1);
+
+  watch->request = request;
+  watch->prefix = read_parameter (path, "PathPrefix");
+  watch->after = after ? g_ascii_strtoull (after, NULL, 10) : 0;
+  watch->expires = fb_read_clock (fk_get_clock (store->kernel))
+                   + (fb_time_t)(wait ? g_ascii_strtoull (wait, NULL, 10) : 0) * FB_MILLISECOND;
+  g_free (after);
+  g_free (wait);
+  if (watch->after < store->oldest)
+    {
+      respond_status (request, 410);
+      free_watch (watch);
+      return;
+    }
+  if (try_watch (store, watch))
+    {
+      free_watch (watch);
+      return;
+    }
+  fh_watch_cancel (request, cancel_watch, store);
+  g_ptr_array_add (store->watches, watch);
+}
+
+static void
+answer_read (store_t *store, fh_request_t *request)
+{
+  char *path = fb_copy_text (fh_get_path (request));
+
+  if (g_str_has_prefix (path, "/foxtailrun/kv-key?"))
+    answer_key (store, request, path);
+  else if (g_str_has_prefix (path, "/foxtailrun/kv-range?"))
+    answer_range (store, request, path);
+  else if (g_str_has_prefix (path, "/foxtailrun/kv-watch?"))
+    answer_watch (store, request, path);
+  else
+    respond_status (request, 404);
+  g_free (path);
+}
+
+static void
+answer_later (void *user)
+{
+  delayed_t *delayed = user;
+
+  answer_read (delayed->store, delayed->request);
+  fk_destroy_timer (delayed->timer);
+  g_free (delayed);
+}
+
+static void
+handle_read (store_t *store, fh_request_t *request)
+{
+  store->calls++;
+  if (strcmp (store->mode, "busy") == 0)
+    respond_status (request, 503);
+  else if (strcmp (store->mode, "many") == 0)
+    respond_status (request, 429);
+  else if (strcmp (store->mode, "silent") == 0
+           || (strcmp (store->mode, "lost") == 0 && store->calls % 2 == 0))
+    g_ptr_array_add (store->held, request);
+  else if (strcmp (store->mode, "slow") == 0)
+    {
+      delayed_t *delayed = g_new0 (delayed_t, 1);
+
+      delayed->store = store;
+      delayed->request = request;
+      delayed->timer = fk_create_timeout (store->kernel, SLOW_DELAY, answer_later, delayed);
+    }
+  else
+    answer_read (store, request);
+}
+
+static void
+write_item (store_t *store, const char *key, const fb_bytes_t *value)
+{
+  item_t *item = g_tree_lookup (store->items, key);
+
+  store->revision++;
+  if (!item)
+    {
+      item = g_new0 (item_t, 1);
+      item->key = g_strdup (key);
+      item->created = store->revision;
+      g_tree_insert (store->items, item->key, item);
+    }
+  g_free (item->value);
+  item->value = value ? g_base64_encode (value->data, value->len) : NULL;
+  item->revision = store->revision;
+}
+
+static void
+handle_control (store_t *store, fh_request_t *request, const char *path)
+{
+  fb_bytes_t body = fh_get_body (request);
+  const char *key = strchr (path, '?');
+  bool put = fb_equal_str (fh_get_method (request), FB_LITERAL ("PUT"));
+  char text[32];
+  int len;
+
+  if (key && g_str_has_prefix (path, "/standin/item?"))
+    write_item (store, key + 1, put ? &body : NULL);
+  else if (strcmp (path, "/standin/mode") == 0)
+    g_snprintf (store->mode, sizeof store->mode, "%.*s", (int)body.len,
+                (const char *)body.data);
+  else if (strcmp (path, "/standin/forget") == 0)
+    store->oldest = store->revision + 1;
+  len = g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT "\n", store->calls);
+  fh_respond (request, 200, NULL, 0, (fb_bytes_t){ (const uint8_t *)text, (size_t)len });
+}
+
+static void
+handle_request (fh_request_t *request, void *user)
+{
+  store_t *store = user;
+  char *path = fb_copy_text (fh_get_path (request));
+
+  if (g_str_has_prefix (path, "/standin/"))
+    handle_control (store, request, path);
+  else
+    handle_read (store, request);
+  g_free (path);
+}
+
+static void
+quit (void *user)
+{
+  fk_quit (user);
+}
+
+int
+main (int argc, char **argv)
+{
+  store_t store = { .mode = "good", .revision = 1 };
+  fb_name_t address;
+
+  if (argc != 3)
+    {
+      fprintf (stderr, "usage: standin-store ADDRESS PORT\n");
+      return 2;
+    }
+  address = fb_make_name (argv[1]);
+  store.kernel = fk_create_kernel (NULL);
+  store.items = g_tree_new ((GCompareFunc)strcmp);
+  store.watches = g_ptr_array_new_with_free_func (free_watch);
+  store.held = g_ptr_array_new ();
+  if (!fh_create_server (store.kernel, &address, (uint16_t)atoi (argv[2]), BODY_MAX,
+                         handle_request, &store))
+    return 1;
+  fk_create_timer (store.kernel, POLL_PERIOD, poll_watches, &store);
+  fk_watch_signals (store.kernel, quit, store.kernel);
+  fk_run (store.kernel);
+  return 0;
+}
