--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -361,6 +361,7 @@
   /* Noticing a pause may change the state of the distribution, so that it comes before the
    * snapshot. */
   bool ready = fn_check_ready (distribution);
+  const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
   fc_snapshot_t *snapshot = fn_get_snapshot (distribution);
   const char *fault = find_fault (entry, request);
   const fc_route_t *route = NULL;
@@ -395,8 +396,11 @@
   part = fr_split_call (entry->splitter, route);
   service = fb_get_name (&fc_get_service (snapshot, part)->name);
   customer = read_customer (entry, request);
-  /* A refusal here would leave the outcome of a ticket unknown; its own node can say more. */
-  if (find_request_header (request, FB_LITERAL ("foxtailrun-ticket")).len == 0
+  /* The throttle keeps one customer's flood from the others; without customers the nodes beside
+   * the backend servers refuse more exactly. A refusal here would leave the outcome of a ticket
+   * unknown; its own node can say more. */
+  if (dialect->customer.len > 0
+      && find_request_header (request, FB_LITERAL ("foxtailrun-ticket")).len == 0
       && !fr_admit_customer (entry->throttle, service, route->rank, customer))
     {
       fb_add_counter (entry->throttled, 1);
