--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -217,7 +217,8 @@
   fn_served_t *served = call;
   fw_call_t answer = { .outcome = FW_NOT_RUN,
                        .status = refusal == FR_REFUSED_FULL ? 429 : 503,
-                       .reason = fb_wrap_text (fr_describe_refusal (refusal)) };
+                       .reason = fb_wrap_text (fr_describe_refusal (refusal)),
+                       .elsewhere = refusal == FR_REFUSED_CANCELLED };
 
   fb_add_counter (served->backend->refused, 1);
   if (served->has_ticket)
@@ -427,6 +428,27 @@
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
 }
 
+/* Refuses the calls that wait: the backend server is to get no new work. */
+static void
+refuse_waiting (fn_backend_t *backend)
+{
+  GArray *handles = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, backend->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const fn_served_t *served = value;
+
+      if (served->state == FN_CALL_WAITING)
+        g_array_append_val (handles, served->handle);
+    }
+  for (guint i = 0; i < handles->len; i++)
+    fr_cancel_call (backend->admission, g_array_index (handles, uint64_t, i));
+  g_array_unref (handles);
+}
+
 void
 fn_set_local (fk_kernel_t *kernel, const fn_local_t *local)
 {
@@ -440,6 +462,8 @@
   FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_BACKEND, "backend server described",
           FB_TEXT ("instance", local->instance.data), FB_NUMBER ("slots", local->slots),
           FB_NUMBER ("leaving", local->leaving));
+  if (local->leaving || local->instance.len == 0)
+    refuse_waiting (backend);
 }
 
 uint64_t
