Trace a request through the nodes' logs

Cause: an engineer had to search logs by hand, and the node beside the instance said nothing of calls that it refused or lost. Change: that node logs each call without an answer; foxtailrun trace ID prints the lines of a request and of the calls that its run made, and how it ended.

--- a/packages/foxtailrun/source/command.h
+++ b/packages/foxtailrun/source/command.h
@@ -46,6 +46,7 @@
 extern const cmd_command_t cmd_routes;
 extern const cmd_command_t cmd_schema;
 extern const cmd_command_t cmd_status;
+extern const cmd_command_t cmd_trace;
 
 /* All subcommands in order of name, ended by NULL. */
 extern const cmd_command_t *const cmd_commands[];
--- a/packages/foxtailrun/source/commands.c
+++ b/packages/foxtailrun/source/commands.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 const cmd_command_t *const cmd_commands[]
-    = { &cmd_apply, &cmd_check,  &cmd_diff,   &cmd_drain,  &cmd_explain, &cmd_load,
-        &cmd_nodes, &cmd_report, &cmd_routes, &cmd_schema, &cmd_status,  NULL };
+    = { &cmd_apply,  &cmd_check,  &cmd_diff,   &cmd_drain,  &cmd_explain, &cmd_load, &cmd_nodes,
+        &cmd_report, &cmd_routes, &cmd_schema, &cmd_status, &cmd_trace,   NULL };
 
 static const cmd_command_t *
 find_command (const char *name)
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -51,6 +51,25 @@
   return rank;
 }
 
+/* Writes why a call ended without the backend server's answer. */
+static void
+log_served (const fn_served_t *served, const fw_call_t *answer)
+{
+  fn_backend_t *backend = served->backend;
+  fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
+
+  FB_LOG (fk_get_log (backend->kernel), FB_LOG_INFO, FN_SERVED,
+          fw_describe_outcome (answer->outcome), FB_STR ("id", served->call.request_id),
+          FB_STR ("reason", answer->reason), FB_TEXT ("instance", backend->local.instance.data),
+          FB_STR ("rank", served->call.rank),
+          FB_NUMBER ("running", served->state == FN_CALL_RUNNING),
+          FB_NUMBER ("left_ms", (served->deadline - now) / FB_MILLISECOND),
+          FB_NUMBER ("target_left_ms", (served->aim - now) / FB_MILLISECOND),
+          FB_NUMBER ("started", fr_count_started (backend->admission)),
+          FB_NUMBER ("waiting", fr_count_waiting (backend->admission)),
+          FB_NUMBER ("wait_ms", answer->wait_us / 1000));
+}
+
 void
 fn_answer_served (fn_served_t *served, fw_call_t *answer)
 {
@@ -60,6 +79,8 @@
   answer->load = fr_get_load (backend->admission);
   answer->wait_us
       = (uint64_t)(fr_get_wait (backend->admission, find_rank (served)) / FB_MICROSECOND);
+  if (answer->outcome != FW_ANSWERED)
+    log_served (served, answer);
   if (served->answered)
     served->answered (answer, served->user);
   g_hash_table_remove (backend->calls, &served->handle);
@@ -416,6 +437,7 @@
 
   randombytes_buf (secret, sizeof secret);
   backend->kernel = kernel;
+  fb_set_log_limit (fk_get_log (kernel), FN_SERVED, FN_CALL_LINES);
   backend->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_served);
   backend->admission = fr_create_admission (FR_POLICY_SHARES, 1, &rule, 1,
                                             fk_get_clock (kernel), counters, &hooks);
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -85,9 +85,6 @@
   respond (entry, request, &answer, request_id);
 }
 
-/* Lines of each outcome in 10 s; a line costs about as much processor time as a call's head. */
-#define LOG_LINES 100
-
 /* One in so many calls that were answered in time is logged. */
 #define SAMPLE_RATE 64
 
@@ -487,7 +484,7 @@
   fn_entry_t *entry = g_new0 (fn_entry_t, 1);
 
   entry->kernel = kernel;
-  fb_set_log_limit (fk_get_log (kernel), FN_REQUEST, LOG_LINES);
+  fb_set_log_limit (fk_get_log (kernel), FN_REQUEST, FN_CALL_LINES);
   entry->picker = fr_create_picker (FR_PICK_NEAR, &settings->id, &settings->zone,
                                     randombytes_random (), fk_get_clock (kernel));
   entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -19,6 +19,11 @@
 #define FN_CALLS "calls"
 #define FN_ENTRY "entry"
 #define FN_REQUEST "request" /* log lines of callers' requests */
+#define FN_SERVED "served"   /* log lines of calls at the node beside the backend server */
+
+/* Log lines of each outcome in 10 s; a line costs about as much processor time as a call's
+ * head. */
+#define FN_CALL_LINES 100
 #define FN_BURN "burn"
 #define FN_ADMIN "admin"
 #define FN_DRAIN "drain"
