Reduce the bus to control messages and drop unused functions

Cause: calls left the bus with decision 0009; its answers, tags, notices of disconnection and the cancel message had no caller.

--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -121,9 +121,6 @@
 const fc_route_t *fc_find_route (const fc_snapshot_t *snapshot, fb_str_t host, fb_str_t method,
                                  fb_str_t path);
 
-/* Returns whether any route names HOST or none. */
-bool fc_knows_host (const fc_snapshot_t *snapshot, fb_str_t host);
-
 /* Returns the weight of customer NAME, 1 when it is not listed. */
 double fc_weigh_customer (const fc_snapshot_t *snapshot, fb_str_t name);
 
--- a/packages/config/source/route-index.c
+++ b/packages/config/source/route-index.c
@@ -228,9 +228,3 @@
     *route = find_below (index, number, bit, path);
   return *route != NONE;
 }
-
-bool
-fc_find_indexed_host (const fc_route_index_t *index, fb_str_t host)
-{
-  return find_child (index, ROOT, host) != NONE;
-}
--- a/packages/config/source/route-index.h
+++ b/packages/config/source/route-index.h
@@ -31,7 +31,4 @@
 bool fc_find_indexed_route (const fc_route_index_t *index, fb_str_t host, fb_str_t method,
                             fb_str_t path, uint32_t *route);
 
-/* Returns whether a route was added for HOST. */
-bool fc_find_indexed_host (const fc_route_index_t *index, fb_str_t host);
-
 #endif
--- a/packages/config/source/snapshot.c
+++ b/packages/config/source/snapshot.c
@@ -221,13 +221,6 @@
   return &snapshot->routes[found];
 }
 
-bool
-fc_knows_host (const fc_snapshot_t *snapshot, fb_str_t host)
-{
-  return fc_find_indexed_host (snapshot->index, host)
-         || fc_find_indexed_host (snapshot->index, FB_LITERAL (""));
-}
-
 double
 fc_weigh_customer (const fc_snapshot_t *snapshot, fb_str_t name)
 {
--- a/packages/node/source/node-distribution.c
+++ b/packages/node/source/node-distribution.c
@@ -26,7 +26,7 @@
   size_t length;
   uint8_t *bytes = fw_encode_control (message, &length);
 
-  ft_send (distribution->bus, &to->address, to->control_port, 0, (fb_bytes_t){ bytes, length },
+  ft_send (distribution->bus, &to->address, to->control_port, (fb_bytes_t){ bytes, length },
            (fb_bytes_t){ NULL, 0 });
   g_free (bytes);
 }
@@ -83,9 +83,11 @@
           FB_TEXT ("problem", distribution->refusal));
 }
 
+/* Messages that get lost are asked for again by the distribution's own timers. */
 static void
-receive_control (fn_distribution_t *distribution, fb_bytes_t header)
+receive_control (fb_bytes_t header, fb_bytes_t body, void *user)
 {
+  fn_distribution_t *distribution = user;
   fw_control_t message;
 
   if (fw_decode_control (header, &message) != FB_OK)
@@ -98,30 +100,6 @@
   fw_clear_control (&message);
 }
 
-static void
-receive_request (const ft_requester_t *from, fb_bytes_t header, fb_bytes_t body, void *user)
-{
-  receive_control (user, header);
-}
-
-static void
-receive_answer (const fb_name_t *address, uint16_t port, fb_bytes_t header, fb_bytes_t body,
-                void *user)
-{
-  receive_control (user, header);
-}
-
-/* Control messages that get lost are asked for again by the distribution's own timers. */
-static void
-ignore_not_sent (uint64_t tag, void *user)
-{
-}
-
-static void
-ignore_disconnect (const fb_name_t *address, uint16_t port, void *user)
-{
-}
-
 static void
 tick_distribution (void *user)
 {
@@ -136,15 +114,13 @@
 {
   fn_distribution_t *distribution = data;
   const fc_settings_t *settings = fn_get_settings (kernel);
-  ft_bus_hooks_t hooks
-      = { receive_request, receive_answer, ignore_not_sent, ignore_disconnect, distribution };
 
   if (fn_get_adapter (kernel)->listed)
     fd_set_standalone (distribution->node);
   else
     {
       distribution->bus = ft_create_bus (kernel, "control", &settings->address,
-                                         settings->control_port, &hooks);
+                                         settings->control_port, receive_control, distribution);
       if (!distribution->bus)
         return FB_IO;
     }
--- a/packages/transport/source/transport-bus.c
+++ b/packages/transport/source/transport-bus.c
@@ -19,7 +19,6 @@
 
 typedef struct
 {
-  uint64_t tag;
   fb_time_t expires;
   GBytes *header;
   GBytes *body;
@@ -41,7 +40,8 @@
   fk_kernel_t *kernel;
   char *name;
   void *context;
-  ft_bus_hooks_t hooks;
+  ft_received_fn_t received_hook;
+  void *user;
   ft_socket_t *router;
   GHashTable *peers; /* "address:port" to peer_t */
   fk_timer_t *sweep; /* runs while messages wait for a connection */
@@ -92,19 +92,15 @@
     }
 }
 
+/* Nothing is answered on a DEALER; what wakes it shows that the connection is there. */
 static void
-receive_answer (ft_frames_t *frames, void *user)
+note_traffic (ft_frames_t *frames, void *user)
 {
   peer_t *peer = user;
   ft_bus_t *bus = peer->bus;
 
   peer->last_used = fb_read_clock (fk_get_clock (bus->kernel));
   flush_pending (peer);
-  if (frames->count != 2)
-    return;
-  fb_add_counter (bus->received, frames->frame[0].len + frames->frame[1].len);
-  bus->hooks.answered (&peer->address, peer->port, frames->frame[0], frames->frame[1],
-                       bus->hooks.user);
 }
 
 static void
@@ -118,40 +114,29 @@
   memcpy (&event, frames->frame[0].data, sizeof event);
   if (event == ZMQ_EVENT_HANDSHAKE_SUCCEEDED)
     flush_pending (peer);
-  else if (event == ZMQ_EVENT_DISCONNECTED)
-    peer->bus->hooks.disconnected (&peer->address, peer->port, peer->bus->hooks.user);
 }
 
 static void
-receive_request (ft_frames_t *frames, void *user)
+receive_message (ft_frames_t *frames, void *user)
 {
   ft_bus_t *bus = user;
-  ft_requester_t from;
 
-  if (frames->count != 3 || frames->frame[0].len > sizeof from.data)
+  /* The first frame is the sender's address on the ROUTER. */
+  if (frames->count != 3)
     return;
-  from.len = (uint8_t)frames->frame[0].len;
-  memcpy (from.data, frames->frame[0].data, from.len);
   fb_add_counter (bus->received, frames->frame[1].len + frames->frame[2].len);
-  bus->hooks.requested (&from, frames->frame[1], frames->frame[2], bus->hooks.user);
+  bus->received_hook (frames->frame[1], frames->frame[2], bus->user);
 }
 
 static void
 destroy_peer (void *data)
 {
   peer_t *peer = data;
-  GQueue pending = peer->pending;
-  ft_bus_t *bus = peer->bus;
 
   ft_destroy_socket (peer->monitor);
   ft_destroy_socket (peer->dealer);
+  g_queue_clear_full (&peer->pending, (GDestroyNotify)free_pending);
   g_free (peer);
-  while (!g_queue_is_empty (&pending))
-    {
-      pending_t *next = g_queue_pop_head (&pending);
-      bus->hooks.not_sent (next->tag, bus->hooks.user);
-      free_pending (next);
-    }
 }
 
 static void
@@ -190,11 +175,11 @@
   zmq_setsockopt (monitor, ZMQ_LINGER, &linger, sizeof linger);
   snprintf (endpoint, sizeof endpoint, "inproc://monitor-%s-%" G_GUINT64_FORMAT, bus->name,
             bus->monitor_count++);
-  zmq_socket_monitor (dealer, endpoint, ZMQ_EVENT_HANDSHAKE_SUCCEEDED | ZMQ_EVENT_DISCONNECTED);
+  zmq_socket_monitor (dealer, endpoint, ZMQ_EVENT_HANDSHAKE_SUCCEEDED);
   zmq_connect (monitor, endpoint);
   snprintf (endpoint, sizeof endpoint, "tcp://%s:%u", peer->address.data, peer->port);
   zmq_connect (dealer, endpoint);
-  peer->dealer = ft_create_socket (bus->kernel, dealer, receive_answer, peer);
+  peer->dealer = ft_create_socket (bus->kernel, dealer, note_traffic, peer);
   peer->monitor = ft_create_socket (bus->kernel, monitor, receive_event, peer);
 }
 
@@ -242,24 +227,16 @@
     }
 }
 
-/* Takes a message whose wait for a connection is over; stores whether others wait on. */
-static pending_t *
-take_expired (ft_bus_t *bus, fb_time_t now, bool *waiting)
+/* Drops the messages of PEER whose wait for a connection is over; returns whether others wait.
+ */
+static bool
+drop_expired (peer_t *peer, fb_time_t now)
 {
-  GHashTableIter iter;
-  gpointer value;
+  pending_t *oldest;
 
-  *waiting = false;
-  g_hash_table_iter_init (&iter, bus->peers);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      peer_t *peer = value;
-      pending_t *oldest = g_queue_peek_head (&peer->pending);
-      if (oldest && oldest->expires <= now)
-        return g_queue_pop_head (&peer->pending);
-      *waiting |= oldest != NULL;
-    }
-  return NULL;
+  while ((oldest = g_queue_peek_head (&peer->pending)) && oldest->expires <= now)
+    free_pending (g_queue_pop_head (&peer->pending));
+  return oldest != NULL;
 }
 
 static void
@@ -269,17 +246,13 @@
   fb_time_t now = fb_read_clock (fk_get_clock (bus->kernel));
   GHashTableIter iter;
   gpointer value;
-  pending_t *expired;
-  bool waiting;
+  bool waiting = false;
 
   g_hash_table_iter_init (&iter, bus->peers);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    flush_pending (value);
-  /* The hook may add or remove peers, so that each search starts anew. */
-  while ((expired = take_expired (bus, now, &waiting)))
     {
-      bus->hooks.not_sent (expired->tag, bus->hooks.user);
-      free_pending (expired);
+      flush_pending (value);
+      waiting |= drop_expired (value, now);
     }
   if (!waiting)
     fk_pause_timer (bus->sweep);
@@ -287,7 +260,7 @@
 
 ft_bus_t *
 ft_create_bus (fk_kernel_t *kernel, const char *name, const fb_name_t *address, uint16_t port,
-               const ft_bus_hooks_t *hooks)
+               ft_received_fn_t received, void *user)
 {
   char endpoint[96];
   int linger = LINGER_MS;
@@ -297,7 +270,8 @@
 
   bus->kernel = kernel;
   bus->name = g_strdup (name);
-  bus->hooks = *hooks;
+  bus->received_hook = received;
+  bus->user = user;
   labels = g_strdup_printf ("bus=\"%s\"", name);
   bus->sent = fb_find_counter (fk_get_counters (kernel), "bus_sent_bytes", labels);
   bus->received = fb_find_counter (fk_get_counters (kernel), "bus_received_bytes", labels);
@@ -316,7 +290,7 @@
       ft_destroy_bus (bus);
       return NULL;
     }
-  bus->router = ft_create_socket (kernel, router, receive_request, bus);
+  bus->router = ft_create_socket (kernel, router, receive_message, bus);
   bus->sweep = fk_create_timer (kernel, SWEEP_PERIOD, sweep_pending, bus);
   bus->idle = fk_create_timer (kernel, IDLE_PERIOD, close_idle_peers, bus);
   return bus;
@@ -337,8 +311,8 @@
 }
 
 void
-ft_send (ft_bus_t *bus, const fb_name_t *address, uint16_t port, uint64_t tag,
-         fb_bytes_t header, fb_bytes_t body)
+ft_send (ft_bus_t *bus, const fb_name_t *address, uint16_t port, fb_bytes_t header,
+         fb_bytes_t body)
 {
   fb_time_t now = fb_read_clock (fk_get_clock (bus->kernel));
   peer_t *peer = find_peer (bus, address, port);
@@ -348,29 +322,9 @@
   if (g_queue_is_empty (&peer->pending) && write_frames (bus, peer, header, body))
     return;
   pending = g_new0 (pending_t, 1);
-  pending->tag = tag;
   pending->expires = now + FT_CONNECT_TIMEOUT;
   pending->header = g_bytes_new (header.data, header.len);
   pending->body = g_bytes_new (body.data, body.len);
   g_queue_push_tail (&peer->pending, pending);
   fk_resume_timer (bus->sweep);
 }
-
-void
-ft_answer (ft_bus_t *bus, const ft_requester_t *to, fb_bytes_t header, fb_bytes_t body)
-{
-  if (!ft_write_socket (bus->router, (fb_bytes_t){ to->data, to->len }, true))
-    return;
-  ft_write_socket (bus->router, header, true);
-  ft_write_socket (bus->router, body, false);
-  fb_add_counter (bus->sent, header.len + body.len);
-}
-
-void
-ft_disconnect (ft_bus_t *bus, const fb_name_t *address, uint16_t port)
-{
-  char *key = format_peer_key (address, port);
-
-  g_hash_table_remove (bus->peers, key);
-  g_free (key);
-}
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -16,8 +16,7 @@
 typedef enum
 {
   FW_CALL = 1,
-  FW_ANSWER = 2,
-  FW_CANCEL = 3
+  FW_ANSWER = 2
 } fw_call_kind_t;
 
 /* What happened to an attempt. */
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -64,7 +64,7 @@
 
   if (fw_read_u64 (&reader, CALL_FORMAT) != CALL_FORMAT)
     return false;
-  message->kind = (fw_call_kind_t)fw_read_u64 (&reader, FW_CANCEL);
+  message->kind = (fw_call_kind_t)fw_read_u64 (&reader, FW_ANSWER);
   message->id = fw_read_u64 (&reader, UINT64_MAX);
   message->remaining_us = fw_read_u64 (&reader, UINT64_MAX);
   message->service = fw_read_str (&reader, FB_NAME_MAX);
