--- a/packages/foxtailrund/source/main.c
+++ b/packages/foxtailrund/source/main.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <string.h>
 
 #define EXIT_BAD_INPUT 2
 #define SETTINGS_MAX (64 * 1024)
@@ -39,9 +40,37 @@
   return good;
 }
 
+/* What a reload needs. */
+typedef struct
+{
+  const char *path;
+  bool platform;
+  fc_settings_t settings; /* in force */
+  fb_log_t *log;
+} daemon_t;
+
+/* Reads the settings again. Addresses, ports and the backend server cannot change while the
+ * process runs; the key of the administration of a node on the platform is drawn anew each
+ * time.
+ */
+static void
+reload_settings (void *user)
+{
+  daemon_t *node = user;
+  fc_settings_t settings;
+  bool good = load_settings (node->path, node->platform, &settings);
+
+  settings.admin_key = node->settings.admin_key;
+  FB_LOG (node->log, good ? FB_LOG_INFO : FB_LOG_ERROR, "node", "settings read again",
+          FB_TEXT ("file", node->path), FB_NUMBER ("good", good),
+          FB_NUMBER ("restart_needed",
+                     good && memcmp (&settings, &node->settings, sizeof settings) != 0));
+}
+
 static int
-run_node (const fc_settings_t *settings, const fn_adapter_t *adapter)
+run_node (daemon_t *node, const fn_adapter_t *adapter)
 {
+  const fc_settings_t *settings = &node->settings;
   fb_clock_t *clock = fb_create_system_clock ();
   fb_output_t output = { 0 };
   fb_log_t *log = fb_create_log (clock, settings->log_format, settings->log_level,
@@ -49,6 +78,8 @@
   fk_kernel_t *kernel = fk_create_kernel (log);
   int code = EXIT_FAILURE;
 
+  node->log = log;
+  fk_watch_reload (kernel, reload_settings, node);
   fn_register_node (kernel, settings, adapter);
   if (fk_start_services (kernel) == FB_OK)
     {
@@ -71,7 +102,7 @@
       = arg_file0 ("s", "settings", "FILE", "settings of this node (TOML)");
   struct arg_end *end = arg_end (4);
   void *table[] = { help, version, settings_file, end };
-  fc_settings_t settings;
+  daemon_t node = { 0 };
   int errors = arg_parse (argc, argv, table);
   int code = EXIT_BAD_INPUT;
 
@@ -93,13 +124,13 @@
     fprintf (stderr, "foxtailrund: --settings FILE is required\n");
   else if (sodium_init () < 0)
     fprintf (stderr, "foxtailrund: no source of random numbers\n");
-  else if (settings_file->count > 0)
+  else
     {
-      if (load_settings (settings_file->filename[0], false, &settings))
-        code = run_node (&settings, NULL);
+      node.platform = settings_file->count == 0;
+      node.path = node.platform ? fp_find_settings () : settings_file->filename[0];
+      if (load_settings (node.path, node.platform, &node.settings))
+        code = run_node (&node, node.platform ? fp_get_adapter (&node.settings) : NULL);
     }
-  else if (load_settings (fp_find_settings (), true, &settings))
-    code = run_node (&settings, fp_get_adapter (&settings));
   arg_freetable (table, sizeof table / sizeof table[0]);
   return code;
 }
--- a/packages/kernel/include/foxtailrun/kernel/kernel.h
+++ b/packages/kernel/include/foxtailrun/kernel/kernel.h
@@ -66,6 +66,9 @@
 /* Stops and frees the timer; NULL is allowed. */
 void fk_destroy_timer (fk_timer_t *timer);
 
+/* Calls CALLBACK when the process receives SIGHUP, which otherwise would end it. */
+void fk_watch_reload (fk_kernel_t *kernel, fk_callback_fn_t callback, void *user);
+
 /* Calls CALLBACK when the process receives SIGTERM or SIGINT. */
 void fk_watch_signals (fk_kernel_t *kernel, fk_callback_fn_t callback, void *user);
 
--- a/packages/kernel/source/kernel.c
+++ b/packages/kernel/source/kernel.c
@@ -19,6 +19,9 @@
   fb_log_t *log;
   GPtrArray *services;
   uv_signal_t signals[2];
+  uv_signal_t reload;
+  fk_callback_fn_t on_reload;
+  void *reload_user;
   fk_callback_fn_t on_signal;
   void *signal_user;
 };
@@ -44,6 +47,14 @@
   kernel->on_signal (kernel->signal_user);
 }
 
+static void
+receive_reload (uv_signal_t *handle, int number)
+{
+  fk_kernel_t *kernel = handle->data;
+
+  kernel->on_reload (kernel->reload_user);
+}
+
 fk_kernel_t *
 fk_create_kernel (fb_log_t *log)
 {
@@ -173,6 +184,16 @@
   return kernel->log;
 }
 
+void
+fk_watch_reload (fk_kernel_t *kernel, fk_callback_fn_t callback, void *user)
+{
+  kernel->on_reload = callback;
+  kernel->reload_user = user;
+  uv_signal_init (&kernel->loop, &kernel->reload);
+  kernel->reload.data = kernel;
+  uv_signal_start (&kernel->reload, receive_reload, SIGHUP);
+}
+
 void
 fk_watch_signals (fk_kernel_t *kernel, fk_callback_fn_t callback, void *user)
 {
