--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -32,6 +32,7 @@
   GQueue requests; /* fh_request_t not yet answered */
   uv_timer_t cancel_check;
   size_t connections;
+  fb_counter_t *late; /* requests whose callers had left before they were read */
 };
 
 /* Lives in the request's pool and tells when the pool goes away. */
@@ -130,6 +131,13 @@
                               0);
       return 0;
     }
+  /* After a stall of the process the caller may have left before its request is read. */
+  if (is_closed (req))
+    {
+      fb_add_counter (server->late, 1);
+      h2o_send_error_generic (req, 408, "Request Timeout", "the caller has left\n", 0);
+      return 0;
+    }
   request = g_new0 (fh_request_t, 1);
   request->server = server;
   request->req = req;
@@ -258,6 +266,7 @@
   int error;
 
   server->kernel = kernel;
+  server->late = fb_find_counter (fk_get_counters (kernel), "http_callers_gone", "");
   server->handler = handler;
   server->user = user;
   h2o_config_init (&server->config);
--- a/packages/http/tests/test-http.c
+++ b/packages/http/tests/test-http.c
@@ -3,6 +3,8 @@
 #include <foxtailrun/http/server.h>
 #include <glib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #define BODY_MAX 65536
 
@@ -319,6 +321,30 @@
   tear_down (&fixture);
 }
 
+/* Guards against a request that is worked on although its caller left before it was read, as
+ * after a stall of the process. */
+static void
+test_gone_before (void)
+{
+  fixture_t fixture = { 0 };
+  fb_counter_t *late;
+  struct sockaddr_in address;
+  int descriptor = socket (AF_INET, SOCK_STREAM, 0);
+  static const char request[] = "GET /x HTTP/1.1\r\nhost: a\r\n\r\n";
+
+  set_up (&fixture);
+  fixture.hold = true;
+  late = fb_find_counter (fk_get_counters (fixture.kernel), "http_callers_gone", "");
+  uv_ip4_addr ("127.0.0.1", fixture.port, &address);
+  g_assert_cmpint (connect (descriptor, (struct sockaddr *)&address, sizeof address), ==, 0);
+  g_assert_cmpint (write (descriptor, request, strlen (request)), ==, strlen (request));
+  close (descriptor);
+  while (fb_get_counter (late) == 0)
+    uv_run (fk_get_loop (fixture.kernel), UV_RUN_ONCE);
+  g_assert_null (fixture.held);
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -327,5 +353,6 @@
   g_test_add_func ("/http/cut-answers", test_cut_answers);
   g_test_add_func ("/http/not-sent", test_not_sent);
   g_test_add_func ("/http/cancel", test_cancel);
+  g_test_add_func ("/http/gone-before", test_gone_before);
   return g_test_run ();
 }
