--- a/packages/call/include/foxtailrun/call/retry.h
+++ b/packages/call/include/foxtailrun/call/retry.h
@@ -17,6 +17,10 @@
 /* Frees the budget; NULL is allowed. */
 void fr_destroy_retry_budget (fr_retry_budget_t *budget);
 
+/* Sets the retries allowed in 10 s whatever the traffic; 10 at first. Nodes that share an
+ * allowance each take their part of it. */
+void fr_set_retry_floor (fr_retry_budget_t *budget, double floor);
+
 /* Counts a first attempt to SERVICE, which earns FR_RETRY_RATIO of a retry. */
 void fr_earn_retry (fr_retry_budget_t *budget, fb_str_t service);
 
--- a/packages/call/source/retry-budget.c
+++ b/packages/call/source/retry-budget.c
@@ -9,6 +9,7 @@
 struct fr_retry_budget
 {
   const fb_clock_t *clock;
+  double floor;
   fr_windows_t windows; /* by service, of first attempts and retries */
 };
 
@@ -18,6 +19,7 @@
   fr_retry_budget_t *budget = g_new0 (fr_retry_budget_t, 1);
 
   budget->clock = clock;
+  budget->floor = RETRY_FLOOR;
   fr_init_windows (&budget->windows);
   return budget;
 }
@@ -31,6 +33,12 @@
   g_free (budget);
 }
 
+void
+fr_set_retry_floor (fr_retry_budget_t *budget, double floor)
+{
+  budget->floor = floor;
+}
+
 static fr_window_t *
 find_window (fr_retry_budget_t *budget, fb_str_t service)
 {
@@ -54,7 +62,7 @@
   fb_time_t now = fb_read_clock (budget->clock);
   const fr_window_count_t *sum = fr_move_window (window, now);
 
-  if ((double)(sum->taken + 1) > FR_RETRY_RATIO * (double)sum->offered + RETRY_FLOOR)
+  if ((double)(sum->taken + 1) > FR_RETRY_RATIO * (double)sum->offered + budget->floor)
     return false;
   fr_add_window (window, now, 0, 1);
   return true;
--- a/packages/call/tests/test-retry.c
+++ b/packages/call/tests/test-retry.c
@@ -49,6 +49,12 @@
   fb_clock_t *clock = fb_create_manual_clock (500 * FB_SECOND);
   fr_retry_budget_t *budget = fr_create_retry_budget (clock);
 
+  g_assert_cmpint (take_all (budget), ==, 10);
+  fr_set_retry_floor (budget, 12.5);
+  g_assert_cmpint (take_all (budget), ==, 2);
+  fr_set_retry_floor (budget, 10);
+  g_assert_cmpint (take_all (budget), ==, 0);
+  fb_advance_clock (clock, 10 * FB_SECOND);
   g_assert_cmpint (take_all (budget), ==, 10);
   for (int i = 0; i < 1000; i++)
     fr_earn_retry (budget, service);
--- a/packages/node/source/node-directory.c
+++ b/packages/node/source/node-directory.c
@@ -89,6 +89,12 @@
   return g_hash_table_lookup (directory->endpoints, id);
 }
 
+size_t
+fn_count_endpoints (const fn_directory_t *directory)
+{
+  return g_hash_table_size (directory->endpoints);
+}
+
 void
 fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user)
 {
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -412,10 +412,20 @@
   fn_start_attempt (call);
 }
 
+/* Part of the allowance of retries that nodes share which they use, since some nodes see more
+ * endpoints than others. */
+#define SLACK_PART 0.5
+
 static void
 update_instance (const fw_member_t *member, void *user)
 {
-  fr_update_instance (((fn_entry_t *)user)->picker, member);
+  fn_entry_t *entry = user;
+  uint32_t slack = fn_get_settings (entry->kernel)->retry_slack;
+  size_t nodes = fn_count_endpoints (fk_find_service (entry->kernel, FN_DIRECTORY));
+
+  fr_update_instance (entry->picker, member);
+  if (slack > 0)
+    fr_set_retry_floor (entry->budget, slack * SLACK_PART / (double)MAX (nodes, 1));
 }
 
 static fb_status_t
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -68,6 +68,9 @@
 /* Returns the endpoint called ID, or NULL; owned by the directory until it changes. */
 const fw_member_t *fn_find_endpoint (fn_directory_t *directory, const fb_name_t *id);
 
+/* Returns the number of endpoints. */
+size_t fn_count_endpoints (const fn_directory_t *directory);
+
 /* Calls CHANGED for each later change of an endpoint; only before the services start. */
 void fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user);
 
