--- a/packages/foxtailrund/source/main.c
+++ b/packages/foxtailrund/source/main.c
@@ -6,7 +6,6 @@
 #include <glib.h>
 #include <sodium.h>
 #include <stdio.h>
-#include <string.h>
 
 #define EXIT_BAD_INPUT 2
 #define SETTINGS_MAX (64 * 1024)
@@ -49,10 +48,23 @@
   fb_log_t *log;
 } daemon_t;
 
-/* Reads the settings again. Addresses, ports and the backend server cannot change while the
- * process runs; the key of the administration of a node on the platform is drawn anew each
- * time.
- */
+static bool
+is_same_endpoint (const fc_endpoint_t *a, const fc_endpoint_t *b)
+{
+  return a->port == b->port && fb_equal_name (&a->address, &b->address);
+}
+
+static bool
+has_same_addresses (const fc_settings_t *a, const fc_settings_t *b)
+{
+  return fb_equal_name (&a->address, &b->address) && fb_equal_name (&a->service, &b->service)
+         && a->caller_port == b->caller_port && a->call_port == b->call_port
+         && a->ready_port == b->ready_port && is_same_endpoint (&a->backend, &b->backend)
+         && is_same_endpoint (&a->platform, &b->platform);
+}
+
+/* Reads the settings again and tells whether they are good. Addresses, ports and the backend
+ * server cannot change while the process runs. */
 static void
 reload_settings (void *user)
 {
@@ -60,11 +72,10 @@
   fc_settings_t settings;
   bool good = load_settings (node->path, node->platform, &settings);
 
-  settings.admin_key = node->settings.admin_key;
-  FB_LOG (node->log, good ? FB_LOG_INFO : FB_LOG_ERROR, "node", "settings read again",
-          FB_TEXT ("file", node->path), FB_NUMBER ("good", good),
-          FB_NUMBER ("restart_needed",
-                     good && memcmp (&settings, &node->settings, sizeof settings) != 0));
+  FB_LOG (
+      node->log, good ? FB_LOG_INFO : FB_LOG_ERROR, "node", "settings read again",
+      FB_TEXT ("file", node->path), FB_NUMBER ("good", good),
+      FB_NUMBER ("restart_needed", good && !has_same_addresses (&settings, &node->settings)));
 }
 
 static int
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -499,8 +499,11 @@
 {
   if (!client)
     return;
-  while (client->exchanges.head)
-    fh_cancel_exchange (client->exchanges.head->data);
+  for (GList *link = client->exchanges.head, *next; link; link = next)
+    {
+      next = link->next;
+      fh_cancel_exchange (link->data);
+    }
   fh_close_idle (client);
   g_free (client);
 }
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -205,7 +205,6 @@
                              .headers = headers,
                              .body = served->call.body,
                              .fresh = served->has_ticket || served->call.single,
-                             .repeatable = !served->has_ticket && !served->call.single,
                              .until_close = dialect->unframed };
   size_t count = served->call.header_count;
   char remaining[24];
