--- a/packages/base/include/foxtailrun/base/digest.h
+++ b/packages/base/include/foxtailrun/base/digest.h
@@ -28,4 +28,8 @@
 /* Returns the rendezvous weight of NAME for KEY; the highest weight is the owner. */
 uint64_t fb_weigh_rendezvous (fb_str_t key, fb_str_t name);
 
+/* Hash and equality of fb_name_t pointers, for GLib's hash tables. */
+unsigned int fb_hash_name_key (const void *name);
+int fb_equal_name_keys (const void *a, const void *b);
+
 #endif
--- a/packages/base/source/digest.c
+++ b/packages/base/source/digest.c
@@ -35,3 +35,15 @@
 {
   return XXH64 (name.data, name.len, XXH64 (key.data, key.len, 0));
 }
+
+unsigned int
+fb_hash_name_key (const void *name)
+{
+  return (unsigned int)fb_hash_str (fb_get_name (name), 0);
+}
+
+int
+fb_equal_name_keys (const void *a, const void *b)
+{
+  return fb_equal_name (a, b);
+}
--- a/packages/config/source/snapshot.c
+++ b/packages/config/source/snapshot.c
@@ -6,22 +6,10 @@
 
 #define CUSTOMER_WEIGHT_DEFAULT 1.0
 
-static guint
-hash_name (gconstpointer key)
-{
-  return (guint)fb_hash_str (fb_get_name (key), 0);
-}
-
-static gboolean
-equal_names (gconstpointer a, gconstpointer b)
-{
-  return fb_equal_name (a, b);
-}
-
 GHashTable *
 fc_create_names (void)
 {
-  return g_hash_table_new (hash_name, equal_names);
+  return g_hash_table_new (fb_hash_name_key, fb_equal_name_keys);
 }
 
 bool
--- a/packages/member/source/member-index.c
+++ b/packages/member/source/member-index.c
@@ -5,18 +5,6 @@
 #include <foxtailrun/base/invariant.h>
 #include <string.h>
 
-static guint
-hash_name (gconstpointer name)
-{
-  return (guint)fb_hash_str (fb_get_name (name), 0);
-}
-
-static gboolean
-equal_names (gconstpointer a, gconstpointer b)
-{
-  return fb_equal_name (a, b);
-}
-
 static void
 destroy_service (gpointer data)
 {
@@ -277,8 +265,9 @@
 void
 fm_open_index (fm_table_t *table)
 {
-  table->by_id = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
-  table->services = g_hash_table_new_full (hash_name, equal_names, NULL, destroy_service);
+  table->by_id = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, g_free);
+  table->services
+      = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, destroy_service);
   table->sorted = g_ptr_array_new ();
   table->order = g_ptr_array_new ();
   table->dead = g_ptr_array_new ();
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -21,18 +21,6 @@
   fb_time_t settled_at; /* from here on a missing entry is gone */
 };
 
-static guint
-hash_name (gconstpointer name)
-{
-  return (guint)fb_hash_str (fb_get_name (name), 0);
-}
-
-static gboolean
-equal_names (gconstpointer a, gconstpointer b)
-{
-  return fb_equal_name (a, b);
-}
-
 fm_listing_t *
 fm_create_listing (const fb_clock_t *clock, fm_listed_fn_t changed, void *user)
 {
@@ -41,7 +29,7 @@
   listing->clock = clock;
   listing->changed = changed;
   listing->user = user;
-  listing->entries = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+  listing->entries = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, g_free);
   return listing;
 }
 
--- a/packages/node/source/node-directory.c
+++ b/packages/node/source/node-directory.c
@@ -21,18 +21,6 @@
   size_t watcher_count;
 };
 
-static guint
-hash_name (gconstpointer name)
-{
-  return (guint)fb_hash_str (fb_get_name (name), 0);
-}
-
-static gboolean
-equal_names (gconstpointer a, gconstpointer b)
-{
-  return fb_equal_name (a, b);
-}
-
 static void
 destroy_directory (void *data)
 {
@@ -55,7 +43,8 @@
   fn_directory_t *directory = g_new0 (fn_directory_t, 1);
 
   directory->kernel = kernel;
-  directory->endpoints = g_hash_table_new_full (hash_name, equal_names, NULL, g_free);
+  directory->endpoints
+      = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, g_free);
   fk_register_service (kernel, FN_DIRECTORY, &vtable, directory);
   if (!fn_get_adapter (kernel)->listed)
     fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), take_member, kernel);
