Test the trace command

Cause: foxtailrun trace had no test. Change: cases for a request with a call of its run, an id that begins like another, JSON and missing lines.

--- a/packages/foxtailrun/tests/test-commands.c
+++ b/packages/foxtailrun/tests/test-commands.c
@@ -47,6 +47,13 @@
 }
 
 /* Changes to a new folder that holds the files named below. */
+/* Lines of two requests whose ids begin alike, and of a call that one of them made. */
+#define LOG                                                                                    \
+  "service=request msg=answered id=a12 status=200 reason=\"\" version=7 instance=i-2\n"        \
+  "service=served msg=not-run id=a1.b2 reason=queue-full\n"                                    \
+  "service=request msg=unknown id=a1 status=504 reason=\"deadline passed\" version=7 "         \
+  "instance=i-1\n"
+
 static void
 enter_folder (void)
 {
@@ -58,6 +65,7 @@
     { "good.toml", GOOD },
     { "bad.toml", "version = 3\ncolour = 1\n" },
     { "settings.toml", SETTINGS },
+    { "node.log", LOG },
   };
   char *folder = g_dir_make_tmp (NULL, NULL);
 
@@ -71,7 +79,7 @@
 leave_folder (void)
 {
   static const char *const names[]
-      = { "good.toml", "bad.toml", "settings.toml", "before.toml", "after.toml" };
+      = { "good.toml", "bad.toml", "settings.toml", "node.log", "before.toml", "after.toml" };
   char *folder = g_get_current_dir ();
 
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
@@ -165,6 +173,18 @@
     "stay idle\n"
     "                integer in ms, default 10000: an integer from 100 to 3600000\n\n[[rank]]\n*",
     "" },
+  { "trace a1 node.log", 0,
+    "node.log: service=served msg=not-run id=a1.b2 reason=queue-full\n"
+    "node.log: service=request msg=unknown id=a1 status=504 reason=\"deadline passed\" version=7 "
+    "instance=i-1\n"
+    "cause: unknown with status 504, deadline passed; last instance i-1, version 7\n",
+    "" },
+  { "trace --json a1.b2 node.log", 0,
+    "{\n  \"file\": \"node.log\",\n  \"line\": \"service=served msg=not-run id=a1.b2 "
+    "reason=queue-full\"\n}\n*",
+    "" },
+  { "trace a none.log", 2, "", "foxtailrun trace: none.log: No such*" },
+  { "trace a node.log", 2, "cause: unknown, no line of the entry*", "" },
   { "schema --json --settings", 0,
     "[\n  {\n    \"section\": \"node\",\n    \"key\": \"id\",\n    \"type\": \"string\",\n*",
     "" },
