--- a/packages/call/tests/test-timed.c
+++ b/packages/call/tests/test-timed.c
@@ -8,6 +8,7 @@
 typedef struct
 {
   fb_clock_t *clock;
+  fb_counters_t *counters;
   fr_admission_t *admission;
   GString *events; /* "+N" for a start, "-N" for a refusal */
 } fixture_t;
@@ -43,9 +44,10 @@
   fr_admission_hooks_t hooks = { note_start, note_refusal, fixture };
 
   fixture->clock = fb_create_manual_clock (100 * FB_SECOND);
+  fixture->counters = fb_create_counters ();
   fixture->events = g_string_new ("");
   fixture->admission = fr_create_admission (FR_POLICY_SHARES, SLOTS, &rule, 1, fixture->clock,
-                                            fb_create_counters (), &hooks);
+                                            fixture->counters, &hooks);
   offer (fixture, 1, 1000, false);
   fb_advance_clock (fixture->clock, SERVICE);
   fr_finish_call (fixture->admission, 1);
@@ -59,6 +61,7 @@
 {
   fr_destroy_admission (fixture->admission);
   g_string_free (fixture->events, TRUE);
+  fb_destroy_counters (fixture->counters);
   fb_destroy_clock (fixture->clock);
 }
 
