Keep waiting watches silent in an outage of the store's stand-in

The log of node 3 shows both entries gone by a good answer of the store (revision 6) 0.8 s before the node lost it: the stand-in answered a watch that waited although it was told to be busy, so that the removal was a true one and the node was right. Change: the stand-in answers no waiting watch while it is busy, full or silent. The test and its bounds stay. Conclusion: a fault of the stand-in.

--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -198,6 +198,10 @@
 {
   store_t *store = user;
 
+  /* In an outage the watches that wait hear nothing either. */
+  if (strcmp (store->mode, "busy") == 0 || strcmp (store->mode, "many") == 0
+      || strcmp (store->mode, "silent") == 0)
+    return;
   for (guint i = store->watches->len; i > 0; i--)
     if (try_watch (store, store->watches->pdata[i - 1]))
       g_ptr_array_remove_index_fast (store->watches, i - 1);
