Follow a reader of the zone in place of reading the store on each node

Cause: each node watched the whole store at its own pace.

Change: the feed of a node (dist/feed, with the listing of endpoints) now decides what is read of the store. In each zone the node with the highest rendezvous weight reads; the others ask it for news, which carry changed endpoints and the configuration as a difference. The adapter's store keeps only paths and decoding.

--- /dev/null
+++ b/packages/dist/source/feed-document.c
@@ -0,0 +1,91 @@
+/* Documents of the configuration that a feed holds, and differences between them. */
+#include "feed-state.h"
+#include <foxtailrun/config/delta.h>
+
+static fb_bytes_t
+view_bytes (GBytes *bytes)
+{
+  gsize len = 0;
+  const uint8_t *data = bytes ? g_bytes_get_data (bytes, &len) : NULL;
+
+  return (fb_bytes_t){ data, len };
+}
+
+static void
+clear_held (fd_held_t *held)
+{
+  g_clear_pointer (&held->text, g_bytes_unref);
+  g_clear_pointer (&held->delta, g_bytes_unref);
+}
+
+bool
+fd_hold_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text)
+{
+  if (position <= feed->documents[0].position)
+    return false;
+  clear_held (&feed->documents[FD_DOCUMENTS_MAX - 1]);
+  for (size_t i = FD_DOCUMENTS_MAX - 1; i > 0; i--)
+    {
+      feed->documents[i] = feed->documents[i - 1];
+      g_clear_pointer (&feed->documents[i].delta, g_bytes_unref);
+    }
+  feed->documents[0] = (fd_held_t){ .position = position,
+                                    .digest = fb_compute_digest (text),
+                                    .text = g_bytes_new (text.data, text.len) };
+  return true;
+}
+
+fb_bytes_t
+fd_find_delta (fd_feed_t *feed, uint64_t position)
+{
+  for (size_t i = 1; i < FD_DOCUMENTS_MAX; i++)
+    {
+      fd_held_t *held = &feed->documents[i];
+      size_t len;
+      uint8_t *frame;
+
+      if (!held->text || held->position != position)
+        continue;
+      if (!held->delta)
+        {
+          frame = fc_encode_delta (view_bytes (held->text),
+                                   view_bytes (feed->documents[0].text), &len);
+          held->delta = g_bytes_new_take (frame, len);
+        }
+      if (g_bytes_get_size (held->delta) <= FW_DELTA_MAX)
+        return view_bytes (held->delta);
+    }
+  return (fb_bytes_t){ NULL, 0 };
+}
+
+bool
+fd_apply_delta (fd_feed_t *feed, uint64_t position, const fb_digest_t *digest, fb_bytes_t delta)
+{
+  uint8_t *text = NULL;
+  size_t len = 0;
+  fb_digest_t found;
+  bool same;
+
+  if (fc_decode_delta (view_bytes (feed->documents[0].text), delta, &text, &len) != FB_OK)
+    return false;
+  found = fb_compute_digest ((fb_bytes_t){ text, len });
+  same = fb_compare_digests (&found, digest) == 0;
+  if (same)
+    fd_hold_document (feed, position, (fb_bytes_t){ text, len });
+  g_free (text);
+  return same;
+}
+
+void
+fd_drop_documents (fd_feed_t *feed)
+{
+  for (size_t i = 0; i < FD_DOCUMENTS_MAX; i++)
+    clear_held (&feed->documents[i]);
+}
+
+fb_bytes_t
+fd_get_document (const fd_feed_t *feed, uint64_t *position)
+{
+  *position = feed->documents[0].position;
+  return view_bytes (feed->documents[0].text);
+}
--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -9,14 +9,8 @@
 /* Time after the return of the source within which a missing entry may come back. */
 #define FM_RETURN_TIME (2 * FB_SECOND)
 
-typedef struct
-{
-  fw_member_t member;
-  uint32_t slots; /* calls that the backend server runs at once */
-} fm_listed_t;
-
 /* An endpoint was listed or has changed; its state is FW_DEAD when it is no longer listed. */
-typedef void (*fm_listed_fn_t) (const fm_listed_t *endpoint, void *user);
+typedef void (*fm_listed_fn_t) (const fw_endpoint_t *endpoint, void *user);
 
 typedef struct fm_listing fm_listing_t;
 
@@ -27,7 +21,7 @@
 void fm_destroy_listing (fm_listing_t *listing);
 
 /* Takes the entry of one endpoint. */
-void fm_list_endpoint (fm_listing_t *listing, const fm_listed_t *endpoint);
+void fm_list_endpoint (fm_listing_t *listing, const fw_endpoint_t *endpoint);
 
 /* Takes that the entry of ID was removed, or describes no endpoint any more. */
 void fm_unlist_endpoint (fm_listing_t *listing, const fb_name_t *id);
@@ -46,4 +40,16 @@
 /* Returns the number of endpoints, those that may come back included. */
 size_t fm_count_listed (const fm_listing_t *listing);
 
+/* Returns whether the list is read and no removed entry may still come back. */
+bool fm_is_settled (const fm_listing_t *listing);
+
+/* Returns the number of the last change that was told; they count from 1. */
+uint64_t fm_get_sequence (const fm_listing_t *listing);
+
+/* Calls VISIT for each endpoint that changed after the change numbered SEQUENCE, removed ones
+ * as FW_DEAD; 0 stands for all that are listed. Returns false, without a visit, when so old a
+ * change is no longer known. */
+bool fm_visit_changes (const fm_listing_t *listing, uint64_t sequence, fm_listed_fn_t visit,
+                       void *user);
+
 #endif
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -4,19 +4,33 @@
 #include <glib.h>
 #include <string.h>
 
+/* Removed endpoints remembered for those who follow the changes: about a quarter of a fleet of
+ * 1,000 that is replaced. */
+#define REMOVED_MAX 256
+
 typedef struct
 {
-  fm_listed_t endpoint;
-  bool seen;    /* in the list that is being read */
-  bool missing; /* removed while the source was away */
+  fw_endpoint_t endpoint;
+  uint64_t sequence; /* of its last change */
+  bool seen;         /* in the list that is being read */
+  bool missing;      /* removed while the source was away */
 } listed_t;
 
+typedef struct
+{
+  fw_endpoint_t endpoint;
+  uint64_t sequence;
+} removed_t;
+
 struct fm_listing
 {
   const fb_clock_t *clock;
   fm_listed_fn_t changed;
   void *user;
   GHashTable *entries; /* listed_t by id */
+  uint64_t sequence;   /* of the last change */
+  GQueue removed;      /* removed_t, oldest first */
+  uint64_t forgotten;  /* sequence of the last removal that is no longer remembered */
   bool lost;
   fb_time_t settled_at; /* from here on a missing entry is gone */
 };
@@ -39,11 +53,12 @@
   if (!listing)
     return;
   g_hash_table_destroy (listing->entries);
+  g_queue_clear_full (&listing->removed, g_free);
   g_free (listing);
 }
 
 static bool
-is_same_endpoint (const fm_listed_t *a, const fm_listed_t *b)
+is_same_endpoint (const fw_endpoint_t *a, const fw_endpoint_t *b)
 {
   const fw_member_t *left = &a->member;
   const fw_member_t *right = &b->member;
@@ -56,7 +71,7 @@
 }
 
 void
-fm_list_endpoint (fm_listing_t *listing, const fm_listed_t *endpoint)
+fm_list_endpoint (fm_listing_t *listing, const fw_endpoint_t *endpoint)
 {
   listed_t *entry = g_hash_table_lookup (listing->entries, &endpoint->member.id);
 
@@ -73,6 +88,7 @@
       g_hash_table_insert (listing->entries, &entry->endpoint.member.id, entry);
     }
   entry->endpoint = *endpoint;
+  entry->sequence = ++listing->sequence;
   entry->seen = true;
   entry->missing = false;
   listing->changed (&entry->endpoint, listing->user);
@@ -82,14 +98,24 @@
 static void
 report_gone (fm_listing_t *listing, const listed_t *entry)
 {
-  fm_listed_t gone = entry->endpoint;
+  removed_t *gone = g_new0 (removed_t, 1);
 
-  gone.member.state = FW_DEAD;
-  listing->changed (&gone, listing->user);
+  gone->endpoint = entry->endpoint;
+  gone->endpoint.member.state = FW_DEAD;
+  gone->sequence = ++listing->sequence;
+  g_queue_push_tail (&listing->removed, gone);
+  if (listing->removed.length > REMOVED_MAX)
+    {
+      removed_t *oldest = g_queue_pop_head (&listing->removed);
+
+      listing->forgotten = oldest->sequence;
+      g_free (oldest);
+    }
+  listing->changed (&gone->endpoint, listing->user);
 }
 
-static bool
-is_settled (const fm_listing_t *listing)
+bool
+fm_is_settled (const fm_listing_t *listing)
 {
   return !listing->lost && fb_read_clock (listing->clock) >= listing->settled_at;
 }
@@ -101,7 +127,7 @@
 
   if (!entry)
     return;
-  if (!is_settled (listing))
+  if (!fm_is_settled (listing))
     {
       entry->missing = true;
       return;
@@ -158,7 +184,7 @@
   GHashTableIter iter;
   gpointer value;
 
-  if (!is_settled (listing))
+  if (!fm_is_settled (listing))
     return;
   g_hash_table_iter_init (&iter, listing->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -177,3 +203,37 @@
 {
   return g_hash_table_size (listing->entries);
 }
+
+uint64_t
+fm_get_sequence (const fm_listing_t *listing)
+{
+  return listing->sequence;
+}
+
+bool
+fm_visit_changes (const fm_listing_t *listing, uint64_t sequence, fm_listed_fn_t visit,
+                  void *user)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (sequence > 0 && sequence < listing->forgotten)
+    return false;
+  /* An id that was removed and listed again stands in both; the later one counts. */
+  for (const GList *link = listing->removed.head; link && sequence > 0; link = link->next)
+    {
+      const removed_t *removed = link->data;
+
+      if (removed->sequence > sequence)
+        visit (&removed->endpoint, user);
+    }
+  g_hash_table_iter_init (&iter, listing->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const listed_t *entry = value;
+
+      if (entry->sequence > sequence)
+        visit (&entry->endpoint, user);
+    }
+  return true;
+}
--- a/packages/member/tests/test-listing.c
+++ b/packages/member/tests/test-listing.c
@@ -11,7 +11,7 @@
 } fixture_t;
 
 static void
-note_change (const fm_listed_t *endpoint, void *user)
+note_change (const fw_endpoint_t *endpoint, void *user)
 {
   fixture_t *fixture = user;
 
@@ -22,11 +22,11 @@
 static void
 list (fixture_t *fixture, const char *id, fw_member_state_t state)
 {
-  fm_listed_t endpoint = { .member = { .id = fb_make_name (id),
-                                       .state = state,
-                                       .address = fb_make_name ("10.0.0.1"),
-                                       .service = fb_make_name ("shop") },
-                           .slots = 9 };
+  fw_endpoint_t endpoint = { .member = { .id = fb_make_name (id),
+                                         .state = state,
+                                         .address = fb_make_name ("10.0.0.1"),
+                                         .service = fb_make_name ("shop") },
+                             .slots = 9 };
 
   fm_list_endpoint (fixture->listing, &endpoint);
 }
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_NODE_ADAPTER_H
 
 #include <foxtailrun/base/status.h>
+#include <foxtailrun/dist/feed.h>
 #include <foxtailrun/kernel/kernel.h>
 #include <foxtailrun/wire/member.h>
 
@@ -47,6 +48,29 @@
   bool listed;
 } fn_adapter_t;
 
+/* A store that lists endpoints and holds the configuration, as an adapter reads it. */
+typedef struct fn_feed fn_feed_t;
+
+typedef struct
+{
+  /* Returns a new reader of the store that reports to FEED; USER is the adapter's. */
+  void *(*create) (fk_kernel_t *kernel, fn_feed_t *feed, void *user);
+  /* Carries out READ: what it brings goes to the fd_take functions of the feed, and
+   * fn_end_store_read ends it, later. */
+  void (*read) (void *reader, const fd_read_t *read);
+  /* Gives up an open read and frees READER. */
+  void (*destroy) (void *reader);
+} fn_store_t;
+
+/* Registers the service FN_SOURCE for a store that is read by STORE, which is borrowed. */
+void fn_register_feed (fk_kernel_t *kernel, const fn_store_t *store, void *user);
+
+/* Returns the feed that takes what a read brings. */
+fd_feed_t *fn_get_feed (fn_feed_t *feed);
+
+/* Ends the open read of the store. */
+void fn_end_store_read (fn_feed_t *feed, const fd_end_t *end);
+
 /* Ends a read of the source: STATUS FB_OK with INDEX and DOCUMENT, FB_NOT_FOUND when nothing is
  * published, FB_TIMEOUT when the wait ended without a change, anything else for a failed read.
  */
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -90,6 +90,11 @@
   remote_t *remote;
   uint64_t handle;
 
+  if (fb_equal_str (fh_get_path (request), FB_LITERAL (FN_NEWS_PATH)))
+    {
+      fn_receive_ask (calls->kernel, request);
+      return;
+    }
   if (!fb_equal_str (fh_get_path (request), FB_LITERAL (CALL_PATH))
       || !decode_call (calls, fh_get_body (request), &call) || call.kind != FW_CALL)
     {
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -5,6 +5,7 @@
 #include <foxtailrun/config/settings.h>
 #include <foxtailrun/config/snapshot.h>
 #include <foxtailrun/dist/node.h>
+#include <foxtailrun/http/server.h>
 #include <foxtailrun/kernel/kernel.h>
 #include <foxtailrun/member/table.h>
 #include <foxtailrun/node/adapter.h>
@@ -105,6 +106,12 @@
  * protocols. */
 void fn_register_source (fk_kernel_t *kernel, void *user);
 
+/* Path on the port of calls at which other nodes ask for news of the store. */
+#define FN_NEWS_PATH "/news"
+
+/* Takes over REQUEST, another node's ask for news of the store. */
+void fn_receive_ask (fk_kernel_t *kernel, fh_request_t *request);
+
 /* backend: calls at the node beside the backend server. */
 typedef struct fn_backend fn_backend_t;
 
--- a/packages/wire/include/foxtailrun/wire/member.h
+++ b/packages/wire/include/foxtailrun/wire/member.h
@@ -28,6 +28,13 @@
   fb_name_t service; /* empty when no backend server is attached */
 } fw_member_t;
 
+/* An instance that a platform lists, with the node beside it. */
+typedef struct
+{
+  fw_member_t member;
+  uint32_t slots; /* calls that the backend server runs at once */
+} fw_endpoint_t;
+
 /* Returns the lower-case name of STATE. */
 const char *fw_describe_state (fw_member_state_t state);
 
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -1,7 +1,8 @@
-/* Round trips and malformed input of the three message codecs. */
+/* Round trips and malformed input of the message codecs. */
 #include <foxtailrun/wire/call.h>
 #include <foxtailrun/wire/control.h>
 #include <foxtailrun/wire/datagram.h>
+#include <foxtailrun/wire/news.h>
 #include <glib.h>
 #include <string.h>
 
@@ -158,18 +159,76 @@
   g_free (bytes);
 }
 
+static fw_news_t
+make_news (fw_endpoint_t endpoints[2])
+{
+  endpoints[0] = (fw_endpoint_t){ make_member (1), 9 };
+  endpoints[1] = (fw_endpoint_t){ make_member (2), UINT32_MAX };
+  return (fw_news_t){ .kind = FW_NEWS,
+                      .feed = UINT64_MAX,
+                      .sequence = 7,
+                      .position = 8,
+                      .document = 9,
+                      .digest = { { 1 } },
+                      .delta = { (const uint8_t *)"delta", 5 },
+                      .age_us = 10,
+                      .held_us = 11,
+                      .whole = true,
+                      .endpoint_count = 2,
+                      .endpoints = endpoints };
+}
+
+/* Guards against news whose endpoints or configuration change on the way. */
+static void
+test_news_round_trip (void)
+{
+  fw_endpoint_t endpoints[2];
+  fw_news_t sent = make_news (endpoints);
+  fw_news_t got;
+  size_t length;
+  uint8_t *bytes = fw_encode_news (&sent, &length);
+
+  g_assert_cmpint (fw_decode_news ((fb_bytes_t){ bytes, length }, &got), ==, FB_OK);
+  g_assert_cmpint (got.kind, ==, FW_NEWS);
+  g_assert_cmpuint (got.feed, ==, UINT64_MAX);
+  g_assert_cmpuint (got.sequence, ==, 7);
+  g_assert_cmpuint (got.position, ==, 8);
+  g_assert_cmpuint (got.document, ==, 9);
+  g_assert_cmpmem (got.digest.bytes, FB_DIGEST_LEN, sent.digest.bytes, FB_DIGEST_LEN);
+  g_assert_cmpmem (got.delta.data, got.delta.len, "delta", 5);
+  g_assert_cmpuint (got.age_us, ==, 10);
+  g_assert_cmpuint (got.held_us, ==, 11);
+  g_assert_true (got.whole);
+  g_assert_cmpuint (got.endpoint_count, ==, 2);
+  for (size_t i = 0; i < 2; i++)
+    {
+      assert_same_member (&got.endpoints[i].member, &endpoints[i].member);
+      g_assert_cmpuint (got.endpoints[i].slots, ==, endpoints[i].slots);
+    }
+  fw_clear_news (&got);
+  g_free (bytes);
+}
+
 static fb_status_t
 decode_any (int codec, fb_bytes_t bytes)
 {
   fw_datagram_t datagram;
   fw_control_t control;
   fw_call_t call;
+  fw_news_t news;
   fb_status_t status;
 
   if (codec == 0)
     return fw_decode_datagram (bytes, &datagram);
   if (codec == 2)
     return fw_decode_call (bytes, (fb_bytes_t){ NULL, 0 }, &call);
+  if (codec == 3)
+    {
+      status = fw_decode_news (bytes, &news);
+      if (status == FB_OK)
+        fw_clear_news (&news);
+      return status;
+    }
   status = fw_decode_control (bytes, &control);
   if (status == FB_OK)
     fw_clear_control (&control);
@@ -183,6 +242,8 @@
   fw_datagram_t datagram = { .kind = FW_PING, .sender = members[0] };
   fw_control_t control = make_control (members);
   fw_call_t call = make_call ();
+  fw_endpoint_t endpoints[2];
+  fw_news_t news = make_news (endpoints);
   uint8_t *buffer;
   size_t fitted;
 
@@ -190,6 +251,8 @@
     return fw_encode_control (&control, length);
   if (codec == 2)
     return fw_encode_call (&call, length);
+  if (codec == 3)
+    return fw_encode_news (&news, length);
   buffer = g_malloc (FW_DATAGRAM_MAX);
   g_assert_cmpint (fw_encode_datagram (&datagram, buffer, length, &fitted), ==, FB_OK);
   return buffer;
@@ -201,7 +264,7 @@
 {
   GRand *random = g_rand_new_with_seed (1);
 
-  for (int codec = 0; codec < 3; codec++)
+  for (int codec = 0; codec < 4; codec++)
     {
       size_t length;
       uint8_t *good = encode_any (codec, &length);
@@ -248,7 +311,7 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      for (int codec = 0; codec < 3; codec++)
+      for (int codec = 0; codec < 4; codec++)
         g_assert_cmpint (
             decode_any (codec, (fb_bytes_t){ (const uint8_t *)cases[i].bytes, cases[i].len }),
             ==, FB_INVALID);
@@ -289,6 +352,7 @@
   g_test_add_func ("/wire/datagram-round-trip", test_datagram_round_trip);
   g_test_add_func ("/wire/control-round-trip", test_control_round_trip);
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
+  g_test_add_func ("/wire/news", test_news_round_trip);
   g_test_add_func ("/wire/malformed", test_malformed);
   g_test_add_func ("/wire/claimed-sizes", test_claimed_sizes);
   g_test_add_func ("/wire/override", test_override);
