Take retries by the platform's ratio and count them when they arrive

Cause: the budget allowed a fixed tenth, also for attempts that a node refused and that never reached a backend server, and did not know of calls that a repeated run makes once more.

--- a/bench/sim-service.c
+++ b/bench/sim-service.c
@@ -229,7 +229,7 @@
     outcome = call->result == FR_RESULT_REFUSED ? FW_NOT_RUN : FW_FAILED;
   if (sim->policy->throttle && call->tries <= RETRIES && now < call->arrived + rank->deadline
       && fr_may_retry (outcome, rank->repeatable, false)
-      && fr_take_retry (entry->budget, service_name) && send_attempt (sim, call))
+      && fr_take_retry (entry->budget, service_name, 0) && send_attempt (sim, call))
     return;
   g_free (call);
 }
--- a/packages/call/include/foxtailrun/call/retry.h
+++ b/packages/call/include/foxtailrun/call/retry.h
@@ -6,7 +6,7 @@
 #include <foxtailrun/base/string.h>
 #include <foxtailrun/wire/call.h>
 
-/* Retries allowed for each first attempt, over a sliding window. */
+/* Retries allowed for each first attempt, over a sliding window, unless set otherwise. */
 #define FR_RETRY_RATIO 0.1
 
 typedef struct fr_retry_budget fr_retry_budget_t;
@@ -17,15 +17,20 @@
 /* Frees the budget; NULL is allowed. */
 void fr_destroy_retry_budget (fr_retry_budget_t *budget);
 
-/* Sets the retries allowed in 10 s whatever the traffic; 10 at first. Nodes that share an
- * allowance each take their part of it. */
-void fr_set_retry_floor (fr_retry_budget_t *budget, double floor);
+/* Sets the retries allowed in 10 s: RATIO for each first attempt, and FLOOR, 10 at first,
+ * whatever the traffic. Nodes that share an allowance each take their part of it. */
+void fr_set_retry_allowance (fr_retry_budget_t *budget, double ratio, double floor);
 
-/* Counts a first attempt to SERVICE, which earns FR_RETRY_RATIO of a retry. */
+/* Counts a first attempt to SERVICE, which earns a part of a retry. */
 void fr_earn_retry (fr_retry_budget_t *budget, fb_str_t service);
 
-/* Takes one retry from the budget of SERVICE; returns false when there is none. */
-bool fr_take_retry (fr_retry_budget_t *budget, fb_str_t service);
+/* Takes one retry of a call of RANK, 0 being the most urgent, from the budget of SERVICE;
+ * returns false when there is none. Less urgent ranks leave a part to the others. */
+bool fr_take_retry (fr_retry_budget_t *budget, fb_str_t service, uint32_t rank);
+
+/* Counts a retry that is made whatever the budget holds, such as a call that a run makes once
+ * more because it is a repeat itself. */
+void fr_charge_retry (fr_retry_budget_t *budget, fb_str_t service);
 
 /* Returns whether an attempt that ended with OUTCOME may be made again: only when it provably
  * did not run, or the route is repeatable and no answer came. HAS_TICKET forbids any other
--- a/packages/call/source/retry-budget.c
+++ b/packages/call/source/retry-budget.c
@@ -6,9 +6,15 @@
  * second. */
 #define RETRY_FLOOR 10.0
 
+/* Part of the budget that each less urgent rank leaves to the others, and the least that a rank
+ * may use. */
+#define RANK_PART 0.25
+#define RANK_PART_MIN 0.25
+
 struct fr_retry_budget
 {
   const fb_clock_t *clock;
+  double ratio;
   double floor;
   fr_windows_t windows; /* by service, of first attempts and retries */
 };
@@ -19,6 +25,7 @@
   fr_retry_budget_t *budget = g_new0 (fr_retry_budget_t, 1);
 
   budget->clock = clock;
+  budget->ratio = FR_RETRY_RATIO;
   budget->floor = RETRY_FLOOR;
   fr_init_windows (&budget->windows);
   return budget;
@@ -34,8 +41,9 @@
 }
 
 void
-fr_set_retry_floor (fr_retry_budget_t *budget, double floor)
+fr_set_retry_allowance (fr_retry_budget_t *budget, double ratio, double floor)
 {
+  budget->ratio = ratio;
   budget->floor = floor;
 }
 
@@ -56,18 +64,25 @@
 }
 
 bool
-fr_take_retry (fr_retry_budget_t *budget, fb_str_t service)
+fr_take_retry (fr_retry_budget_t *budget, fb_str_t service, uint32_t rank)
 {
   fr_window_t *window = find_window (budget, service);
   fb_time_t now = fb_read_clock (budget->clock);
   const fr_window_count_t *sum = fr_move_window (window, now);
+  double allowed = budget->ratio * (double)sum->offered + budget->floor;
 
-  if ((double)(sum->taken + 1) > FR_RETRY_RATIO * (double)sum->offered + budget->floor)
+  if ((double)(sum->taken + 1) > allowed * MAX (1 - RANK_PART * rank, RANK_PART_MIN))
     return false;
   fr_add_window (window, now, 0, 1);
   return true;
 }
 
+void
+fr_charge_retry (fr_retry_budget_t *budget, fb_str_t service)
+{
+  fr_add_window (find_window (budget, service), fb_read_clock (budget->clock), 0, 1);
+}
+
 bool
 fr_may_retry (fw_outcome_t outcome, bool repeatable, bool has_ticket)
 {
--- a/packages/call/tests/fixture-entry.c
+++ b/packages/call/tests/fixture-entry.c
@@ -205,7 +205,7 @@
   if (ticket[0] == '\0' && attempt->tries < ATTEMPTS_MAX
       && fb_read_clock (world->clock) < attempt->deadline
       && fr_may_retry (outcome, request->repeatable, attempt->has_ticket)
-      && fr_take_retry (node->budget, service))
+      && fr_take_retry (node->budget, service, 0))
     {
       world->totals[TOTAL_RETRIED]++;
       send_attempt (node, attempt);
--- a/packages/call/tests/test-retry.c
+++ b/packages/call/tests/test-retry.c
@@ -32,15 +32,21 @@
 }
 
 static int
-take_all (fr_retry_budget_t *budget)
+take_ranked (fr_retry_budget_t *budget, uint32_t rank)
 {
   int taken = 0;
 
-  while (taken < 100000 && fr_take_retry (budget, service))
+  while (taken < 100000 && fr_take_retry (budget, service, rank))
     taken++;
   return taken;
 }
 
+static int
+take_all (fr_retry_budget_t *budget)
+{
+  return take_ranked (budget, 0);
+}
+
 /* Guards against retry storms, against quiet services that cannot retry, and against a budget
  * that is saved up or shared between services. */
 static void
@@ -50,16 +56,16 @@
   fr_retry_budget_t *budget = fr_create_retry_budget (clock);
 
   g_assert_cmpint (take_all (budget), ==, 10);
-  fr_set_retry_floor (budget, 12.5);
+  fr_set_retry_allowance (budget, FR_RETRY_RATIO, 12.5);
   g_assert_cmpint (take_all (budget), ==, 2);
-  fr_set_retry_floor (budget, 10);
+  fr_set_retry_allowance (budget, FR_RETRY_RATIO, 10);
   g_assert_cmpint (take_all (budget), ==, 0);
   fb_advance_clock (clock, 10 * FB_SECOND);
   g_assert_cmpint (take_all (budget), ==, 10);
   for (int i = 0; i < 1000; i++)
     fr_earn_retry (budget, service);
   g_assert_cmpint (take_all (budget), ==, 100);
-  g_assert_true (fr_take_retry (budget, FB_LITERAL ("other")));
+  g_assert_true (fr_take_retry (budget, FB_LITERAL ("other"), 0));
   fb_advance_clock (clock, 9 * FB_SECOND);
   g_assert_cmpint (take_all (budget), ==, 0);
   fb_advance_clock (clock, FB_SECOND);
@@ -70,6 +76,35 @@
   fb_destroy_clock (clock);
 }
 
+/* Guards against less urgent work that uses up the retries of all, and against repeats below a
+ * repeat that are counted by nobody. */
+static void
+test_budget_ranks (void)
+{
+  static const struct
+  {
+    int charged;
+    uint32_t rank;
+    int taken; /* of 100 */
+  } cases[] = { { 0, 0, 100 }, { 0, 1, 75 },  { 0, 2, 50 }, { 0, 3, 25 },  { 0, 9, 25 },
+                { 60, 0, 40 }, { 60, 1, 15 }, { 60, 2, 0 }, { 100, 0, 0 }, { 130, 0, 0 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (500 * FB_SECOND);
+      fr_retry_budget_t *budget = fr_create_retry_budget (clock);
+
+      fr_set_retry_allowance (budget, 0.2, 0);
+      for (int j = 0; j < 500; j++)
+        fr_earn_retry (budget, service);
+      for (int j = 0; j < cases[i].charged; j++)
+        fr_charge_retry (budget, service);
+      g_assert_cmpint (take_ranked (budget, cases[i].rank), ==, cases[i].taken);
+      fr_destroy_retry_budget (budget);
+      fb_destroy_clock (clock);
+    }
+}
+
 /* Offers COUNT calls of CUSTOMER at 1,000 a second, of which every ACCEPT-th sent one is
  * accepted (0: none), and returns how many were sent. */
 static int
@@ -147,6 +182,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/retry/may-retry", test_may_retry);
   g_test_add_func ("/retry/budget", test_budget);
+  g_test_add_func ("/retry/budget-ranks", test_budget_ranks);
   g_test_add_func ("/throttle/rank", test_throttle);
   g_test_add_func ("/throttle/customers", test_throttle_customers);
   return g_test_run ();
--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -34,8 +34,9 @@
   uint16_t ready_port;   /* HTTP readiness of its own for the platform; 0 for none */
   fb_time_t source_pace; /* pause between two reads of a list that the platform keeps; 0 when it
                             keeps none */
-  uint32_t retry_slack; /* retries in 10 s that all nodes together may make beyond their part of
-                           the traffic; 0 when nodes share no such allowance */
+  double retry_ratio;    /* retries for each first attempt, where nodes share an allowance */
+  uint32_t retry_slack;  /* retries in 10 s that all nodes together may make beyond that; 0 when
+                            nodes share no allowance */
   fb_time_t drain_limit; /* bound on a drain, after which open calls are cut */
   fc_endpoint_t backend;
   fc_endpoint_t platform;
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -117,6 +117,7 @@
 
   served->exchange = NULL;
   answer->kind = FW_ANSWER;
+  answer->arrived = !answer->elsewhere;
   answer->service_us
       = (uint64_t)(fb_read_clock (fk_get_clock (backend->kernel)) - served->started)
         / (uint64_t)FB_MICROSECOND;
@@ -531,6 +532,29 @@
     fr_cancel_call (backend->admission, handle);
 }
 
+bool
+fn_is_below_repeat (fn_backend_t *backend, fb_str_t request_id)
+{
+  GHashTableIter iter;
+  gpointer value;
+  size_t length = request_id.len;
+
+  while (length > 0 && request_id.data[length - 1] != '.')
+    length--;
+  if (length < 2)
+    return false;
+  g_hash_table_iter_init (&iter, backend->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const fw_call_t *call = &((const fn_served_t *)value)->call;
+
+      if (call->repeat
+          && fb_equal_str (call->request_id, (fb_str_t){ request_id.data, length - 1 }))
+        return true;
+    }
+  return false;
+}
+
 size_t
 fn_count_backend_calls (fn_backend_t *backend)
 {
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -66,7 +66,8 @@
 }
 
 /* Returns whether another attempt follows ANSWER. A refusal that other instances need not share
- * must not cost a call, so that it is retried beyond the route's limit and the budget. */
+ * must not cost a call, so that it is retried beyond the route's limit. The budget is for what
+ * arrives at a backend server more than once. */
 static bool
 may_try_again (fn_entry_call_t *call, const fw_call_t *answer)
 {
@@ -89,7 +90,8 @@
       return true;
     }
   return call->attempt_count - call->elsewhere_count - call->full_count <= route->retries
-         && fr_take_retry (call->entry->budget, get_service_name (call));
+         && (!call->arrived
+             || fr_take_retry (call->entry->budget, get_service_name (call), route->rank));
 }
 
 static void
@@ -107,6 +109,7 @@
   fr_report_customer (entry->throttle, get_service_name (call), call->route->rank,
                       call->customer, accepted);
   call->may_have_run |= answer->outcome != FW_NOT_RUN;
+  call->arrived |= answer->arrived;
   if (may_try_again (call, answer))
     {
       fb_add_counter (entry->retries, 1);
@@ -125,7 +128,8 @@
                        .outcome = outcome,
                        .status = status,
                        .reason = fb_wrap_text (reason),
-                       .elsewhere = outcome == FW_NOT_RUN };
+                       .elsewhere = outcome == FW_NOT_RUN,
+                       .arrived = outcome != FW_NOT_RUN };
 
   if (call->ticket.len > 0)
     {
@@ -187,6 +191,7 @@
     .single = !route->repeatable,
     .target_us = (uint64_t)(MAX (call->aim - call->attempt_start, 0) / FB_MICROSECOND),
     .again = call->again,
+    .repeat = call->arrived || call->below_repeat,
     .ticket = call->ticket,
     .request_id = fb_wrap_text (call->request_id),
     .body = fh_get_body (call->request),
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -408,7 +408,12 @@
   fh_limit_idle (entry->server, (fb_time_t)fc_get_idle_ms (snapshot) * FB_MILLISECOND);
   call = create_call (entry, request, snapshot, route, part, request_id);
   fh_watch_cancel (request, cancel_call, call);
-  fr_earn_retry (entry->budget, service);
+  call->below_repeat = fn_is_below_repeat (fk_find_service (entry->kernel, FN_BACKEND),
+                                           fb_wrap_text (request_id));
+  if (call->below_repeat)
+    fr_charge_retry (entry->budget, service);
+  else
+    fr_earn_retry (entry->budget, service);
   fn_start_attempt (call);
 }
 
@@ -420,12 +425,13 @@
 update_instance (const fw_member_t *member, void *user)
 {
   fn_entry_t *entry = user;
-  uint32_t slack = fn_get_settings (entry->kernel)->retry_slack;
+  const fc_settings_t *settings = fn_get_settings (entry->kernel);
   size_t nodes = fn_count_endpoints (fk_find_service (entry->kernel, FN_DIRECTORY));
 
   fr_update_instance (entry->picker, member);
-  if (slack > 0)
-    fr_set_retry_floor (entry->budget, slack * SLACK_PART / (double)MAX (nodes, 1));
+  if (settings->retry_slack > 0)
+    fr_set_retry_allowance (entry->budget, settings->retry_ratio,
+                            settings->retry_slack * SLACK_PART / (double)MAX (nodes, 1));
 }
 
 static fb_status_t
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -67,6 +67,8 @@
   uint32_t full_count;      /* of those, ended by full queues */
   uint32_t elsewhere_count; /* of those, ended by refusals of single nodes */
   bool may_have_run;        /* an attempt reached a node and was not refused */
+  bool arrived;             /* an attempt reached a backend server, or may have */
+  bool below_repeat;        /* made by a run that is a repeat itself */
   fb_name_t tried[FN_ATTEMPTS_MAX];
   uint64_t attempt; /* id of the open attempt, 0 when none */
   fb_time_t attempt_start;
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -128,6 +128,10 @@
 /* Gives up a call: it is not answered any more. */
 void fn_cancel_call (fn_backend_t *backend, uint64_t handle);
 
+/* Returns whether the backend server makes the call REQUEST_ID on behalf of a call that it runs
+ * as a repeat; the id of such a call is that of its parent, a dot and a number. */
+bool fn_is_below_repeat (fn_backend_t *backend, fb_str_t request_id);
+
 /* Returns calls not yet answered. */
 size_t fn_count_backend_calls (fn_backend_t *backend);
 
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -50,6 +50,7 @@
   bool single;        /* may run at most once */
   uint64_t target_us; /* time left until the latency target; 0 when it has passed */
   bool again;         /* the caller was refused before and has come back */
+  bool repeat;        /* an earlier attempt of the same request has arrived */
   fb_str_t ticket;    /* empty unless the route needs one */
   fb_str_t request_id;
   /* ANSWER */
@@ -58,6 +59,7 @@
   bool unframed;       /* only the end of its connection ended the body */
   fb_str_t reason;     /* why a call was not run or is unknown */
   bool elsewhere;      /* not run for a reason that other instances need not share */
+  bool arrived;        /* the request has, or may have, reached the backend server */
   uint32_t load;       /* slots in use plus waiting, per 1,000 slots */
   uint64_t service_us; /* time at the backend server */
   uint64_t wait_us;    /* that a further call of the same rank may expect */
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -5,8 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
-#define CALL_FORMAT 2
-#define CALL_FIELDS 24
+#define CALL_FORMAT 3
+#define CALL_FIELDS 26
 
 /* Longest path, header value, ticket or reason in bytes. */
 #define TEXT_MAX (16 * 1024)
@@ -34,6 +34,7 @@
   msgpack_pack_uint64 (&packer, message->single);
   msgpack_pack_uint64 (&packer, message->target_us);
   msgpack_pack_uint64 (&packer, message->again);
+  msgpack_pack_uint64 (&packer, message->repeat);
   fw_pack_str (&packer, message->ticket);
   fw_pack_str (&packer, message->request_id);
   msgpack_pack_uint64 (&packer, (uint64_t)message->outcome);
@@ -41,6 +42,7 @@
   msgpack_pack_uint64 (&packer, message->unframed);
   fw_pack_str (&packer, message->reason);
   msgpack_pack_uint64 (&packer, message->elsewhere);
+  msgpack_pack_uint64 (&packer, message->arrived);
   msgpack_pack_uint64 (&packer, message->load);
   msgpack_pack_uint64 (&packer, message->service_us);
   msgpack_pack_uint64 (&packer, message->wait_us);
@@ -76,6 +78,7 @@
   message->single = fw_read_u64 (&reader, 1) == 1;
   message->target_us = fw_read_u64 (&reader, UINT64_MAX);
   message->again = fw_read_u64 (&reader, 1) == 1;
+  message->repeat = fw_read_u64 (&reader, 1) == 1;
   message->ticket = fw_read_str (&reader, TEXT_MAX);
   message->request_id = fw_read_str (&reader, TEXT_MAX);
   message->outcome = (fw_outcome_t)fw_read_u64 (&reader, FW_FAILED);
@@ -83,6 +86,7 @@
   message->unframed = fw_read_u64 (&reader, 1) == 1;
   message->reason = fw_read_str (&reader, TEXT_MAX);
   message->elsewhere = fw_read_u64 (&reader, 1) == 1;
+  message->arrived = fw_read_u64 (&reader, 1) == 1;
   message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
   message->service_us = fw_read_u64 (&reader, UINT64_MAX);
   message->wait_us = fw_read_u64 (&reader, UINT64_MAX);
