Tell calls that wait in vain behind more urgent ranks to come back

Cause: a rank that runs nothing took every call into its queue and held it until its deadline, as the estimate of the wait and the check of the target were made only for ranks with running calls. Nearly all callers counted as having come back, since callers of a route start with 0.85 to 1 of the longest time.

Change: calls behind others of a rank without a running call are estimated, too; a tick refuses a call that can no longer be in time while others wait, unless its caller was told so before; only time below the least patient caller's counts as spent on an earlier try.

The new case of call/test-timed fails before.

--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -103,6 +103,18 @@
          && !fr_is_below_share (admission, rank);
 }
 
+/* Returns whether ENTRY can no longer be in time while other calls wait too: its caller is told
+ * to come back, unless that was told before. */
+static bool
+is_entry_hopeless (const fr_admission_t *admission, const entry_t *entry, fb_time_t now)
+{
+  const rank_t *rank = entry->flow->rank;
+
+  return admission->policy == FR_POLICY_SHARES && entry->aim > 0 && !entry->again
+         && admission->waiting > 1 && misses_aim (rank, now, entry->aim)
+         && !fr_is_below_share (admission, rank);
+}
+
 static void
 start_entry (fr_admission_t *admission, entry_t *entry, fb_time_t now)
 {
@@ -246,6 +258,14 @@
   return true;
 }
 
+/* Returns whether the wait of a new call of RANK can be told. A rank that runs nothing gets one
+ * call through whatever the average says, or a wrong average would never be corrected. */
+static bool
+can_estimate (const rank_t *rank, const fr_times_t *times)
+{
+  return rank->started > 0 || (times->aim > 0 && rank->waiting > 0);
+}
+
 /* Decides whether a new call of FLOW is refused, as REFUSAL. */
 static bool
 is_refused (fr_admission_t *admission, const flow_t *flow, const fr_times_t *times,
@@ -261,7 +281,7 @@
   *refusal = FR_REFUSED_LATE;
   if (deadline <= now)
     return true;
-  if (admission->policy == FR_POLICY_SHARES && rank->started > 0)
+  if (admission->policy == FR_POLICY_SHARES && can_estimate (rank, times))
     {
       double wait = fr_estimate_wait (admission, flow, times->again);
       double time = wait + rank->service;
@@ -367,6 +387,7 @@
 {
   fb_time_t now = fb_read_clock (admission->clock);
   GPtrArray *late = g_ptr_array_new ();
+  GPtrArray *hopeless = g_ptr_array_new ();
   GHashTableIter iter;
   void *value;
 
@@ -376,12 +397,19 @@
     {
       entry_t *entry = value;
 
-      if (entry->link.data != NULL && is_entry_late (admission, entry, now))
+      if (entry->link.data == NULL)
+        continue;
+      if (is_entry_late (admission, entry, now))
         g_ptr_array_add (late, entry);
+      else if (is_entry_hopeless (admission, entry, now))
+        g_ptr_array_add (hopeless, entry);
     }
   for (size_t i = 0; i < late->len; i++)
     refuse_entry (admission, g_ptr_array_index (late, i), FR_REFUSED_LATE);
+  for (size_t i = 0; i < hopeless->len; i++)
+    refuse_entry (admission, g_ptr_array_index (hopeless, i), FR_REFUSED_FULL);
   g_ptr_array_free (late, TRUE);
+  g_ptr_array_free (hopeless, TRUE);
   for (size_t i = 0; i < admission->ranks->len; i++)
     fr_forget_flows (g_ptr_array_index (admission->ranks, i));
   fill_slots (admission);
--- a/packages/call/tests/test-timed.c
+++ b/packages/call/tests/test-timed.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #define SLOTS 2
+#define RANKS 2
 #define SERVICE (100 * FB_MILLISECOND)
 
 typedef struct
@@ -26,28 +27,35 @@
 }
 
 static void
-offer (fixture_t *fixture, int number, int target_ms, bool again)
+offer_ranked (fixture_t *fixture, int number, uint32_t rank, int target_ms, bool again)
 {
   fb_time_t now = fb_read_clock (fixture->clock);
   fr_times_t times = { now + FB_SECOND, now + target_ms * FB_MILLISECOND, again };
 
-  fr_offer_timed (fixture->admission, (uint64_t)number, GINT_TO_POINTER (number), 0,
+  fr_offer_timed (fixture->admission, (uint64_t)number, GINT_TO_POINTER (number), rank,
                   FB_LITERAL ("c"), 1, &times);
 }
 
+static void
+offer (fixture_t *fixture, int number, int target_ms, bool again)
+{
+  offer_ranked (fixture, number, 0, target_ms, again);
+}
+
 /* Starts with calls of SERVICE in every slot and one past, so that the service time is known.
  */
 static void
 set_up (fixture_t *fixture)
 {
-  fr_rank_rule_t rule = { .target = FB_SECOND };
+  static const fr_rank_rule_t rules[RANKS]
+      = { { .target = FB_SECOND }, { .target = FB_SECOND } };
   fr_admission_hooks_t hooks = { note_start, note_refusal, fixture };
 
   fixture->clock = fb_create_manual_clock (100 * FB_SECOND);
   fixture->counters = fb_create_counters ();
   fixture->events = g_string_new ("");
-  fixture->admission = fr_create_admission (FR_POLICY_SHARES, SLOTS, &rule, 1, fixture->clock,
-                                            fixture->counters, &hooks);
+  fixture->admission = fr_create_admission (FR_POLICY_SHARES, SLOTS, rules, RANKS,
+                                            fixture->clock, fixture->counters, &hooks);
   offer (fixture, 1, 1000, false);
   fb_advance_clock (fixture->clock, SERVICE);
   fr_finish_call (fixture->admission, 1);
@@ -130,6 +138,40 @@
     }
 }
 
+/* Guards against calls of a rank that gets no slot which are held until their callers give up,
+ * instead of being told to come back while there is time. */
+static void
+test_starved_rank (void)
+{
+  static const struct
+  {
+    bool again;
+    const char *events; /* of call 5 behind call 4, then of call 4 */
+  } cases[] = { { false, "-5 -4 " }, { true, "-5 " } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture;
+
+      set_up (&fixture);
+      /* One call of rank 1, so that its service time is known. */
+      fr_finish_call (fixture.admission, 2);
+      offer_ranked (&fixture, 9, 1, 1000, false);
+      fb_advance_clock (fixture.clock, SERVICE);
+      fr_finish_call (fixture.admission, 9);
+      offer (&fixture, 2, 1000, false);
+      for (int number = 10; number < 14; number++)
+        offer (&fixture, number, 1000, false);
+      g_string_truncate (fixture.events, 0);
+      offer_ranked (&fixture, 4, 1, 300, cases[i].again);
+      offer_ranked (&fixture, 5, 1, 300, false);
+      fb_advance_clock (fixture.clock, 200 * FB_MILLISECOND);
+      fr_tick_admission (fixture.admission);
+      g_assert_cmpstr (fixture.events->str, ==, cases[i].events);
+      tear_down (&fixture);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -137,5 +179,6 @@
   g_test_add_func ("/call/timed/refuse-early", test_refuse_early);
   g_test_add_func ("/call/timed/again-first", test_again_first);
   g_test_add_func ("/call/timed/late-gives-way", test_late_gives_way);
+  g_test_add_func ("/call/timed/starved-rank", test_starved_rank);
   return g_test_run ();
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -208,17 +208,21 @@
 /* Period over which the longest wait of a route's callers is kept. */
 #define WAIT_PERIOD (10 * FB_SECOND)
 
-/* A caller with that much less time than others of the route has spent it on an earlier try. */
+/* Callers of a route differ by up to this part in how long they wait at first. */
+#define PATIENCE_SPREAD 0.15
+
+/* A caller with that much less time than the least patient of the route has spent it on an
+ * earlier try. */
 #define AGAIN_MIN (20 * FB_MILLISECOND)
 
-/* Returns the time that a caller of ROUTE with ASKED left has spent on earlier tries: callers
- * of a route start with about the same time. */
+/* Returns the time that a caller of ROUTE with ASKED left has spent on earlier tries at least.
+ */
 static fb_time_t
 guess_spent (fn_entry_t *entry, const fc_route_t *route, fb_time_t asked)
 {
   fn_wait_t *wait = g_hash_table_lookup (entry->waits, route->name.data);
   fb_time_t now = fb_read_clock (fk_get_clock (entry->kernel));
-  fb_time_t longest;
+  fb_time_t least; /* that a caller has at its first try */
 
   if (!wait)
     {
@@ -232,8 +236,8 @@
       wait->until = now + WAIT_PERIOD;
     }
   wait->longest = MAX (wait->longest, asked);
-  longest = MAX (wait->longest, wait->before);
-  return longest - asked >= AGAIN_MIN ? longest - asked : 0;
+  least = (fb_time_t)((double)MAX (wait->longest, wait->before) * (1 - PATIENCE_SPREAD));
+  return least - asked >= AGAIN_MIN ? least - asked : 0;
 }
 
 /* Sets the time until which the call is in time, counted from the caller's first try. */
