Let a detour to another zone save half of the target

Change: an instance of another zone must save 0.5 of the call's target, 0.35 before.

Conclusion: kept at 0.5 as a compromise; the product does not know the price of these bytes.

--- a/packages/call/source/route-near.c
+++ b/packages/call/source/route-near.c
@@ -5,7 +5,7 @@
 /* Part of the latency target that an instance of another zone must save, and of another region.
  * Bytes between zones are paid for, and a zone that sends its calls away when it need not takes
  * the slots of the others. */
-#define DETOUR_ZONE 0.35
+#define DETOUR_ZONE 0.5
 #define DETOUR_REGION 0.7
 
 /* A reported wait fades over this time, so that an instance that was full is tried again. */
