--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -71,6 +71,9 @@
 void fr_report_ranked (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
                        fr_result_t result, fb_time_t latency, uint32_t load);
 
+/* Leaves INSTANCE aside until TIME, such as one whose node is silent. */
+void fr_avoid_until (fr_picker_t *picker, const fb_name_t *instance, fb_time_t time);
+
 /* Returns the number of instances of SERVICE that may be picked, and of those ejected. */
 size_t fr_count_instances (const fr_picker_t *picker, fb_str_t service);
 size_t fr_count_ejected (const fr_picker_t *picker, fb_str_t service);
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -412,6 +412,15 @@
   fr_report_ranked (picker, name, 0, result, latency, load);
 }
 
+void
+fr_avoid_until (fr_picker_t *picker, const fb_name_t *name, fb_time_t time)
+{
+  instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
+
+  if (instance != NULL)
+    instance->ejected_until = MAX (instance->ejected_until, time);
+}
+
 size_t
 fr_count_instances (const fr_picker_t *picker, fb_str_t service_name)
 {
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -533,6 +533,12 @@
     fh_stop_accepting (entry->server);
 }
 
+void
+fn_avoid_instance (fn_entry_t *entry, const fb_name_t *instance, fb_time_t time)
+{
+  fr_avoid_until (entry->picker, instance, time);
+}
+
 size_t
 fn_count_entry_calls (fn_entry_t *entry)
 {
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -176,6 +176,9 @@
 /* Attempt ID was sent and has no whole answer, for REASON: its outcome is unknown. */
 void fn_fail_lost (fn_entry_t *entry, uint64_t id, const char *reason);
 
+/* Keeps new attempts from INSTANCE until TIME while there are others. */
+void fn_avoid_instance (fn_entry_t *entry, const fb_name_t *instance, fb_time_t time);
+
 /* Describes instance state of SERVICE for the administration. */
 size_t fn_count_instances (fn_entry_t *entry, fb_str_t service);
 
