Serve histograms of request, queue and service times

Cause: metrics held counts only, so that on-call engineers could not tell slow from waiting.

Change: base/histogram keeps times as counters with fixed buckets; the entry counts each request by outcome, the node beside the instance the wait for a slot and the time at the backend server. They are at /metrics.

Test: base/histogram, a table of bucket bounds.

--- a/packages/base/tests/test-base.c
+++ b/packages/base/tests/test-base.c
@@ -1,6 +1,7 @@
 /* Strings, versions, digests, clock, counters and log lines of the base package. */
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/counter.h>
+#include <foxtailrun/base/histogram.h>
 #include <foxtailrun/base/log.h>
 #include <foxtailrun/base/version.h>
 #include <glib.h>
@@ -91,6 +92,47 @@
   g_string_append_printf (user, "%s{%s}=%" G_GUINT64_FORMAT ";", name, labels, value);
 }
 
+/* Guards against times that are counted in a bucket below or above their own. */
+static void
+test_histogram (void)
+{
+  static const struct
+  {
+    fb_time_t time;
+    const char *bound; /* of the lowest bucket that counts it */
+    uint64_t us;
+  } cases[] = {
+    { -1, "1000", 0 },
+    { FB_MILLISECOND, "1000", 1000 },
+    { FB_MILLISECOND + FB_MICROSECOND, "2000", 1001 },
+    { 5 * FB_SECOND, "5000000", 5000000 },
+    { 6 * FB_SECOND, "+Inf", 6000000 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_counters_t *counters = fb_create_counters ();
+      fb_histogram_t *histogram = fb_create_histogram (counters, "t", "x=\"1\"");
+      char *lowest = g_strdup_printf ("x=\"1\",le=\"%s\"", cases[i].bound);
+      uint64_t counted = 0;
+
+      fb_observe_time (histogram, cases[i].time);
+      g_assert_cmpuint (fb_get_counter (fb_find_counter (counters, "t_bucket", lowest)), ==, 1);
+      g_assert_cmpuint (
+          fb_get_counter (fb_find_counter (counters, "t_bucket", "x=\"1\",le=\"+Inf\"")), ==,
+          1);
+      g_assert_cmpuint (fb_get_counter (fb_find_counter (counters, "t_sum", "x=\"1\"")), ==,
+                        cases[i].us);
+      g_assert_cmpuint (fb_get_counter (fb_find_counter (counters, "t_count", "x=\"1\"")), ==,
+                        1);
+      counted = fb_get_counter (fb_find_counter (counters, "t_bucket", "x=\"1\",le=\"1000\""));
+      g_assert_cmpuint (counted, ==, cases[i].us <= 1000);
+      g_free (lowest);
+      fb_destroy_histogram (histogram);
+      fb_destroy_counters (counters);
+    }
+}
+
 /* Guards against two counters that share a value, or one name that gets two. */
 static void
 test_counters (void)
@@ -177,6 +219,7 @@
   g_test_add_func ("/base/version-order", test_version_order);
   g_test_add_func ("/base/manual-clock", test_manual_clock);
   g_test_add_func ("/base/counters", test_counters);
+  g_test_add_func ("/base/histogram", test_histogram);
   g_test_add_func ("/base/log-quoting", test_log_quoting);
   g_test_add_func ("/base/log-repeats", test_log_repeats);
   return g_test_run ();
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -114,13 +114,13 @@
 end_running (fn_served_t *served, fw_call_t *answer)
 {
   fn_backend_t *backend = served->backend;
+  fb_time_t service = fb_read_clock (fk_get_clock (backend->kernel)) - served->started;
 
   served->exchange = NULL;
   answer->kind = FW_ANSWER;
   answer->arrived = !answer->elsewhere;
-  answer->service_us
-      = (uint64_t)(fb_read_clock (fk_get_clock (backend->kernel)) - served->started)
-        / (uint64_t)FB_MICROSECOND;
+  answer->service_us = (uint64_t)(service / FB_MICROSECOND);
+  fb_observe_time (backend->services, service);
   if (answer->outcome == FW_UNKNOWN)
     fb_add_counter (backend->unknown, 1);
   if (served->has_ticket)
@@ -220,6 +220,7 @@
     outgoing.echo = (fh_header_t){ dialect->request_id, served->call.request_id };
   outgoing.header_count = count;
   served->started = now;
+  fb_observe_time (backend->waits, now - served->arrived);
   served->state = FN_CALL_RUNNING;
   fb_add_counter (backend->started, 1);
   served->exchange = fh_send_request (backend->client, &outgoing, end_exchange, served);
@@ -354,6 +355,7 @@
                                 (fb_bytes_t){ served->body, call->body.len }, &served->call)
                 == FB_OK);
   now = fb_read_clock (fk_get_clock (backend->kernel));
+  served->arrived = now;
   served->deadline = now + (fb_time_t)MIN (call->remaining_us, TIME_MAX_US) * FB_MICROSECOND;
   served->aim = now + (fb_time_t)MIN (call->target_us, TIME_MAX_US) * FB_MICROSECOND;
   return served;
@@ -422,6 +424,8 @@
   fr_destroy_once (backend->once);
   fc_release_snapshot (backend->rules);
   g_hash_table_destroy (backend->calls);
+  fb_destroy_histogram (backend->waits);
+  fb_destroy_histogram (backend->services);
   g_free (backend);
 }
 
@@ -447,6 +451,8 @@
   backend->refused = fb_find_counter (counters, "backend_calls", "end=\"refused\"");
   backend->replayed = fb_find_counter (counters, "backend_calls", "end=\"replayed\"");
   backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
+  backend->waits = fb_create_histogram (counters, "backend_wait_us", "");
+  backend->services = fb_create_histogram (counters, "backend_service_us", "");
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
 }
 
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -4,6 +4,7 @@
 #define FOXTAILRUN_NODE_BACKEND_H
 
 #include "node-services.h"
+#include <foxtailrun/base/histogram.h>
 #include <foxtailrun/call/admission.h>
 #include <foxtailrun/call/once.h>
 #include <foxtailrun/http/client.h>
@@ -27,6 +28,7 @@
   fw_call_t call; /* refers to HEADER and BODY */
   fb_time_t deadline;
   fb_time_t aim; /* until which the answer is in time */
+  fb_time_t arrived;
   fb_time_t started;
   bool has_ticket;
   fr_ticket_t ticket;
@@ -53,6 +55,8 @@
   fb_counter_t *refused;
   fb_counter_t *replayed;
   fb_counter_t *unknown;
+  fb_histogram_t *waits;    /* for a slot, of calls that got one */
+  fb_histogram_t *services; /* at the backend server */
 };
 
 /* Answers a call and forgets it. */
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -137,6 +137,8 @@
       told.status = 504;
     }
   log_call (call, &told);
+  fb_observe_time (entry->durations[told.outcome],
+                   fb_read_clock (fk_get_clock (entry->kernel)) - call->start);
   fn_count_burn (fk_find_service (entry->kernel, FN_BURN), call->snapshot, call->route, &told,
                  call->start);
   respond (entry, call->request, &told, call->request_id);
@@ -477,6 +479,8 @@
   fr_destroy_splitter (entry->splitter);
   g_hash_table_destroy (entry->waits);
   g_hash_table_destroy (entry->attempts);
+  for (size_t i = 0; i < G_N_ELEMENTS (entry->durations); i++)
+    fb_destroy_histogram (entry->durations[i]);
   g_free (entry);
 }
 
@@ -489,6 +493,8 @@
     {
       char *labels = g_strdup_printf ("outcome=\"%s\"", fw_describe_outcome (outcomes[i]));
       entry->outcomes[outcomes[i]] = fb_find_counter (counters, "entry_calls", labels);
+      entry->durations[outcomes[i]]
+          = fb_create_histogram (counters, "entry_duration_us", labels);
       g_free (labels);
     }
   entry->retries = fb_find_counter (counters, "entry_retries", "");
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_NODE_ENTRY_H
 
 #include "node-services.h"
+#include <foxtailrun/base/histogram.h>
 #include <foxtailrun/call/picker.h>
 #include <foxtailrun/call/retry.h>
 #include <foxtailrun/call/splitter.h>
@@ -41,6 +42,7 @@
   bool closed;      /* takes no more calls */
   uint64_t next_id; /* random start, so that ids of an earlier process do not match */
   fb_counter_t *outcomes[5];
+  fb_histogram_t *durations[5]; /* by outcome, from arrival to the answer */
   fb_counter_t *retries;
   fb_counter_t *throttled;
   fb_counter_t *unmatched;
