--- a/packages/dist/tests/test-feed.c
+++ b/packages/dist/tests/test-feed.c
@@ -96,6 +96,109 @@
       }
 }
 
+/* Guards against a node that waits for news although none of those it could follow answers. */
+static void
+test_alone (void)
+{
+  for (fb_time_t offset = 0; offset < FEED_PACE; offset += FEED_PACE / 4)
+    {
+      fleet_t *fleet = feed_create_fleet (NODES, 11);
+
+      feed_pass (fleet, 4 * FB_SECOND + offset);
+      for (size_t zone = 0; zone < FEED_ZONES; zone++)
+        {
+          size_t reader = find_reader (fleet, zone);
+
+          for (size_t i = zone + FEED_ZONES; i < NODES; i += FEED_ZONES)
+            feed_trouble (fleet, i, FEED_SILENT);
+          feed_trouble (fleet, reader, FEED_SILENT);
+        }
+      feed_enter (fleet, 5, FW_LEAVING);
+      feed_publish (fleet, "second");
+      feed_pass (fleet, FEED_BOUND);
+      check_known (fleet, 5, FW_LEAVING);
+      feed_destroy_fleet (fleet);
+    }
+}
+
+static void
+skip_read (const fd_read_t *read, void *user)
+{
+}
+
+static void
+skip_ask (const fw_member_t *peer, const fw_news_t *ask, void *user)
+{
+}
+
+static void
+skip_answer (void *asker, const fw_news_t *news, void *user)
+{
+}
+
+static void
+skip_document (void *user)
+{
+}
+
+static void
+note_state (const fw_endpoint_t *endpoint, void *user)
+{
+  *(fw_member_state_t *)user = endpoint->member.state;
+}
+
+/* Guards against a read that was under way, or news that were, which undo something newer. */
+static void
+test_order (void)
+{
+  static const struct
+  {
+    uint64_t news;  /* position of news that the endpoint is gone */
+    uint64_t late;  /* position of older news that it is there; 0 for none */
+    uint64_t entry; /* position of the entry in a read that began before the news */
+    fw_member_state_t state;
+  } cases[] = {
+    { 60, 0, 30, FW_DEAD },  { 60, 0, 60, FW_DEAD },   { 60, 0, 61, FW_ALIVE },
+    { 60, 20, 30, FW_DEAD }, { 60, 20, 70, FW_ALIVE },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      fw_member_state_t state = FW_DEAD;
+      fd_feed_rules_t rules = { .address = fb_make_name ("10.0.0.1"),
+                                .zone = fb_make_name ("z"),
+                                .pace = FEED_PACE };
+      fd_feed_hooks_t hooks
+          = { skip_read, skip_ask, skip_answer, note_state, skip_document, &state };
+      fd_feed_t *feed = fd_create_feed (&rules, 1, clock, counters, NULL, &hooks);
+      fw_endpoint_t there = { { .id = fb_make_name ("i"), .state = FW_ALIVE }, 9 };
+      fw_endpoint_t gone = { { .id = fb_make_name ("i"), .state = FW_DEAD }, 9 };
+      fw_news_t news = {
+        .kind = FW_NEWS, .position = cases[i].news, .endpoint_count = 1, .endpoints = &gone
+      };
+      fw_news_t late = {
+        .kind = FW_NEWS, .position = cases[i].late, .endpoint_count = 1, .endpoints = &there
+      };
+
+      fd_run_feed (feed);
+      fd_take_endpoint (feed, 5, &there);
+      fd_end_read (feed, &(fd_end_t){ FD_END_WHOLE, .position = 10 });
+      fb_advance_clock (clock, FEED_PACE);
+      fd_run_feed (feed);
+      fd_handle_news (feed, &news);
+      if (cases[i].late > 0)
+        fd_handle_news (feed, &late);
+      fd_take_endpoint (feed, cases[i].entry, &there);
+      fd_end_read (feed, &(fd_end_t){ FD_END_WHOLE, .position = cases[i].entry });
+      g_assert_cmpint (state, ==, cases[i].state);
+      fd_destroy_feed (feed);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
 /* Guards against endpoints that are dropped in an outage of the store although their entries
  * come back, and against ones that are kept afterwards although they do not. */
 static void
@@ -227,6 +330,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/dist/feed/reads", test_reads);
   g_test_add_func ("/dist/feed/faults", test_faults);
+  g_test_add_func ("/dist/feed/alone", test_alone);
+  g_test_add_func ("/dist/feed/order", test_order);
   g_test_add_func ("/dist/feed/outage", test_outage);
   g_test_add_func ("/dist/feed/documents", test_documents);
   g_test_add_func ("/dist/feed/random", test_random);
