Parse addresses with ports in one place

Cause: "IP:PORT" was parsed by the product's settings, the platform's settings and the platform's entries, each in its own way.

--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -51,6 +51,9 @@
 fb_status_t fc_check_settings (fb_bytes_t document, fc_settings_t *settings,
                                fc_problems_t *problems);
 
+/* Parses "IP:PORT" or "[IPv6]:PORT". */
+bool fc_parse_endpoint (fb_str_t text, fc_endpoint_t *endpoint);
+
 /* Reads file PATH of at most MAX bytes into *DATA, which the caller frees with g_free;
  * FB_NOT_FOUND, FB_IO or FB_TOO_LARGE with one problem added. */
 fb_status_t fc_read_file (const char *path, size_t max, uint8_t **data, size_t *length,
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -108,9 +108,8 @@
     fc_add_row_problem (problems, &row, "port", "nothing", NULL);
 }
 
-/* Parses "IP:PORT" or "[IPv6]:PORT". */
-static bool
-parse_endpoint (fb_str_t text, fc_endpoint_t *endpoint)
+bool
+fc_parse_endpoint (fb_str_t text, fc_endpoint_t *endpoint)
 {
   const char *colon = text.len ? memrchr (text.data, ':', text.len) : NULL;
   fb_str_t address;
@@ -152,7 +151,7 @@
     {
       fc_endpoint_t seed;
 
-      if (!parse_endpoint (node->text, &seed) || is_known_seed (settings, &seed)
+      if (!fc_parse_endpoint (node->text, &seed) || is_known_seed (settings, &seed)
           || settings->seed_count == FC_SEEDS_MAX)
         fc_add_node_problem (problems, &row, "nodes", node, NULL);
       else
