Make no detour to another zone for a call that would be late there

A service without an instance in the zone is called in others as before.

The new case of call/test-split fails before.

--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -59,7 +59,8 @@
                      const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
 
 /* The same for a call with latency TARGET in ns, of which a detour to another zone may cost a
- * part. */
+ * part. Returns false, too, when instances were left out and all others would answer late from
+ * another zone. */
 bool fr_pick_target (fr_picker_t *picker, fb_str_t service, uint32_t rank, fb_time_t target,
                      const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
 
--- a/packages/call/source/route-near.c
+++ b/packages/call/source/route-near.c
@@ -102,15 +102,19 @@
 
 instance_t *
 fr_pick_near (fr_picker_t *picker, const candidates_t *candidates, uint32_t rank,
-              fb_time_t target, fb_time_t now)
+              fb_time_t target, bool tried, fb_time_t now)
 {
   instance_t *near = pick_within (picker, candidates, true, rank, now);
   instance_t *far = pick_within (picker, candidates, false, rank, now);
+  double time;
 
-  if (near == NULL || far == NULL)
-    return near == NULL ? far : near;
-  return estimate_time (far, rank, now) + get_detour (picker, far, target)
-                 < estimate_time (near, rank, now)
-             ? far
-             : near;
+  if (far == NULL || (near == NULL && !tried))
+    return far == NULL ? near : far;
+  time = estimate_time (far, rank, now);
+  /* A detour that would end late is paid for in vain: most such calls are refused there. */
+  if (target > 0 && time > (double)target)
+    return near;
+  if (near == NULL)
+    return far;
+  return time + get_detour (picker, far, target) < estimate_time (near, rank, now) ? far : near;
 }
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -320,8 +320,10 @@
   find_all (picker, service, excluded, excluded_count, &candidates);
   if (candidates.count == 0)
     return false;
-  instance = fr_pick_near (picker, &candidates, limit_rank (rank), target,
+  instance = fr_pick_near (picker, &candidates, limit_rank (rank), target, excluded_count > 0,
                            fb_read_clock (picker->clock));
+  if (instance == NULL)
+    return false;
   begin_attempt (instance, rank);
   *picked = instance->member.id;
   return true;
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -98,9 +98,11 @@
 
 /* route-near.c */
 
-/* Chooses among CANDIDATES, of which there is at least one, for a call with latency TARGET. */
+/* Chooses among CANDIDATES, of which there is at least one, for a call with latency TARGET.
+ * Returns NULL for a call that was TRIED before when only a detour is left and would end late.
+ */
 instance_t *fr_pick_near (fr_picker_t *picker, const candidates_t *candidates, uint32_t rank,
-                          fb_time_t target, fb_time_t now);
+                          fb_time_t target, bool tried, fb_time_t now);
 
 /* route-subset.c */
 
--- a/packages/call/tests/test-split.c
+++ b/packages/call/tests/test-split.c
@@ -143,6 +143,50 @@
     }
 }
 
+/* Guards against detours to another zone that are paid for and would still be late, and against
+ * a service without an instance in the own zone that gets none at all. */
+static void
+test_late_detour (void)
+{
+  static const struct
+  {
+    bool near_exists;
+    bool near_tried;
+    int far_wait_ms;    /* expected wait at the instance of the other zone */
+    const char *picked; /* NULL for none */
+  } cases[] = {
+    { true, false, 0, "far" }, { true, false, 150, "near" }, { true, true, 0, "far" },
+    { true, true, 150, NULL }, { false, false, 0, "far" },   { false, false, 150, "far" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_name_t self = fb_make_name ("entry");
+      fb_name_t zone = fb_make_name ("zone-a");
+      fw_member_t own = { .id = self, .zone = zone, .region = fb_make_name ("region") };
+      fr_picker_t *picker = fr_create_picker (FR_PICK_NEAR, &self, &zone, 1, clock);
+      fb_name_t near = fb_make_name ("near");
+      fb_name_t far = fb_make_name ("far");
+      fb_name_t picked = { 0 };
+
+      fr_update_instance (picker, &own);
+      if (cases[i].near_exists)
+        add_instance (picker, "near", "zone-a");
+      add_instance (picker, "far", "zone-b");
+      fb_advance_clock (clock, 60 * FB_SECOND);
+      fr_report_wait (picker, &near, 0, 60 * FB_MILLISECOND, FB_SECOND);
+      fr_report_wait (picker, &far, 0, 60 * FB_MILLISECOND,
+                      cases[i].far_wait_ms * FB_MILLISECOND);
+      g_assert_cmpint (fr_pick_target (picker, service, 0, 200 * FB_MILLISECOND, &near,
+                                       cases[i].near_tried, &picked),
+                       ==, cases[i].picked != NULL);
+      g_assert_cmpstr (picked.data, ==, cases[i].picked ? cases[i].picked : "");
+      fr_destroy_picker (picker);
+      fb_destroy_clock (clock);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -150,5 +194,6 @@
   g_test_add_func ("/call/split/shares", test_shares);
   g_test_add_func ("/call/split/change", test_change);
   g_test_add_func ("/call/near", test_near);
+  g_test_add_func ("/call/late-detour", test_late_detour);
   return g_test_run ();
 }
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -265,7 +265,9 @@
   if (!fr_pick_target (entry->picker, service, call->route->rank, call->target, call->tried,
                        call->attempt_count, &picked))
     {
-      fn_finish_with (call, FW_NOT_RUN, 503, "no instance of the service is available");
+      fn_finish_with (call, FW_NOT_RUN, 503,
+                      call->attempt_count > 0 ? "no other instance would answer in time"
+                                              : "no instance of the service is available");
       return;
     }
   call->tried[call->attempt_count++] = picked;
