--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -103,10 +103,10 @@
          && !fr_is_below_share (admission, rank);
 }
 
-/* Returns whether ENTRY can no longer be in time while other calls wait too: its caller is told
- * to come back, unless that was told before. */
+/* Returns whether ENTRY can no longer be in time while other calls wait too. It is refused, so
+ * that its caller comes back in time, unless it has come back already. */
 static bool
-is_entry_hopeless (const fr_admission_t *admission, const entry_t *entry, fb_time_t now)
+is_entry_overdue (const fr_admission_t *admission, const entry_t *entry, fb_time_t now)
 {
   const rank_t *rank = entry->flow->rank;
 
@@ -387,7 +387,7 @@
 {
   fb_time_t now = fb_read_clock (admission->clock);
   GPtrArray *late = g_ptr_array_new ();
-  GPtrArray *hopeless = g_ptr_array_new ();
+  GPtrArray *overdue = g_ptr_array_new ();
   GHashTableIter iter;
   void *value;
 
@@ -401,15 +401,15 @@
         continue;
       if (is_entry_late (admission, entry, now))
         g_ptr_array_add (late, entry);
-      else if (is_entry_hopeless (admission, entry, now))
-        g_ptr_array_add (hopeless, entry);
+      else if (is_entry_overdue (admission, entry, now))
+        g_ptr_array_add (overdue, entry);
     }
   for (size_t i = 0; i < late->len; i++)
     refuse_entry (admission, g_ptr_array_index (late, i), FR_REFUSED_LATE);
-  for (size_t i = 0; i < hopeless->len; i++)
-    refuse_entry (admission, g_ptr_array_index (hopeless, i), FR_REFUSED_FULL);
+  for (size_t i = 0; i < overdue->len; i++)
+    refuse_entry (admission, g_ptr_array_index (overdue, i), FR_REFUSED_FULL);
   g_ptr_array_free (late, TRUE);
-  g_ptr_array_free (hopeless, TRUE);
+  g_ptr_array_free (overdue, TRUE);
   for (size_t i = 0; i < admission->ranks->len; i++)
     fr_forget_flows (g_ptr_array_index (admission->ranks, i));
   fill_slots (admission);
