--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -215,7 +215,9 @@
   return peer;
 }
 
-/* Gives up the calls at PEER that may be made again elsewhere, and keeps new ones from it. */
+/* Gives up the calls at PEER that may be made again elsewhere, and keeps new ones from it. A
+ * node that is draining gives up none: the peer may only be slow, and a planned stop must not
+ * cut a call at which a backend server is at work. */
 static void
 leave_silent (peer_t *peer)
 {
@@ -226,6 +228,8 @@
   gpointer value;
 
   fn_avoid_instance (entry, &peer->instance, read_time (calls) + SILENT_TIME);
+  if (fn_is_draining (calls->kernel))
+    goto done;
   g_hash_table_iter_init (&iter, calls->sent);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -241,6 +245,8 @@
       fn_cancel_sent (calls, id);
       fn_fail_lost (entry, id, "the node is silent");
     }
+
+done:
   g_array_unref (ids);
 }
 
