Keep the position up to which a relay knows the configuration

Cause: a relay may read the configuration and the endpoints apart, so that it knows the endpoints up to a later position than the configuration. Its update carried only the position of the endpoints, and a follower took it for that of the configuration too. When the relay ended, the follower read changes after that position and missed a version published between the two reads.

Change: an update carries the relay's known position of the configuration. It is the last element of the message and omitted when 0, so that requests look as before and a relay of an earlier build accepts them. An update without it raises the follower's position to that of the document sent and no further. A follower of an earlier build refuses updates with the element and reads the store itself while the fleet is replaced.

Ruled out: lowering the position of the endpoints to that of the configuration, which old followers would understand: a read of the store that began earlier could then list a removed endpoint again.

Test: /dist/feed/relay-end, two feeds of which the relay ends: the next read started after position 20 instead of 14 before the change.

--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -244,7 +244,8 @@
           return;
         }
     }
-  feed->document_known_position = MAX (feed->document_known_position, update->position);
+  feed->document_known_position
+      = MAX (feed->document_known_position, update->document_known_position);
 }
 
 /* Returns, by this node's clock, the time up to which UPDATE is complete. The round trip
@@ -326,6 +327,7 @@
           .sequence = fm_get_listing_sequence (feed->listing),
           .position = feed->position,
           .document_position = feed->documents[0].position,
+          .document_known_position = feed->document_known_position,
           .digest = feed->documents[0].digest,
           .age_us = (uint64_t)((now - feed->known_at) / FB_MICROSECOND),
           .request_wait_us = (uint64_t)((now - pending->arrived_at) / FB_MICROSECOND) };
--- a/packages/dist/tests/test-feed.c
+++ b/packages/dist/tests/test-feed.c
@@ -203,6 +203,185 @@
     }
 }
 
+/* Records reads that a feed starts, requests that it sends and its response to a request. */
+typedef struct
+{
+  fd_read_t read;
+  bool requested;
+  fw_feed_message_t request;
+  uint8_t *response;
+  size_t response_len;
+} recorder_t;
+
+static void
+record_read (const fd_read_t *read, void *user)
+{
+  ((recorder_t *)user)->read = *read;
+}
+
+static void
+record_request (const fw_member_t *peer, const fw_feed_message_t *request, void *user)
+{
+  recorder_t *recorder = user;
+
+  recorder->requested = true;
+  recorder->request = *request;
+}
+
+static void
+record_response (void *requester, const fw_feed_message_t *response, void *user)
+{
+  recorder_t *recorder = user;
+
+  recorder->response = fw_encode_feed (response, &recorder->response_len);
+}
+
+static void
+ignore_endpoint (const fw_endpoint_t *endpoint, void *user)
+{
+}
+
+static fd_feed_t *
+create_recorded_feed (const char *address, const fb_clock_t *clock, fb_counters_t *counters,
+                      recorder_t *recorder)
+{
+  fd_feed_options_t options = { .address = fb_make_name (address),
+                                .zone = fb_make_name ("z"),
+                                .poll_interval = FEED_POLL_INTERVAL };
+  fd_feed_hooks_t hooks = { record_read,     record_request,  record_response,
+                            ignore_endpoint, ignore_document, recorder };
+
+  return fd_create_feed (&options, 1, clock, counters, NULL, &hooks);
+}
+
+static void
+deliver_text (fd_feed_t *feed, uint64_t position, const char *text)
+{
+  fd_set_document (feed, position, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+}
+
+static void
+finish_recorded_read (fd_feed_t *feed, uint64_t position)
+{
+  fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPLETE, .position = position });
+}
+
+/* Reads everything as of position 10, with a document of position 5 and two nodes. */
+static void
+sync_recorded_feed (fd_feed_t *feed)
+{
+  static const char *const addresses[] = { "10.0.0.1", "10.0.0.2" };
+
+  fd_run_feed (feed);
+  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
+    {
+      fw_endpoint_t endpoint = { { .id = fb_make_name (addresses[i]),
+                                   .state = FW_ALIVE,
+                                   .address = fb_make_name (addresses[i]),
+                                   .zone = fb_make_name ("z") },
+                                 9 };
+
+      fd_add_endpoint (feed, 4, &endpoint);
+    }
+  deliver_text (feed, 5, "first");
+  finish_recorded_read (feed, 10);
+}
+
+static void
+wait_for_read (fd_feed_t *feed, fb_clock_t *clock, const recorder_t *recorder,
+               fd_read_kind_t kind)
+{
+  fb_advance_clock (clock, FEED_POLL_INTERVAL);
+  fd_run_feed (feed);
+  g_assert_cmpint (recorder->read.kind, ==, kind);
+}
+
+/* Lets RELAY know the document up to position 14 and the endpoints up to position 20, as after
+ * a series of publications. */
+static void
+read_document_before_endpoints (fd_feed_t *relay, fb_clock_t *clock, const recorder_t *recorder)
+{
+  wait_for_read (relay, clock, recorder, FD_READ_CHANGES);
+  deliver_text (relay, 11, "second");
+  deliver_text (relay, 12, "third");
+  finish_recorded_read (relay, 12);
+  wait_for_read (relay, clock, recorder, FD_READ_DOCUMENT);
+  finish_recorded_read (relay, 14);
+  fd_run_feed (relay);
+  g_assert_cmpint (recorder->read.kind, ==, FD_READ_ENDPOINTS);
+  finish_recorded_read (relay, 20);
+}
+
+/* Returns RECORDED's response as a node before the field document_known_position sends it. */
+static fb_bytes_t
+strip_known_position (recorder_t *recorder)
+{
+  fw_feed_message_t message;
+  uint8_t *bytes;
+  size_t len;
+
+  g_assert_cmpint (
+      fw_decode_feed ((fb_bytes_t){ recorder->response, recorder->response_len }, &message), ==,
+      FB_OK);
+  message.document_known_position = 0;
+  bytes = fw_encode_feed (&message, &len);
+  fw_clear_feed (&message);
+  g_free (recorder->response);
+  recorder->response = bytes;
+  recorder->response_len = len;
+  return (fb_bytes_t){ bytes, len };
+}
+
+/* Guards against a follower that, after its relay ends, skips a document published between the
+ * relay's reads of the document and of the endpoints. */
+static void
+test_relay_end (void)
+{
+  static const struct
+  {
+    bool old_relay;          /* does not send up to where it knows the document */
+    uint64_t after_position; /* of the follower's next read of changes */
+  } cases[] = { { false, 14 }, { true, 12 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      recorder_t relay_calls = { 0 };
+      recorder_t follower_calls = { 0 };
+      fd_feed_t *relay = create_recorded_feed ("10.0.0.1", clock, counters, &relay_calls);
+      fd_feed_t *follower = create_recorded_feed ("10.0.0.2", clock, counters, &follower_calls);
+      fw_feed_message_t update;
+      fb_bytes_t bytes;
+
+      sync_recorded_feed (relay);
+      read_document_before_endpoints (relay, clock, &relay_calls);
+      sync_recorded_feed (follower);
+      fd_run_feed (follower);
+      g_assert_true (follower_calls.requested);
+      fd_handle_request (relay, follower, &follower_calls.request);
+      g_assert_nonnull (relay_calls.response);
+      bytes = (fb_bytes_t){ relay_calls.response, relay_calls.response_len };
+      if (cases[i].old_relay)
+        bytes = strip_known_position (&relay_calls);
+      g_assert_cmpint (fw_decode_feed (bytes, &update), ==, FB_OK);
+      fd_handle_response (follower, &update);
+      fw_clear_feed (&update);
+      g_assert_cmpuint (fd_get_position (follower), ==, 20);
+      fd_run_feed (follower);
+      fd_fail_request (follower, "relay ended");
+      fb_advance_clock (clock, 2 * FEED_POLL_INTERVAL);
+      fd_run_feed (follower);
+      g_assert_cmpint (follower_calls.read.kind, ==, FD_READ_CHANGES);
+      g_assert_cmpuint (follower_calls.read.after_position, ==, cases[i].after_position);
+      g_free (relay_calls.response);
+      fd_destroy_feed (follower);
+      fd_destroy_feed (relay);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
 /* Guards against endpoints removed in an outage of the store although listed again
  * afterwards, and ones that stay although they are not. */
 static void
@@ -339,6 +518,7 @@
   g_test_add_func ("/dist/feed/faults", test_faults);
   g_test_add_func ("/dist/feed/no-responding-relay", test_no_responding_relay);
   g_test_add_func ("/dist/feed/order", test_order);
+  g_test_add_func ("/dist/feed/relay-end", test_relay_end);
   g_test_add_func ("/dist/feed/outage", test_outage);
   g_test_add_func ("/dist/feed/documents", test_documents);
   g_test_add_func ("/dist/feed/random", test_random);
--- a/packages/wire/include/foxtailrun/wire/feed.h
+++ b/packages/wire/include/foxtailrun/wire/feed.h
@@ -26,10 +26,14 @@
   uint64_t sequence;          /* REQUEST: last change received; UPDATE: last change included */
   uint64_t position;          /* of the source, up to which its changes are known */
   uint64_t document_position; /* position of the newest document known; 0 without one */
-  fb_digest_t digest;         /* UPDATE: of that document */
-  fb_bytes_t delta; /* UPDATE: zstd frame against the requester's document; may be empty;
-                       borrowed from the encoded bytes after decoding */
-  uint64_t age_us;  /* UPDATE: since the relay's data was last known to be current */
+  /* UPDATE: position of the source up to which no newer document exists. Below POSITION when
+   * the relay reads document and endpoints separately. 0 is not encoded; a message without it
+   * decodes to DOCUMENT_POSITION. */
+  uint64_t document_known_position;
+  fb_digest_t digest; /* UPDATE: of that document */
+  fb_bytes_t delta;   /* UPDATE: zstd frame against the requester's document; may be empty;
+                         borrowed from the encoded bytes after decoding */
+  uint64_t age_us;    /* UPDATE: since the relay's data was last known to be current */
   uint64_t request_wait_us; /* UPDATE: time that the request waited at the relay */
   bool complete;            /* UPDATE: ENDPOINTS is the full list, not only the changes */
   size_t endpoint_count;
--- a/packages/wire/source/wire-feed.c
+++ b/packages/wire/source/wire-feed.c
@@ -8,6 +8,10 @@
 #define FEED_FORMAT 1
 #define FEED_FIELDS 11
 
+/* With the known position of the document. Requests omit it, so that relays of earlier builds
+ * accept them during a rolling replacement. */
+#define FEED_FIELDS_WITH_KNOWN_POSITION (FEED_FIELDS + 1)
+
 /* Elements of one endpoint: the member and its slots. */
 #define ENDPOINT_FIELDS 2
 
@@ -16,11 +20,13 @@
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
+  bool has_known_position = message->document_known_position > 0;
   uint8_t *copy;
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, FEED_FIELDS);
+  msgpack_pack_array (&packer,
+                      has_known_position ? FEED_FIELDS_WITH_KNOWN_POSITION : FEED_FIELDS);
   msgpack_pack_uint64 (&packer, FEED_FORMAT);
   msgpack_pack_uint64 (&packer, (uint64_t)message->kind);
   msgpack_pack_uint64 (&packer, message->feed_id);
@@ -38,6 +44,8 @@
       fw_pack_member (&packer, &message->endpoints[i].member);
       msgpack_pack_uint64 (&packer, message->endpoints[i].slots);
     }
+  if (has_known_position)
+    msgpack_pack_uint64 (&packer, message->document_known_position);
   copy = g_memdup2 (buffer.data, buffer.size);
   *length = buffer.size;
   msgpack_sbuffer_destroy (&buffer);
@@ -79,6 +87,9 @@
   message->request_wait_us = fw_read_u64 (&reader, INT64_MAX / 1000);
   list = fw_start_reader (
       fw_read_array (&reader, 1 + ENDPOINT_FIELDS * (size_t)FW_ENDPOINTS_MAX));
+  message->document_known_position = reader.count > FEED_FIELDS
+                                         ? fw_read_u64 (&reader, UINT64_MAX)
+                                         : message->document_position;
   return fw_finish_reader (&reader) && message->kind >= FW_FEED_REQUEST
          && read_endpoints (&list, message);
 }
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -171,6 +171,7 @@
                               .sequence = 7,
                               .position = 8,
                               .document_position = 9,
+                              .document_known_position = 12,
                               .digest = { { 1 } },
                               .delta = { (const uint8_t *)"delta", 5 },
                               .age_us = 10,
@@ -180,6 +181,34 @@
                               .endpoints = endpoints };
 }
 
+/* Guards against a message of a build without the known position that is rejected, or that
+ * raises it above the document. */
+static void
+test_feed_known_position (void)
+{
+  static const struct
+  {
+    uint64_t sent;
+    uint64_t decoded;
+  } cases[] = { { 12, 12 }, { 0, 9 }, { UINT64_MAX, UINT64_MAX } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_endpoint_t endpoints[2];
+      fw_feed_message_t sent = make_feed (endpoints);
+      fw_feed_message_t decoded;
+      size_t length;
+      uint8_t *bytes;
+
+      sent.document_known_position = cases[i].sent;
+      bytes = fw_encode_feed (&sent, &length);
+      g_assert_cmpint (fw_decode_feed ((fb_bytes_t){ bytes, length }, &decoded), ==, FB_OK);
+      g_assert_cmpuint (decoded.document_known_position, ==, cases[i].decoded);
+      fw_clear_feed (&decoded);
+      g_free (bytes);
+    }
+}
+
 /* Guards against feed messages whose endpoints or configuration change in transit. */
 static void
 test_feed_round_trip (void)
@@ -357,6 +386,7 @@
   g_test_add_func ("/wire/control-round-trip", test_control_round_trip);
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
+  g_test_add_func ("/wire/feed-known-position", test_feed_known_position);
   g_test_add_func ("/wire/malformed", test_malformed);
   g_test_add_func ("/wire/declared-sizes", test_declared_sizes);
   g_test_add_func ("/wire/override", test_override);
