Handle pipelined requests of a connection concurrently

Cause: h2o's HTTP/1 connection hands over a request only after the response to the one before it.

Change: HTTP/1 connections are read by http_parser, which the client uses already; requests that the routing calls repeatable are handled side by side, and responses leave in the order of requests. http-pipeline.c holds that order apart from input and output. A connection is read until its limits of requests or bytes (listen.pipeline_requests, listen.pipeline_bytes) and never refused for them. Behind a response that closes the connection nothing is handed over. Debian's http_parser is built without its strict mode, so http-lines.c checks line endings. HTTP/2 stays with h2o, by prior knowledge and by upgrade. The timer that looked for callers that had left is gone: the connection is always read.

Ruled out: h2o's parser (picohttpparser has no header installed), a second h2o request per connection (its connection owns one request).

Tests: test-pipeline (order for each set of exclusive requests and order of completion, closing, drain, caller leaving, back pressure, 100-continue, a table of framing cases whole and byte by byte, HTTP/2, random splits).

--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -10,6 +10,10 @@
 
 #define FC_SEEDS_MAX 32
 
+/* Defaults of the limits of one caller's connection. */
+#define FC_PIPELINE_REQUESTS_DEFAULT 32
+#define FC_PIPELINE_BYTES_DEFAULT 262144
+
 typedef struct
 {
   fb_name_t address; /* numeric IP */
@@ -17,10 +21,10 @@
 } fc_socket_address_t;
 
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
- * call_port, control_port, admin_port, ready_port; [drain] limit_ms; [backend] address, port;
- * [platform] address, port; [seeds] nodes; [admin] key; [log] level, format. The fields
- * source_poll_interval, retry_ratio and shared_retry_floor have no key and are 0 after
- * fc_check_settings. */
+ * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
+ * limit_ms; [backend] address, port; [platform] address, port; [seeds] nodes; [admin] key;
+ * [log] level, format. The fields source_poll_interval, retry_ratio and shared_retry_floor have
+ * no key and are 0 after fc_check_settings. */
 typedef struct
 {
   fb_name_t id;
@@ -33,6 +37,8 @@
   uint16_t control_port;
   uint16_t admin_port;
   uint16_t ready_port;            /* HTTP readiness check of the platform; 0 for none */
+  size_t pipeline_requests;       /* unanswered on one caller's connection */
+  size_t pipeline_bytes;          /* held for them and their responses */
   fb_time_t source_poll_interval; /* between two reads of the platform's list of
                                       instances; 0 when it has none */
   double retry_ratio; /* retries per first attempt, with a retry budget shared by the nodes */
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -101,6 +101,13 @@
   { "listen", "ready_port", FC_TYPE_INTEGER, "", "0", 0, PORT_MAX, NULL,
     "TCP port that answers every HTTP request with 200 when the node is ready, otherwise with 503; "
     "0 for none" },
+  { "listen", "pipeline_requests", FC_TYPE_INTEGER, "requests",
+    G_STRINGIFY (FC_PIPELINE_REQUESTS_DEFAULT), 1, 1024, NULL,
+    "unanswered requests of one caller's connection; at the limit it is not read further" },
+  { "listen", "pipeline_bytes", FC_TYPE_INTEGER, "bytes",
+    G_STRINGIFY (FC_PIPELINE_BYTES_DEFAULT), 16384, 67108864, NULL,
+    "bytes held for the unanswered requests of one caller's connection and their responses; at "
+    "the limit it is not read further" },
 
   { "drain", "limit_ms", FC_TYPE_INTEGER, "ms", "120000", 1000, 3600000, NULL,
     "time limit of a graceful shutdown; calls still open after it are cut" },
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -75,6 +75,8 @@
   settings->control_port = ports[2];
   settings->admin_port = ports[3];
   settings->ready_port = get_port (&row, "ready_port");
+  settings->pipeline_requests = (size_t)fc_get_value (&row, "pipeline_requests")->integer;
+  settings->pipeline_bytes = (size_t)fc_get_value (&row, "pipeline_bytes")->integer;
   check_section (&row, root, "drain", problems);
   settings->drain_timeout
       = (fb_time_t)fc_get_value (&row, "limit_ms")->integer * FB_MILLISECOND;
--- a/packages/config/tests/test-settings.c
+++ b/packages/config/tests/test-settings.c
@@ -54,6 +54,9 @@
     "f:7: listen.caller_port: found 0, allowed: " PORT_TEXT "\n"
     "f:8: listen.call_port: found 65536, allowed: " PORT_TEXT "\n"
     "f:9: listen.admin_port: found -1, allowed: " PORT_TEXT "\n" },
+  { "pipeline", NODE LISTEN "pipeline_requests = 0\npipeline_bytes = 1024\n",
+    "f:7: listen.pipeline_requests: found 0, allowed: an integer from 1 to 1024\n"
+    "f:8: listen.pipeline_bytes: found 1024, allowed: an integer from 16384 to 67108864\n" },
   { "same-port", NODE LISTEN "caller_port = 7402\nadmin_port = 7402\n",
     "f:5: listen.control_port: found 7402, as in listen.caller_port, allowed: a different port for each listener\n"
     "f:8: listen.admin_port: found 7402, as in listen.caller_port, allowed: a different port for each listener\n" },
--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -1,4 +1,6 @@
-/* HTTP server on the kernel's loop, without streaming: messages are buffered in memory. */
+/* HTTP server on the kernel's loop, without streaming: messages are buffered in memory.
+ * Requests that a caller sends before the response to an earlier one are read as they arrive
+ * and answered in their order. */
 #ifndef FOXTAILRUN_HTTP_SERVER_H
 #define FOXTAILRUN_HTTP_SERVER_H
 
@@ -16,11 +18,22 @@
  * it. */
 typedef void (*fh_cancelled_fn_t) (fh_request_t *request, void *user);
 
+/* Returns whether REQUEST may be handled beside others of its connection. It can run before
+ * those ahead of it are answered, and those behind it before it is. */
+typedef bool (*fh_overlap_check_fn_t) (const fh_request_t *request, void *user);
+
 /* Listens for requests with bodies of at most BODY_MAX bytes. On failure, logs the error
  * and returns NULL. */
 fh_server_t *fh_create_server (fk_kernel_t *kernel, const fb_name_t *address, uint16_t port,
                                size_t body_max, fh_handler_fn_t handler, void *user);
 
+/* Sets how many requests of one connection may be unanswered, and the bytes held for them;
+ * past either limit the connection is not read. MAY_OVERLAP gets the USER of the server and is
+ * asked about requests that arrive behind an unanswered one; without it they are handled one by
+ * one. */
+void fh_set_pipeline (fh_server_t *server, size_t requests_max, size_t bytes_max,
+                      fh_overlap_check_fn_t may_overlap);
+
 /* Stops accepting connections and closes idle ones; requests in flight are completed. */
 void fh_stop_accepting (fh_server_t *server);
 
@@ -34,14 +47,16 @@
  * allowed. */
 void fh_destroy_server (fh_server_t *server);
 
-/* Return views of the request, valid until it is answered; empty once its connection is
- * closed. */
+/* Return views of the request, valid until it is answered. */
 fb_str_t fh_get_method (const fh_request_t *request);
 fb_str_t fh_get_path (const fh_request_t *request);
 fb_str_t fh_get_host (const fh_request_t *request);
 fb_bytes_t fh_get_body (const fh_request_t *request);
 size_t fh_get_headers (const fh_request_t *request, const fh_header_t **headers);
 
+/* Returns the kernel's time in ns at which the request was complete. */
+fb_time_t fh_get_arrival_time (const fh_request_t *request);
+
 /* Sets the callback, called at most once, for a caller that closes before the response. */
 void fh_set_cancelled_handler (fh_request_t *request, fh_cancelled_fn_t cancelled, void *user);
 
--- /dev/null
+++ b/packages/http/source/http-server-state.h
@@ -0,0 +1,117 @@
+/* State of the HTTP server, shared by its files. */
+#ifndef FOXTAILRUN_HTTP_SERVER_STATE_H
+#define FOXTAILRUN_HTTP_SERVER_STATE_H
+
+#include "http-pipeline.h"
+#include "http-request.h"
+#include <foxtailrun/http/server.h>
+#include <time.h>
+
+typedef struct fh_connection fh_connection_t;
+typedef struct fh_http2 fh_http2_t;
+
+/* A caller's TCP connection. The handle comes first, so that its pointer converts to the
+ * stream; its data pointer belongs to the protocol in use. */
+typedef struct
+{
+  uv_tcp_t handle;
+  fh_connection_t *connection; /* NULL with HTTP/2 */
+} fh_stream_t;
+
+struct fh_server
+{
+  fk_kernel_t *kernel;
+  size_t body_max;
+  fh_pipeline_limits_t limits;
+  uint64_t idle_timeout_ms;
+  uv_tcp_t listener;
+  bool listening;
+  bool keep_alive_disabled; /* close connections after their next response, so that the process
+                               can stop */
+  fh_handler_fn_t handler;
+  fh_overlap_check_fn_t may_overlap;
+  void *user;
+  fh_http2_t *http2;    /* NULL before the first HTTP/2 connection */
+  GQueue connections;   /* fh_connection_t */
+  GQueue waiting;       /* fh_connection_t without a request being handled, longest first */
+  GQueue lingering;     /* fh_connection_t that only waits for the caller to close */
+  uv_timer_t expiry;    /* of the first one in WAITING or LINGERING */
+  size_t request_count; /* not yet answered */
+  time_t date_time;     /* that DATE tells */
+  char date[32];        /* value of the header date */
+  fb_counter_t *closed_before_read; /* requests whose caller had disconnected */
+  fb_counter_t *pipelined;          /* requests behind an unanswered one of their connection */
+  fb_counter_t *paused;             /* connections not read further because of a limit */
+  fb_counter_t *rejected;           /* connections closed for bytes that are no request */
+};
+
+typedef struct
+{
+  uint32_t status;
+  const fh_header_t *headers;
+  size_t header_count;
+  fb_bytes_t body;
+  bool has_length; /* otherwise the body ends with the connection */
+} fh_reply_t;
+
+/* Sends REPLY, borrowed, and frees REQUEST. */
+typedef void (*fh_respond_fn_t) (fh_request_t *request, const fh_reply_t *reply);
+
+struct fh_request
+{
+  fh_server_t *server;
+  fh_message_t message;
+  fb_time_t arrived_at;
+  fh_respond_fn_t respond;
+  void *transport; /* of RESPOND; NULL once the connection is closed */
+  fh_cancelled_fn_t cancelled;
+  void *cancel_user;
+  fh_slot_t slot;    /* HTTP/1 only, as are the fields below */
+  char prefix[192];  /* start of the response, up to the header connection */
+  GString *response; /* the rest; NULL until answered */
+  uint32_t status;   /* of the response */
+};
+
+/* http-server.c */
+
+/* Creates a request that arrived now and is answered by RESPOND. */
+fh_request_t *fh_create_request (fh_server_t *server, fh_respond_fn_t respond, void *transport);
+
+void fh_destroy_request (fh_request_t *request);
+
+/* Passes REQUEST to the server's handler. */
+void fh_handle_request (fh_request_t *request);
+
+/* Notifies REQUEST's owner, at most once, that the caller disconnected. */
+void fh_notify_cancelled (fh_request_t *request);
+
+/* Returns whether the caller has closed its end of the connection with DESCRIPTOR. */
+bool fh_is_caller_disconnected (int descriptor);
+
+/* http-connection.c */
+
+/* Starts to read requests from STREAM, which the connection owns from now on. */
+void fh_start_connection (fh_server_t *server, fh_stream_t *stream);
+
+/* Closes CONNECTION if it is idle. */
+void fh_close_idle_connection (fh_connection_t *connection);
+
+/* Frees CONNECTION, whose handle is closed. */
+void fh_destroy_connection (fh_connection_t *connection);
+
+/* Closes the connections of SERVER that waited or lingered for too long. */
+void fh_expire_connections (uv_timer_t *timer);
+
+/* http-http2.c */
+
+/* Hands over STREAM, from which BYTES were read: with UPGRADE an HTTP/1 request that asks for
+ * HTTP/2, otherwise the start of an HTTP/2 connection. */
+void fh_start_http2 (fh_server_t *server, fh_stream_t *stream, fb_bytes_t bytes, bool upgrade);
+
+/* Asks callers of HTTP/2 connections to send no more requests. */
+void fh_shut_down_http2 (fh_http2_t *http2);
+
+/* Frees HTTP2; NULL is allowed. */
+void fh_destroy_http2 (fh_http2_t *http2);
+
+#endif
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -347,6 +347,7 @@
   fn_entry_call_t *call = g_new0 (fn_entry_call_t, 1);
   fb_time_t caller_timeout = read_caller_timeout (entry, request, route);
   fb_time_t timeout = MIN (caller_timeout, route->timeout_ms * FB_MILLISECOND);
+  fb_time_t now = fb_read_clock (fk_get_clock (entry->kernel));
 
   call->entry = entry;
   call->request = request;
@@ -356,14 +357,31 @@
   call->customer = read_customer (entry, request);
   call->ticket = find_request_header (request, FB_LITERAL ("foxtailrun-ticket"));
   g_strlcpy (call->request_id, request_id, sizeof call->request_id);
-  call->arrived_at = fb_read_clock (fk_get_clock (entry->kernel));
+  /* Earlier than now when the request waited for others of its connection. */
+  call->arrived_at = fh_get_arrival_time (request);
   call->deadline = call->arrived_at + timeout;
   set_target_time (call, caller_timeout);
-  call->timer = fk_create_timeout (entry->kernel, timeout, expire_call, call);
+  call->timer
+      = fk_create_timeout (entry->kernel, MAX (call->deadline - now, 0), expire_call, call);
   entry->open_calls++;
   return call;
 }
 
+/* A request that may run only once must not run before those ahead of it on its connection, and
+ * those behind it not before it (RFC 9112, section 9.3.2). */
+static bool
+may_overlap (const fh_request_t *request, void *user)
+{
+  fn_entry_t *entry = user;
+  fc_snapshot_t *snapshot = fn_get_snapshot (fk_find_service (entry->kernel, FN_DISTRIBUTION));
+  const fc_route_t *route = snapshot
+                                ? fc_find_route (snapshot, fh_get_host (request),
+                                                 fh_get_method (request), fh_get_path (request))
+                                : NULL;
+
+  return route && route->repeatable;
+}
+
 static void
 handle_request (fh_request_t *request, void *user)
 {
@@ -422,6 +440,14 @@
   fh_set_idle_timeout (entry->server,
                        (fb_time_t)fc_get_idle_timeout_ms (snapshot) * FB_MILLISECOND);
   call = create_call (entry, request, snapshot, route, service_index, request_id);
+  if (fb_read_clock (fk_get_clock (entry->kernel)) >= call->deadline)
+    {
+      bool has_ticket = call->ticket.len > 0; /* only its issuer knows whether the call ran */
+
+      fn_finish_with_outcome (call, has_ticket ? FW_UNKNOWN : FW_NOT_RUN,
+                              has_ticket ? 504 : 503, "deadline passed behind other requests");
+      return;
+    }
   fh_set_cancelled_handler (request, cancel_call, call);
   call->parent_is_retry = fn_is_parent_retry (fk_find_service (entry->kernel, FN_BACKEND),
                                               fb_wrap_text (request_id));
@@ -468,7 +494,11 @@
     fn_update_endpoint (kernel, &self);
   entry->server = fh_create_server (kernel, &settings->address, settings->caller_port,
                                     FW_REQUEST_BODY_MAX, handle_request, entry);
-  return entry->server ? FB_OK : FB_IO;
+  if (!entry->server)
+    return FB_IO;
+  fh_set_pipeline (entry->server, settings->pipeline_requests, settings->pipeline_bytes,
+                   may_overlap);
+  return FB_OK;
 }
 
 static void
