Bound what servers that answer without end can cost

Cause: interim responses were accepted without end, trailers were added to the headers, and each of a client's exchanges could hold a largest body at once.

Change: at most 16 interim responses, trailers are read and dropped, and the incomplete responses of one client hold at most two largest bodies together; past that the exchange fails like one over its own limit. A connection that becomes idle releases a large body's memory.

Ruled out: a limit of time for each response; the deadline of the call ends a slow one, which may still become an answer.

Test: /http/endless, 16 kinds of bytes without end, as fast as possible and byte by byte, eight exchanges at once: none is an answer, memory is bounded, and every connection is closed.

--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -17,6 +17,10 @@
 #define PROBE_INTERVAL_S 1
 #define PROBE_COUNT 2
 
+/* Bytes held for all incomplete responses of a client, in largest bodies. Servers that send
+ * bodies without end reach the limit of each response at about the same time. */
+#define BUFFERED_BODIES_MAX 2
+
 /* Close when sent bytes stay unacknowledged for this long. */
 #define USER_TIMEOUT_MS 3000
 
@@ -32,6 +36,7 @@
   size_t body_max;
   uint64_t io_timeout_ms;
   uint64_t connect_timeout_ms;
+  size_t buffered_bytes;   /* of incomplete responses */
   GQueue idle_connections; /* connection_t, most recently used first */
   GQueue exchanges;        /* fh_exchange_t in progress */
 };
@@ -44,6 +49,7 @@
   fh_client_t *client;
   fh_exchange_t *exchange; /* NULL while idle */
   fh_reader_t *reader;
+  size_t buffered_bytes;    /* share of the client's */
   size_t pending_writes;    /* writes not yet passed to the operating system */
   uint64_t idle_timeout_ms; /* close the connection when idle for longer */
   bool reused;
@@ -89,12 +95,21 @@
   g_free (connection);
 }
 
+/* Sets the bytes that CONNECTION holds for an incomplete response. */
+static void
+set_buffered_bytes (connection_t *connection, size_t bytes)
+{
+  connection->client->buffered_bytes += bytes - connection->buffered_bytes;
+  connection->buffered_bytes = bytes;
+}
+
 static void
 close_connection (connection_t *connection)
 {
   if (connection->closing)
     return;
   connection->closing = true;
+  set_buffered_bytes (connection, 0);
   if (connection->link.data)
     {
       g_queue_unlink (&connection->client->idle_connections, &connection->link);
@@ -190,6 +205,7 @@
   fh_client_t *client = connection->client;
 
   connection->exchange = NULL;
+  set_buffered_bytes (connection, 0);
   if (client->idle_connections.length >= client->idle_max || connection->idle_timeout_ms == 0)
     {
       close_connection (connection);
@@ -238,6 +254,17 @@
     close_connection (connection);
 }
 
+/* Fails CONNECTION if the client holds too many bytes with it. */
+static void
+check_buffered_bytes (connection_t *connection)
+{
+  const fh_client_t *client = connection->client;
+
+  set_buffered_bytes (connection, fh_get_reader_bytes (connection->reader));
+  if (client->buffered_bytes > client->body_max * BUFFERED_BODIES_MAX)
+    fail_connection (connection, FH_TOO_LARGE, "incomplete responses over a limit");
+}
+
 static void
 parse_bytes (connection_t *connection, fb_bytes_t bytes)
 {
@@ -248,7 +275,10 @@
       fh_read_result_t result = fh_parse_bytes (connection->reader, bytes, &consumed);
 
       if (result == FH_READ_INCOMPLETE)
-        return;
+        {
+          check_buffered_bytes (connection);
+          return;
+        }
       if (result == FH_READ_TOO_LARGE)
         fail_connection (connection, FH_TOO_LARGE, "response over a limit");
       else if (result == FH_READ_INVALID)
--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -5,6 +5,13 @@
 /* Maximum bytes of header names and values of a response. */
 #define HEADER_BYTES_MAX (64 * 1024)
 
+/* Memory of a larger body is released when the connection becomes idle. */
+#define BODY_KEPT_MAX (64 * 1024)
+
+/* Interim (1xx) responses accepted before the final one. A server in trouble may send them
+ * without end. */
+#define INTERIM_RESPONSES_MAX 16
+
 /* Offsets of a header's name and value in the header text. */
 typedef struct
 {
@@ -26,6 +33,7 @@
   bool close_delimited;
   bool keep_alive;
   bool last_was_value; /* the next name fragment begins a new header */
+  unsigned interim_count;
   GString *header_text;
   size_t header_count;
   header_range_t header_ranges[FH_HEADERS_MAX];
@@ -58,6 +66,8 @@
   fh_reader_t *reader = parser->data;
   header_range_t *range;
 
+  if (reader->headers_complete) /* a trailer */
+    return 0;
   if (reader->header_text->len + len > HEADER_BYTES_MAX)
     return reject_too_large (reader);
   if (reader->last_was_value)
@@ -81,6 +91,8 @@
   fh_reader_t *reader = parser->data;
   header_range_t *range = &reader->header_ranges[reader->header_count - 1];
 
+  if (reader->headers_complete)
+    return 0;
   if (reader->header_text->len + len > HEADER_BYTES_MAX)
     return reject_too_large (reader);
   if (!reader->last_was_value)
@@ -135,7 +147,7 @@
   fh_reader_t *reader = parser->data;
 
   if (is_informational (parser))
-    return 0;
+    return ++reader->interim_count > INTERIM_RESPONSES_MAX ? reject_too_large (reader) : 0;
   reader->complete = true;
   http_parser_pause (parser, 1);
   return 0;
@@ -184,9 +196,15 @@
   reader->too_large = false;
   reader->close_delimited = false;
   reader->keep_alive = false;
+  reader->interim_count = 0;
   reader->header_count = 0;
   reader->last_was_value = true;
   g_string_truncate (reader->header_text, 0);
+  if (reader->body->len > BODY_KEPT_MAX)
+    {
+      g_byte_array_free (reader->body, TRUE);
+      reader->body = g_byte_array_new ();
+    }
   g_byte_array_set_size (reader->body, 0);
 }
 
@@ -215,6 +233,12 @@
   return reader->complete ? FH_READ_COMPLETE : FH_READ_INVALID;
 }
 
+size_t
+fh_get_reader_bytes (const fh_reader_t *reader)
+{
+  return reader->header_text->len + reader->body->len;
+}
+
 bool
 fh_has_received_bytes (const fh_reader_t *reader)
 {
--- a/packages/http/source/http-response.h
+++ b/packages/http/source/http-response.h
@@ -30,6 +30,9 @@
 /* Handles EOF: FH_READ_COMPLETE if the body is close-delimited. */
 fh_read_result_t fh_parse_end (fh_reader_t *reader);
 
+/* Returns the bytes held for the response being read. */
+size_t fh_get_reader_bytes (const fh_reader_t *reader);
+
 /* Returns whether bytes were received since the last reset. */
 bool fh_has_received_bytes (const fh_reader_t *reader);
 
