Revert the earlier end of calls with requests behind them

Tried: a call whose connection holds further requests was given up 25 ms before its deadline, so that its caller would not close the connection and cut them.

--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -57,9 +57,6 @@
 /* Returns the kernel's time in ns at which the request was complete. */
 fb_time_t fh_get_arrival_time (const fh_request_t *request);
 
-/* Returns whether the caller sent another request behind REQUEST on its connection. */
-bool fh_has_request_behind (const fh_request_t *request);
-
 /* Sets the callback, called at most once, for a caller that closes before the response. */
 void fh_set_cancelled_handler (fh_request_t *request, fh_cancelled_fn_t cancelled, void *user);
 
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -224,12 +224,6 @@
   return request->arrived_at;
 }
 
-bool
-fh_has_request_behind (const fh_request_t *request)
-{
-  return request->slot.link.next != NULL;
-}
-
 void
 fh_set_cancelled_handler (fh_request_t *request, fh_cancelled_fn_t cancelled, void *user)
 {
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -159,26 +159,13 @@
   fn_finish_entry_call (call, &answer);
 }
 
-/* A caller closes its connection at the deadline of a request, and with it loses the responses
- * to those that it sent behind it. A call with others behind it is answered this long before,
- * which covers the way to a distant caller. */
-#define PIPELINE_LEAD (25 * FB_MILLISECOND)
-
-/* Ends a call whose deadline has passed, or is so near that it would cost the requests behind
- * it; its open attempt may still run. */
+/* Ends a call whose deadline has passed; its open attempt may still run. */
 static void
 expire_call (void *user)
 {
   fn_entry_call_t *call = user;
-  fb_time_t left = call->deadline - fb_read_clock (fk_get_clock (call->entry->kernel));
   bool has_open_attempt = call->attempt_id != 0;
 
-  if (left > 0 && !fh_has_request_behind (call->request))
-    {
-      fk_destroy_timer (call->timer);
-      call->timer = fk_create_timeout (call->entry->kernel, left, expire_call, call);
-      return;
-    }
   fn_abandon_attempt (call);
   fn_finish_with_outcome (call, has_open_attempt ? FW_UNKNOWN : FW_NOT_RUN,
                           has_open_attempt ? 504 : 503, "deadline passed");
