Fuzz the parser of requests, check shares over a fleet

A feed message that carries 0 as the known position of the configuration is malformed, since 0 is encoded by leaving it out; the fuzz target of feed messages compares that field now.

--- a/fuzz/fuzz-feed.c
+++ b/fuzz/fuzz-feed.c
@@ -12,6 +12,7 @@
   FUZZ_CHECK (a->sequence == b->sequence);
   FUZZ_CHECK (a->position == b->position);
   FUZZ_CHECK (a->document_position == b->document_position);
+  FUZZ_CHECK (a->document_known_position == b->document_known_position);
   FUZZ_CHECK (fb_compare_digests (&a->digest, &b->digest) == 0);
   FUZZ_CHECK (a->delta.len == b->delta.len);
   FUZZ_CHECK (a->delta.len == 0 || memcmp (a->delta.data, b->delta.data, a->delta.len) == 0);
--- a/packages/call/tests/test-split.c
+++ b/packages/call/tests/test-split.c
@@ -6,6 +6,9 @@
 #define CALLS 300
 #define ROUTES 40
 
+/* Allowed distance of a part's share of the calls from that of its weight. */
+#define SHARE_ERROR_MAX 0.1
+
 /* Guards against counts that deviate from the weights over some sequence of calls, and against
  * nodes that all start with the same part. */
 static void
@@ -59,6 +62,43 @@
     }
 }
 
+/* Guards against shares over a fleet that miss the weights when each entry node gets few calls.
+ */
+static void
+test_fleet_shares (void)
+{
+  static const struct
+  {
+    uint32_t nodes;
+    int calls; /* of each node */
+    uint32_t weights[2];
+  } cases[] = {
+    { 3, 100, { 90, 10 } }, { 91, 4, { 90, 10 } }, { 91, 4, { 1, 1 } }, { 3, 100, { 1, 0 } }
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fc_part_t parts[] = { { 0, cases[i].weights[0] }, { 1, cases[i].weights[1] } };
+      fc_route_t route = { .name = fb_make_name ("r"), .parts = parts, .part_count = 2 };
+      double total = cases[i].nodes * (double)cases[i].calls;
+      double counts[2] = { 0 };
+
+      for (uint32_t node = 0; node < cases[i].nodes; node++)
+        {
+          fr_splitter_t *splitter = fr_create_splitter (node);
+
+          for (int call = 0; call < cases[i].calls; call++)
+            counts[fr_split_call (splitter, &route)]++;
+          fr_destroy_splitter (splitter);
+        }
+      for (size_t j = 0; j < 2; j++)
+        g_assert_cmpfloat (
+            ABS (counts[j] / total
+                 - cases[i].weights[j] / (double)(cases[i].weights[0] + cases[i].weights[1])),
+            <=, SHARE_ERROR_MAX);
+    }
+}
+
 /* Guards against weights of an earlier configuration that stay in use. */
 static void
 test_changed_weights (void)
@@ -194,6 +234,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/call/split/shares", test_shares);
+  g_test_add_func ("/call/split/fleet-shares", test_fleet_shares);
   g_test_add_func ("/call/split/changed-weights", test_changed_weights);
   g_test_add_func ("/call/locality", test_locality);
   g_test_add_func ("/call/late-detour", test_late_detour);
--- a/packages/wire/source/wire-feed.c
+++ b/packages/wire/source/wire-feed.c
@@ -90,6 +90,8 @@
   message->document_known_position = reader.count > FEED_FIELDS
                                          ? fw_read_u64 (&reader, UINT64_MAX)
                                          : message->document_position;
+  if (reader.count > FEED_FIELDS && message->document_known_position == 0)
+    return false;
   return fw_finish_reader (&reader) && message->kind >= FW_FEED_REQUEST
          && read_endpoints (&list, message);
 }
