Check chunk framing behind a trailer named transfer-encoding

Cause: http_parser clears its flag for chunks at such a trailer, and the check of line endings relied on it, so that folded or bare lines behind it were taken. Found by the fuzz target after some 15,000 executions.

Change: the reader keeps what the head said. Test: a row of the framing table, which was answered with 200 and read the next request before the change; the input is in the corpus. 628,793 further executions found nothing.

--- a/packages/http/source/http-request.c
+++ b/packages/http/source/http-request.c
@@ -18,6 +18,7 @@
   bool is_first;              /* no request of the connection was complete yet */
   bool head_complete;
   bool complete;
+  bool is_chunked; /* http_parser forgets it at a trailer named transfer-encoding */
   bool too_many_headers;
   bool body_too_large;
   bool last_was_value; /* the next name begins a new header */
@@ -87,6 +88,7 @@
   fh_request_reader_t *reader = parser->data;
 
   reader->head_complete = true;
+  reader->is_chunked = parser->flags & F_CHUNKED;
   reader->message.keep_alive = http_should_keep_alive (parser) != 0;
   parser->upgrade = 0; /* an upgrade that is not offered is ignored */
   return 0;
@@ -108,7 +110,7 @@
 {
   fh_request_reader_t *reader = parser->data;
 
-  if (parser->flags & F_CHUNKED)
+  if (reader->is_chunked)
     {
       bool continues_chunk = reader->framing == data && reader->line_state == FH_LINE_CHUNK_END;
 
@@ -410,14 +412,13 @@
 static fh_request_result_t
 parse_body (fh_request_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
 {
-  bool chunked = reader->parser.flags & F_CHUNKED;
   const char *data = (const char *)bytes.data;
 
   reader->framing = data;
   *consumed = http_parser_execute (&reader->parser, &parser_callbacks, data, bytes.len);
   if (!reader->complete && HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
     return reject (reader, get_parse_error_status (reader));
-  if (chunked)
+  if (reader->is_chunked)
     {
       check_framing (reader, data + *consumed);
       if (reader->framing_invalid
