--- a/packages/http/tests/test-pipeline.c
+++ b/packages/http/tests/test-pipeline.c
@@ -552,7 +552,7 @@
     { "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n\0\0\0\4\0\0\0\0\0", 33, "\0\0", 2 },
     { "GET /a HTTP/1.1\r\nhost: a\r\nconnection: upgrade, http2-settings\r\nupgrade: h2c\r\n"
       "http2-settings: AAMAAABkAAQAAP__\r\n\r\n",
-      117, "HTTP/1.1 101 ", 13 },
+      113, "HTTP/1.1 101 ", 13 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
