--- a/packages/http/source/http-connection.c
+++ b/packages/http/source/http-connection.c
@@ -2,7 +2,6 @@
  * once where the server allows it, and sends the responses in the order of the requests. */
 #include "http-server-state.h"
 #include <string.h>
-#include <time.h>
 
 /* Time in which a caller may close a connection after its last response. Closing first, with
  * bytes of the caller unread, would reset the connection and may destroy that response. */
@@ -18,7 +17,6 @@
   fh_pipeline_t pipeline;
   GByteArray *input; /* received but not parsed, while the pipeline is full */
   size_t unsent_bytes;
-  size_t pending_writes;
   bool running;       /* advance_connection is running */
   bool paused;        /* not read because of a limit */
   bool read_ended;    /* no further request is accepted */
@@ -148,7 +146,6 @@
   fh_connection_t *connection = write->connection;
 
   connection->unsent_bytes -= write->bytes->len;
-  connection->pending_writes--;
   g_string_free (write->bytes, TRUE);
   g_free (write);
   if (is_closing (connection))
@@ -173,12 +170,10 @@
   g_string_erase (write->bytes, 0, (gssize)sent);
   rest = uv_buf_init (write->bytes->str, (unsigned)write->bytes->len);
   connection->unsent_bytes += write->bytes->len;
-  connection->pending_writes++;
   if (uv_write (&write->write, (uv_stream_t *)connection->stream, &rest, 1, complete_write)
       == 0)
     return;
   connection->unsent_bytes -= write->bytes->len;
-  connection->pending_writes--;
   g_string_free (write->bytes, TRUE);
   g_free (write);
   close_connection (connection);
@@ -198,76 +193,6 @@
     queue_write (connection, buffers, count, (size_t)sent);
 }
 
-static const char *
-get_reason_phrase (uint32_t status)
-{
-  switch (status)
-    {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 413:
-      return "Payload Too Large";
-    case 417:
-      return "Expectation Failed";
-    case 428:
-      return "Precondition Required";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 501:
-      return "Not Implemented";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    case 505:
-      return "HTTP Version Not Supported";
-    default:
-      return "Status";
-    }
-}
-
-static bool
-is_generated_header (fb_str_t name)
-{
-  return fh_is_hop_header (name) || fb_equal_str (name, FB_LITERAL ("server"))
-         || fb_equal_str (name, FB_LITERAL ("date"));
-}
-
-/* Stores all of REPLY but the status line and the header connection. */
-static void
-format_response (fh_request_t *request, const fh_reply_t *reply)
-{
-  bool may_have_body = reply->status >= 200 && reply->status != 204 && reply->status != 304;
-  GString *text = g_string_sized_new (256 + reply->body.len);
-
-  for (size_t i = 0; i < reply->header_count; i++)
-    {
-      const fh_header_t *header = &reply->headers[i];
-
-      if (is_generated_header (header->name))
-        continue;
-      g_string_append_len (text, header->name.data, (gssize)header->name.len);
-      g_string_append (text, ": ");
-      g_string_append_len (text, header->value.data, (gssize)header->value.len);
-      g_string_append (text, "\r\n");
-    }
-  if (reply->has_length && may_have_body)
-    g_string_append_printf (text, "content-length: %zu\r\n", reply->body.len);
-  g_string_append (text, "\r\n");
-  if (may_have_body && !request->message.is_head)
-    g_string_append_len (text, (const char *)reply->body.data, (gssize)reply->body.len);
-  request->status = reply->status;
-  request->response = text;
-}
-
 static void
 finish_request (fh_request_t *request, const fh_reply_t *reply)
 {
@@ -280,7 +205,7 @@
       return;
     }
   request->cancelled = NULL;
-  format_response (request, reply);
+  fh_format_response (request, reply);
   fh_finish_slot (&connection->pipeline, &request->slot, request->response->len,
                   !request->message.keep_alive || !reply->has_length);
   advance_connection (connection, (fb_bytes_t){ NULL, 0 });
@@ -311,7 +236,7 @@
   fb_add_counter (connection->server->rejected, 1);
   connection->read_ended = true;
   fh_add_slot (&connection->pipeline, &request->slot, 0, request);
-  format_response (request, &reply);
+  fh_format_response (request, &reply);
   fh_finish_slot (&connection->pipeline, &request->slot, request->response->len, true);
 }
 
@@ -416,30 +341,6 @@
     close_connection (connection);
 }
 
-/* Updates the server's text of the header date, which changes once a second. */
-static const char *
-get_date (fh_server_t *server)
-{
-  time_t now = time (NULL);
-  struct tm fields;
-
-  if (now != server->date_time && gmtime_r (&now, &fields))
-    {
-      server->date_time = now;
-      strftime (server->date, sizeof server->date, "%a, %d %b %Y %H:%M:%S GMT", &fields);
-    }
-  return server->date;
-}
-
-static void
-format_prefix (fh_request_t *request, bool closes)
-{
-  g_snprintf (request->prefix, sizeof request->prefix,
-              "HTTP/1.1 %u %s\r\ndate: %s\r\nserver: foxtailrun\r\nconnection: %s\r\n",
-              request->status, get_reason_phrase (request->status), get_date (request->server),
-              closes ? "close" : "keep-alive");
-}
-
 /* Sends the responses whose turn it is; returns whether there were any. */
 static bool
 send_responses (fh_connection_t *connection)
@@ -457,7 +358,7 @@
       closes = slot->closes
                || (connection->server->keep_alive_disabled
                    && !fh_has_opened_slot (&connection->pipeline));
-      format_prefix (request, closes);
+      fh_format_prefix (request, closes);
       parts[0] = uv_buf_init (request->prefix, (unsigned)strlen (request->prefix));
       parts[1] = uv_buf_init (request->response->str, (unsigned)request->response->len);
       if (!buffers)
--- a/packages/http/source/http-server-state.h
+++ b/packages/http/source/http-server-state.h
@@ -67,7 +67,7 @@
   fh_cancelled_fn_t cancelled;
   void *cancel_user;
   fh_slot_t slot;    /* HTTP/1 only, as are the fields below */
-  char prefix[192];  /* start of the response, up to the header connection */
+  char prefix[192];  /* start of the response, see fh_format_prefix */
   GString *response; /* the rest; NULL until answered */
   uint32_t status;   /* of the response */
 };
@@ -88,6 +88,15 @@
 /* Returns whether the caller has closed its end of the connection with DESCRIPTOR. */
 bool fh_is_caller_disconnected (int descriptor);
 
+/* http-reply.c */
+
+/* Stores the response of REQUEST but for its prefix. */
+void fh_format_response (fh_request_t *request, const fh_reply_t *reply);
+
+/* Stores the prefix of the response: status line and the headers that depend on the time of
+ * sending. CLOSES tells the caller that the connection ends after it. */
+void fh_format_prefix (fh_request_t *request, bool closes);
+
 /* http-connection.c */
 
 /* Starts to read requests from STREAM, which the connection owns from now on. */
