Log and count responses in which a backend server says that it leaves

Nothing showed when an instance first said in a response that it leaves, so that a request sent to it later could not be told from one that the source had announced late. The node beside it now logs the first such response of each start of the instance, with what the source said, and counts all of them.

--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -18,6 +18,7 @@
   fb_str_t caller;     /* to backend servers: service on the host that sent the request */
   fb_str_t instance;   /* to backend servers: the only instance that may run the request */
   fb_str_t not_run;    /* from backend servers: the request was refused without being run */
+  fb_str_t leaving;    /* from backend servers: "1" while the server is about to stop */
   bool allows_close_delimited; /* backend servers may end a body that has no length by closing
                                   the connection */
   bool echoes_request_id;      /* backend servers return the request id in their responses */
@@ -86,8 +87,9 @@
 /* The backend server on this node's host, as the platform describes it. */
 typedef struct
 {
-  fb_name_t instance; /* empty if the platform lists none */
-  uint32_t slots;     /* calls that it runs concurrently; 0 if not known */
+  fb_name_t instance;   /* empty if the platform lists none */
+  uint64_t incarnation; /* start of the instance, as in its endpoint */
+  uint32_t slots;       /* calls that it runs concurrently; 0 if not known */
   bool leaving;
 } fn_local_backend_t;
 
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -167,6 +167,8 @@
   fn_backend_call_t *backend_call = user;
   fw_call_t answer = { .status = 502, .reason = fb_wrap_text (response->error) };
 
+  if (response->result == FH_ANSWERED)
+    fn_handle_backend_report (backend_call, response);
   if (response->result == FH_ANSWERED && reports_not_run (backend_call->backend, response))
     {
       answer.outcome = FW_NOT_RUN;
@@ -225,6 +227,8 @@
     outgoing.echoed_header
         = (fh_header_t){ dialect->request_id, backend_call->call.request_id };
   outgoing.header_count = count;
+  backend_call->instance = *instance;
+  backend_call->instance_incarnation = backend->local.incarnation;
   backend_call->started_at = now;
   fb_observe_time (backend->wait_times, now - backend_call->arrived_at);
   backend_call->state = FN_CALL_RUNNING;
@@ -467,6 +471,7 @@
   backend->recorded_answers_sent
       = fb_find_counter (counters, "backend_calls", "end=\"replayed\"");
   backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
+  backend->leaving_responses = fb_find_counter (counters, "backend_leaving_responses", "");
   backend->wait_times = fb_create_histogram (counters, "backend_wait_us", "");
   backend->service_times = fb_create_histogram (counters, "backend_service_us", "");
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
@@ -498,6 +503,9 @@
 {
   fn_backend_t *backend = fk_find_service (kernel, FN_BACKEND);
 
+  if (!fb_equal_name (&backend->local.instance, &local->instance)
+      || backend->local.incarnation != local->incarnation)
+    backend->said_leaving = false;
   if (backend->local.slots != local->slots)
     g_clear_pointer (&backend->admission_snapshot, fc_release_snapshot);
   if (!fb_equal_name (&backend->local.instance, &local->instance) && backend->client)
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -31,6 +31,8 @@
   fb_time_t started_at;
   bool has_ticket;
   fr_ticket_t ticket;
+  fb_name_t instance;            /* that the call was sent to */
+  uint64_t instance_incarnation; /* of INSTANCE */
   fh_exchange_t *exchange;
   fn_answered_fn_t answered; /* NULL once cancelled */
   void *user;
@@ -48,6 +50,7 @@
   fc_snapshot_t *admission_snapshot; /* whose ranks and slots are set in ADMISSION; NULL if
                                         they must be set again */
   fn_local_backend_t local;          /* the backend server as the platform describes it */
+  bool said_leaving;      /* LOCAL.INSTANCE said in a response that it is about to stop */
   fb_time_t refuse_until; /* calls are refused until then, after a failed connection */
   bool draining;          /* calls without a ticket are refused */
   bool closed;            /* all calls are refused */
@@ -55,6 +58,7 @@
   fb_counter_t *refused;
   fb_counter_t *recorded_answers_sent;
   fb_counter_t *unknown;
+  fb_counter_t *leaving_responses;
   fb_histogram_t *wait_times;    /* in the queue, of calls that were started */
   fb_histogram_t *service_times; /* at the backend server */
 };
@@ -82,6 +86,10 @@
 void fn_refuse_backend_call (fn_backend_call_t *backend_call, uint32_t status,
                              const char *reason);
 
+/* Records what the backend server says about itself in RESPONSE to BACKEND_CALL. */
+void fn_handle_backend_report (const fn_backend_call_t *backend_call,
+                               const fh_response_t *response);
+
 /* Answers a call that needs a ticket with a new ticket. */
 void fn_send_ticket (fn_backend_call_t *backend_call);
 
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -104,7 +104,8 @@
       && member->incarnation < feed->local_backend_incarnation)
     return;
   if (member->state != FW_DEAD)
-    local = (fn_local_backend_t){ member->id, endpoint->slots, member->state == FW_LEAVING };
+    local = (fn_local_backend_t){ member->id, member->incarnation, endpoint->slots,
+                                  member->state == FW_LEAVING };
   feed->local_backend_id = local.instance;
   feed->local_backend_incarnation = member->incarnation;
   fn_set_local_backend (feed->kernel, &local);
