--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -5,7 +5,8 @@
  * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503. With
  * SLOTS requests in service, a further one gets 503 and counts as an overrun. GET /standin/runs
  * returns one line "PATH COUNT" for each path run, GET /standin/overruns the number of
- * overruns.
+ * overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to requests
+ * with X-Attempt-Id; without a value it removes the header.
  *
  * A request with X-Attempt-Id is answered like the users' instances do: the response
  * repeats the id, carries a signature and returns the caller's service in X-Seen-Caller. The
@@ -25,7 +26,8 @@
   uint32_t in_use;
   uint64_t overruns;
   fb_time_t service_time;
-  GHashTable *runs; /* path to run count */
+  GHashTable *runs;    /* path to run count */
+  GHashTable *headers; /* added to responses: value by name */
 } backend_t;
 
 typedef struct
@@ -47,37 +49,78 @@
   return fh_find_header (headers, count, name);
 }
 
+/* Headers of a response: its own and those added by /standin/header. */
+#define HEADERS_MAX 16
+
+/* Responds to a request with X-Attempt-Id; COUNT HEADERS have room for HEADERS_MAX. */
+static void
+respond_as_instance (backend_t *backend, fh_request_t *request, uint32_t status,
+                     fh_header_t *headers, size_t count, const char *text)
+{
+  GHashTableIter iter;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, backend->headers);
+  while (count < HEADERS_MAX && g_hash_table_iter_next (&iter, &name, &value))
+    headers[count++] = (fh_header_t){ fb_wrap_text (name), fb_wrap_text (value) };
+  fh_respond (request, status, headers, count,
+              (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+}
+
 static void
-respond_text (fh_request_t *request, uint32_t status, const char *text)
+respond_text (backend_t *backend, fh_request_t *request, uint32_t status, const char *text)
 {
-  fh_header_t headers[] = {
+  fb_str_t request_id = find_header (request, FB_LITERAL ("x-attempt-id"));
+  fb_str_t caller = find_header (request, FB_LITERAL ("x-caller-service"));
+  fh_header_t headers[HEADERS_MAX] = {
     { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") },
-    { FB_LITERAL ("x-attempt-id"), find_header (request, FB_LITERAL ("x-attempt-id")) },
-    { FB_LITERAL ("x-seen-caller"), find_header (request, FB_LITERAL ("x-caller-service")) },
+    { FB_LITERAL ("x-attempt-id"), request_id },
+    { FB_LITERAL ("x-seen-caller"), caller.data ? caller : FB_LITERAL ("none") },
     { FB_LITERAL ("x-response-signature"), FB_LITERAL ("standin") },
   };
-  size_t count = headers[1].value.data ? G_N_ELEMENTS (headers) : 1;
 
-  if (!headers[2].value.data)
-    headers[2].value = FB_LITERAL ("none");
-  fh_respond (request, status, headers, count,
-              (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+  if (request_id.data)
+    respond_as_instance (backend, request, status, headers, 4, text);
+  else
+    fh_respond (request, status, headers, 1,
+                (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
 }
 
 /* Answers a request without running it. */
 static void
-refuse_request (fh_request_t *request, uint32_t status, const char *text)
+refuse_request (backend_t *backend, fh_request_t *request, uint32_t status, const char *text)
 {
-  fh_header_t headers[] = {
-    { FB_LITERAL ("x-attempt-id"), find_header (request, FB_LITERAL ("x-attempt-id")) },
+  fb_str_t request_id = find_header (request, FB_LITERAL ("x-attempt-id"));
+  fh_header_t headers[HEADERS_MAX] = {
+    { FB_LITERAL ("x-attempt-id"), request_id },
     { FB_LITERAL ("x-not-executed"), FB_LITERAL ("1") },
   };
 
-  if (headers[0].value.data)
-    fh_respond (request, status, headers, G_N_ELEMENTS (headers),
-                (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+  if (request_id.data)
+    respond_as_instance (backend, request, status, headers, 2, text);
   else
-    respond_text (request, status, text);
+    respond_text (backend, request, status, text);
+}
+
+/* Adds or removes a header by TEXT, "NAME=VALUE". */
+static void
+set_header (backend_t *backend, const char *text)
+{
+  const char *equals = strchr (text, '=');
+
+  if (!equals)
+    return;
+  if (equals[1] == '\0')
+    {
+      char *name = g_strndup (text, (gsize)(equals - text));
+
+      g_hash_table_remove (backend->headers, name);
+      g_free (name);
+    }
+  else
+    g_hash_table_insert (backend->headers, g_strndup (text, (gsize)(equals - text)),
+                         g_strdup (equals + 1));
 }
 
 static bool
@@ -99,7 +142,7 @@
     {
       text = g_strdup_printf ("name=%s path=%s body=%s runs=%" G_GUINT64_FORMAT "\n",
                               job->backend->name, job->path, job->body, job->run_count);
-      respond_text (job->request, 200, text);
+      respond_text (job->backend, job->request, 200, text);
       g_free (text);
     }
   fk_destroy_timer (job->timer);
@@ -115,7 +158,7 @@
   job_t *job = user;
 
   job->request = NULL;
-  respond_text (request, 500, "cancelled\n");
+  respond_text (job->backend, request, 500, "cancelled\n");
 }
 
 static uint64_t
@@ -138,7 +181,7 @@
   g_hash_table_iter_init (&iter, backend->runs);
   while (g_hash_table_iter_next (&iter, &key, &value))
     g_string_append_printf (text, "%s %zu\n", (const char *)key, GPOINTER_TO_SIZE (value));
-  respond_text (request, 200, text->str);
+  respond_text (backend, request, 200, text->str);
   g_string_free (text, TRUE);
 }
 
@@ -168,6 +211,8 @@
       = fk_create_timeout (backend->kernel, read_service_time (backend, path), finish_job, job);
 }
 
+#define HEADER_PATH "/standin/header?"
+
 static void
 handle_request (fh_request_t *request, void *user)
 {
@@ -180,16 +225,21 @@
   else if (strcmp (path, "/standin/overruns") == 0)
     {
       snprintf (text, sizeof text, "%" G_GUINT64_FORMAT "\n", backend->overruns);
-      respond_text (request, 200, text);
+      respond_text (backend, request, 200, text);
+    }
+  else if (g_str_has_prefix (path, HEADER_PATH))
+    {
+      set_header (backend, path + strlen (HEADER_PATH));
+      respond_text (backend, request, 200, "");
     }
   else if (is_misdirected (backend, request))
-    refuse_request (request, 421, "another instance\n");
+    refuse_request (backend, request, 421, "another instance\n");
   else if (strstr (path, "shed=1"))
-    refuse_request (request, 503, "shed\n");
+    refuse_request (backend, request, 503, "shed\n");
   else if (backend->in_use >= backend->slots)
     {
       backend->overruns++;
-      refuse_request (request, 503, "no slot\n");
+      refuse_request (backend, request, 503, "no slot\n");
     }
   else
     {
@@ -221,6 +271,7 @@
   backend.slots = (uint32_t)atoi (argv[4]);
   backend.service_time = atoi (argv[5]) * FB_MILLISECOND;
   backend.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  backend.headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (!fh_create_server (backend.kernel, &address, (uint16_t)atoi (argv[2]), 1024 * 1024,
                          handle_request, &backend))
     return 1;
