Send no requests to an instance that says in its responses that it leaves

Callers saw requests go to an instance after it had said that it leaves: cut off when it stops, and against the rule that binds a node 2 s after it has passed on such a response.

Cause: only the platform's list told a node that an instance leaves. While the list cannot be read, or is behind, the node went on sending.

The node beside the instance now refuses from the first such response on, and its answers name the instance and its incarnation. Each entry node that gets one picks this incarnation no more, so that the restart of the node beside it, which forgets, changes nothing. A later start of the instance gets calls again.

Evidence: platform-test-process-leaving failed before with 30 of 30 calls at the instance, and passes.

--- a/packages/node/source/node-backend-report.c
+++ b/packages/node/source/node-backend-report.c
@@ -1,4 +1,5 @@
-/* Backend service: what the backend server says about itself in its responses. */
+/* Backend service: what the backend server says about itself in its responses, and the end of
+ * its calls when it leaves. */
 #include "node-backend.h"
 
 /* Status of a backend server that is not the expected instance; it speaks for another one. */
@@ -22,6 +23,32 @@
          && backend_call->instance_incarnation == local->incarnation;
 }
 
+bool
+fn_is_backend_leaving (const fn_backend_t *backend)
+{
+  return backend->local.leaving || backend->said_leaving;
+}
+
+void
+fn_refuse_waiting_calls (fn_backend_t *backend)
+{
+  GArray *handles = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, backend->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const fn_backend_call_t *backend_call = value;
+
+      if (backend_call->state == FN_CALL_WAITING)
+        g_array_append_val (handles, backend_call->handle);
+    }
+  for (guint i = 0; i < handles->len; i++)
+    fr_cancel_call (backend->admission, g_array_index (handles, uint64_t, i));
+  g_array_unref (handles);
+}
+
 static void
 handle_leaving (const fn_backend_call_t *backend_call)
 {
@@ -38,6 +65,7 @@
           FB_NUMBER ("listed_leaving", backend->local.leaving),
           FB_NUMBER ("started", fr_count_started (backend->admission)),
           FB_NUMBER ("waiting", fr_count_waiting (backend->admission)));
+  fn_refuse_waiting_calls (backend);
 }
 
 void
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -78,6 +78,11 @@
   answer->wait_us
       = (uint64_t)(fr_get_expected_wait (backend->admission, find_rank (backend_call))
                    / FB_MICROSECOND);
+  if (fn_is_backend_leaving (backend))
+    {
+      answer->leaving_instance = fb_get_name (&backend->local.instance);
+      answer->leaving_incarnation = backend->local.incarnation;
+    }
   if (answer->outcome != FW_ANSWERED)
     log_unanswered (backend_call, answer);
   if (backend_call->answered)
@@ -335,7 +340,7 @@
       || !fc_find_service (snapshot, call->service, NULL))
     return "service is not served here";
   if (fn_get_adapter (backend->kernel)->source_lists_endpoints
-      && (backend->local.instance.len == 0 || backend->local.leaving))
+      && (backend->local.instance.len == 0 || fn_is_backend_leaving (backend)))
     return "backend server is leaving or gone";
   if (fb_read_clock (fk_get_clock (backend->kernel)) < backend->refuse_until)
     return "backend server takes no connections";
@@ -477,27 +482,6 @@
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
 }
 
-/* Refuses the queued calls: the backend server must get no new ones. */
-static void
-refuse_waiting (fn_backend_t *backend)
-{
-  GArray *handles = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, backend->calls);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const fn_backend_call_t *backend_call = value;
-
-      if (backend_call->state == FN_CALL_WAITING)
-        g_array_append_val (handles, backend_call->handle);
-    }
-  for (guint i = 0; i < handles->len; i++)
-    fr_cancel_call (backend->admission, g_array_index (handles, uint64_t, i));
-  g_array_unref (handles);
-}
-
 void
 fn_set_local_backend (fk_kernel_t *kernel, const fn_local_backend_t *local)
 {
@@ -515,7 +499,7 @@
           FB_TEXT ("instance", local->instance.data), FB_NUMBER ("slots", local->slots),
           FB_NUMBER ("leaving", local->leaving));
   if (local->leaving || local->instance.len == 0)
-    refuse_waiting (backend);
+    fn_refuse_waiting_calls (backend);
 }
 
 uint64_t
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -74,6 +74,12 @@
 void fn_refuse_for_retry_elsewhere (fn_backend_call_t *backend_call, uint32_t status,
                                     const char *reason);
 
+/* Returns whether the backend server is listed as leaving or said so itself. */
+bool fn_is_backend_leaving (const fn_backend_t *backend);
+
+/* Refuses the queued calls, which may be retried elsewhere. */
+void fn_refuse_waiting_calls (fn_backend_t *backend);
+
 /* Begins a use of a call's ticket. Returns false if it was used before or is invalid: the call
  * is then answered, or joined to the one still running. */
 bool fn_begin_ticket (fn_backend_call_t *backend_call);
--- a/packages/node/source/node-directory.c
+++ b/packages/node/source/node-directory.c
@@ -2,6 +2,7 @@
 #include "node-services.h"
 #include <foxtailrun/base/digest.h>
 #include <foxtailrun/base/invariant.h>
+#include <foxtailrun/member/leaving.h>
 #include <glib.h>
 #include <string.h>
 
@@ -17,6 +18,7 @@
 {
   fk_kernel_t *kernel;
   GHashTable *endpoints; /* fw_member_t by id */
+  fm_leaving_t *leaving; /* endpoints that leave although they may be listed as alive */
   watcher_t watchers[WATCHERS_MAX];
   size_t watcher_count;
 };
@@ -27,6 +29,7 @@
   fn_directory_t *directory = data;
 
   g_hash_table_destroy (directory->endpoints);
+  fm_destroy_leaving (directory->leaving);
   g_free (directory);
 }
 
@@ -45,6 +48,7 @@
   directory->kernel = kernel;
   directory->endpoints
       = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, g_free);
+  directory->leaving = fm_create_leaving (fk_get_clock (kernel));
   fk_register_service (kernel, FN_DIRECTORY, &vtable, directory);
   if (!fn_get_adapter (kernel)->source_lists_endpoints)
     fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), update_from_member, kernel);
@@ -59,19 +63,37 @@
 
   if (!stored && endpoint->state == FW_DEAD)
     return;
+  fm_apply_leaving (directory->leaving, &current);
   if (!stored)
     {
       stored = g_new0 (fw_member_t, 1);
-      *stored = *endpoint;
+      *stored = current;
       g_hash_table_insert (directory->endpoints, &stored->id, stored);
     }
-  *stored = *endpoint;
+  *stored = current;
   for (size_t i = 0; i < directory->watcher_count; i++)
     directory->watchers[i].changed (&current, directory->watchers[i].user);
   if (current.state == FW_DEAD)
     g_hash_table_remove (directory->endpoints, &current.id);
 }
 
+void
+fn_record_leaving (fn_directory_t *directory, const fb_name_t *id, uint64_t incarnation)
+{
+  const fw_member_t *stored = g_hash_table_lookup (directory->endpoints, id);
+  bool is_news = fm_record_leaving (directory->leaving, id, incarnation);
+  fw_member_t endpoint;
+
+  if (!is_news || !stored || stored->incarnation != incarnation || stored->state == FW_LEAVING)
+    return;
+  FB_LOG (fk_get_log (directory->kernel), FB_LOG_INFO, FN_DIRECTORY,
+          "no more calls to an endpoint that leaves", FB_TEXT ("instance", id->data),
+          FB_TEXT ("listed", fw_describe_state (stored->state)),
+          FB_NUMBER ("incarnation", incarnation));
+  endpoint = *stored;
+  fn_update_endpoint (directory->kernel, &endpoint);
+}
+
 const fw_member_t *
 fn_find_endpoint (fn_directory_t *directory, const fb_name_t *id)
 {
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -97,6 +97,16 @@
              || fr_withdraw_retry (call->entry->budget, get_service_name (call), route->rank));
 }
 
+/* Sends no more calls to INSTANCE if ANSWER says that it leaves. */
+static void
+read_leaving_notice (fn_entry_t *entry, const fb_name_t *instance, const fw_call_t *answer)
+{
+  if (answer->leaving_instance.len > 0
+      && fb_equal_str (answer->leaving_instance, fb_get_name (instance)))
+    fn_record_leaving (fk_find_service (entry->kernel, FN_DIRECTORY), instance,
+                       answer->leaving_incarnation);
+}
+
 static void
 end_attempt (fn_entry_call_t *call, const fw_call_t *answer)
 {
@@ -104,6 +114,7 @@
   const fb_name_t *instance = close_attempt (call);
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
+  read_leaving_notice (entry, instance, answer);
   fr_report_times (entry->picker, instance, call->route->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -68,6 +68,9 @@
 /* Returns endpoint ID, or NULL; owned by the directory and valid until the next change. */
 const fw_member_t *fn_find_endpoint (fn_directory_t *directory, const fb_name_t *id);
 
+/* Records that INCARNATION of endpoint ID leaves, whatever the platform lists. */
+void fn_record_leaving (fn_directory_t *directory, const fb_name_t *id, uint64_t incarnation);
+
 /* Returns the number of endpoints. */
 size_t fn_count_endpoints (const fn_directory_t *directory);
 
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -55,14 +55,16 @@
   fb_str_t request_id;
   /* ANSWER */
   fw_outcome_t outcome;
-  uint32_t status;      /* HTTP status */
-  bool close_delimited; /* the body ended with its connection */
-  fb_str_t reason;      /* why the outcome is not FW_ANSWERED */
-  bool retry_elsewhere; /* not run for a reason specific to this instance */
-  bool reached_backend; /* the request reached, or may have reached, the backend server */
-  uint32_t load;        /* running and waiting calls per 1,000 slots */
-  uint64_t service_us;  /* time at the backend server */
-  uint64_t wait_us;     /* expected wait of a further call of the same rank */
+  uint32_t status;           /* HTTP status */
+  bool close_delimited;      /* the body ended with its connection */
+  fb_str_t reason;           /* why the outcome is not FW_ANSWERED */
+  bool retry_elsewhere;      /* not run for a reason specific to this instance */
+  bool reached_backend;      /* the request reached, or may have reached, the backend server */
+  uint32_t load;             /* running and waiting calls per 1,000 slots */
+  uint64_t service_us;       /* time at the backend server */
+  uint64_t wait_us;          /* expected wait of a further call of the same rank */
+  fb_str_t leaving_instance; /* at the answering node; empty unless it leaves */
+  uint64_t leaving_incarnation; /* of LEAVING_INSTANCE */
   /* CALL and ANSWER */
   size_t header_count;
   fw_header_t headers[FW_HEADERS_MAX];
