Log and count the rate limits that backend servers name

A backend server in need names in its responses how many requests a second it takes from all hosts together. Nothing showed it. The node beside it now follows the limit (call/rate-limit, a token bucket that nothing asks yet), logs when it begins, changes or ends, and shows it as a gauge. Values that are no decimal number are counted and ignored.

--- a/packages/node/source/node-backend-report.c
+++ b/packages/node/source/node-backend-report.c
@@ -68,6 +68,44 @@
   fn_refuse_waiting_calls (backend);
 }
 
+static void
+log_rate_limit (fn_backend_t *backend, const char *message, fb_str_t request_id)
+{
+  double rate;
+
+  fr_get_rate_limit (backend->rate_limit, &rate);
+  fb_set_counter (backend->rate_limit_gauge, (uint64_t)(rate * 1000));
+  FB_LOG (fk_get_log (backend->kernel), FB_LOG_INFO, FN_BACKEND, message,
+          FB_TEXT ("instance", backend->local.instance.data), FB_STR ("id", request_id),
+          FB_NUMBER ("limit_per_1000_s", rate * 1000),
+          FB_NUMBER ("started", fr_count_started (backend->admission)),
+          FB_NUMBER ("waiting", fr_count_waiting (backend->admission)));
+}
+
+static void
+handle_rate_limit (const fn_backend_call_t *backend_call, fb_str_t value)
+{
+  fn_backend_t *backend = backend_call->backend;
+  double rate;
+
+  if (!value.data)
+    {
+      if (fr_end_rate_limit (backend->rate_limit, backend_call->started_at))
+        log_rate_limit (backend, "backend server no longer limits its requests",
+                        backend_call->call.request_id);
+    }
+  else if (fr_parse_rate (value, &rate) != FB_OK)
+    {
+      fb_add_counter (backend->invalid_rate_limits, 1);
+      FB_LOG (fk_get_log (backend->kernel), FB_LOG_WARNING, FN_BACKEND,
+              "rate limit of the backend server ignored: not a decimal number",
+              FB_STR ("found", value), FB_STR ("id", backend_call->call.request_id));
+    }
+  else if (fr_name_rate_limit (backend->rate_limit, rate))
+    log_rate_limit (backend, "backend server limits its requests",
+                    backend_call->call.request_id);
+}
+
 void
 fn_handle_backend_report (const fn_backend_call_t *backend_call, const fh_response_t *response)
 {
@@ -77,4 +115,6 @@
     return;
   if (fb_equal_str (find_header (response, dialect->leaving), FB_LITERAL ("1")))
     handle_leaving (backend_call);
+  if (dialect->rate_limit.len > 0)
+    handle_rate_limit (backend_call, find_header (response, dialect->rate_limit));
 }
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -24,6 +24,9 @@
 /* Time after a failed connection in which calls are refused without a new attempt. */
 #define RECONNECT_DELAY (250 * FB_MILLISECOND)
 
+/* Calls that an idle backend server under a rate limit takes at once, as time at that rate. */
+#define LIMIT_BURST_TIME (500 * FB_MILLISECOND)
+
 #define ONCE_RECORDS_MAX 20000
 #define ONCE_BYTES_MAX (8 * 1024 * 1024)
 
@@ -445,6 +448,7 @@
   fn_backend_t *backend = data;
 
   fr_destroy_admission (backend->admission);
+  fr_destroy_rate_limit (backend->rate_limit);
   fr_destroy_once (backend->once);
   fc_release_snapshot (backend->admission_snapshot);
   g_hash_table_destroy (backend->calls);
@@ -469,6 +473,7 @@
   backend->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   backend->admission = fr_create_admission (FR_POLICY_SHARES, 1, &rank, 1,
                                             fk_get_clock (kernel), counters, &hooks);
+  backend->rate_limit = fr_create_rate_limit (LIMIT_BURST_TIME, fk_get_clock (kernel));
   backend->once = fr_create_once (&fn_get_settings (kernel)->id, fn_get_start_id (kernel),
                                   secret, ONCE_RECORDS_MAX, ONCE_BYTES_MAX);
   backend->started = fb_find_counter (counters, "backend_calls", "end=\"started\"");
@@ -477,6 +482,8 @@
       = fb_find_counter (counters, "backend_calls", "end=\"replayed\"");
   backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
   backend->leaving_responses = fb_find_counter (counters, "backend_leaving_responses", "");
+  backend->rate_limit_gauge = fb_find_counter (counters, "backend_rate_limit_millis", "");
+  backend->invalid_rate_limits = fb_find_counter (counters, "backend_invalid_rate_limits", "");
   backend->wait_times = fb_create_histogram (counters, "backend_wait_us", "");
   backend->service_times = fb_create_histogram (counters, "backend_service_us", "");
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
@@ -489,7 +496,11 @@
 
   if (!fb_equal_name (&backend->local.instance, &local->instance)
       || backend->local.incarnation != local->incarnation)
-    backend->said_leaving = false;
+    {
+      backend->said_leaving = false;
+      fr_reset_rate_limit (backend->rate_limit);
+      fb_set_counter (backend->rate_limit_gauge, 0);
+    }
   if (backend->local.slots != local->slots)
     g_clear_pointer (&backend->admission_snapshot, fc_release_snapshot);
   if (!fb_equal_name (&backend->local.instance, &local->instance) && backend->client)
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -6,6 +6,7 @@
 #include <foxtailrun/base/histogram.h>
 #include <foxtailrun/call/admission.h>
 #include <foxtailrun/call/once.h>
+#include <foxtailrun/call/rate-limit.h>
 #include <foxtailrun/http/client.h>
 #include <glib.h>
 
@@ -42,6 +43,7 @@
 {
   fk_kernel_t *kernel;
   fr_admission_t *admission;
+  fr_rate_limit_t *rate_limit; /* named by the backend server */
   fr_once_t *once;
   fh_client_t *client;
   fk_timer_t *tick_timer;
@@ -59,6 +61,8 @@
   fb_counter_t *recorded_answers_sent;
   fb_counter_t *unknown;
   fb_counter_t *leaving_responses;
+  fb_counter_t *rate_limit_gauge; /* calls in 1,000 s; 0 without a limit */
+  fb_counter_t *invalid_rate_limits;
   fb_histogram_t *wait_times;    /* in the queue, of calls that were started */
   fb_histogram_t *service_times; /* at the backend server */
 };
--- a/packages/node/source/node-dialect.c
+++ b/packages/node/source/node-dialect.c
@@ -6,5 +6,6 @@
   .timeout_ms = { "foxtailrun-timeout-ms", 21 },
   .outcome = { "foxtailrun-outcome", 18 },
   .customer = { "foxtailrun-customer", 19 },
+  .rate_limit = { "foxtailrun-rate-limit", 21 },
   .resolves_paths = true,
 };
