Start no more calls than a backend server names as its limit

A backend server in need names how many requests a second it takes from all hosts.

Ruled out: shares of the limit that are wrong after a restart or under unequal load, as no node had any.

All requests to a backend server pass the node beside it, which now counts their starts against the limit with a token bucket (call/rate-limit, decision 0012). Admission starts a call when a slot and a token are there, by rank, share and customer as before, and refuses one on arrival that the limit would start too late. backend.limit_burst_ms sets the size of the bucket.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -6,11 +6,13 @@
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/counter.h>
 #include <foxtailrun/base/string.h>
+#include <foxtailrun/call/rate-limit.h>
 
 /* Why a call was refused without being started. */
 typedef enum
 {
   FR_REFUSED_QUEUE_FULL, /* the rank's queue is full or the latency target cannot be met */
+  FR_REFUSED_RATE_LIMIT, /* the backend server's rate limit lets it start too late */
   FR_REFUSED_DEADLINE,   /* the deadline cannot be met or has passed */
   FR_REFUSED_DRAINING,   /* the node is leaving */
   FR_REFUSED_CANCELLED   /* the caller cancelled it before it started */
@@ -54,6 +56,9 @@
                                      const fb_clock_t *clock, fb_counters_t *counters,
                                      const fr_admission_hooks_t *hooks);
 
+/* Starts no more calls than LIMIT allows; LIMIT is borrowed and outlives ADMISSION. */
+void fr_set_admission_rate_limit (fr_admission_t *admission, fr_rate_limit_t *limit);
+
 /* Frees ADMISSION, dropping waiting calls without a hook; may be NULL. */
 void fr_destroy_admission (fr_admission_t *admission);
 
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -16,6 +16,9 @@
 /* Fraction of the slots that more urgent ranks must use for a reserve to apply. */
 #define RESERVE_URGENT_USAGE_MIN 0.02
 
+/* Lower bound of the slots that calls can use under a rate limit. */
+#define USABLE_SLOTS_MIN 0.01
+
 /* Least share that FR_POLICY_FAIR assumes for a rank. */
 #define ASSUMED_SHARE_MIN 0.01
 
@@ -37,10 +40,32 @@
     }
 }
 
+/* Returns the slots that calls can use: under a rate limit, those that calls at this rate
+ * occupy.
+ */
+static double
+get_usable_slots (const fr_admission_t *admission)
+{
+  double rate;
+  double occupied;
+
+  if (admission->rate_limit == NULL || admission->service_time_ns == 0
+      || !fr_get_rate_limit (admission->rate_limit, &rate))
+    return admission->slots;
+  occupied = rate * admission->service_time_ns / (double)FB_SECOND;
+  return CLAMP (occupied, USABLE_SLOTS_MIN, admission->slots);
+}
+
 bool
 fr_is_below_share (const fr_admission_t *admission, const rank_t *rank)
 {
-  return rank->usage < rank->options.share * admission->slots;
+  return rank->usage < rank->options.share * get_usable_slots (admission);
+}
+
+bool
+fr_can_start_by_limit (const fr_admission_t *admission)
+{
+  return admission->rate_limit == NULL || fr_get_start_delay (admission->rate_limit, 0) == 0;
 }
 
 /* Returns the slots that RANK leaves free when over its share, growing linearly from the
@@ -154,12 +179,13 @@
 static double
 get_available_fraction (const fr_admission_t *admission, const rank_t *rank)
 {
+  double usable_slots = get_usable_slots (admission);
   double available = 1;
 
   for (size_t i = 0; i < admission->ranks->len; i++)
     {
       const rank_t *other = g_ptr_array_index (admission->ranks, i);
-      double used = other->usage / admission->slots;
+      double used = other->usage / usable_slots;
 
       if (other->index < rank->index)
         available -= used;
@@ -179,13 +205,44 @@
          / (admission->slots * get_available_fraction (admission, rank));
 }
 
+/* Returns the expected wait in ns for the rate limit of a call with CALLS_AHEAD calls of RANK
+ * before it. */
+static double
+estimate_limit_wait_behind (const fr_admission_t *admission, const rank_t *rank,
+                            double calls_ahead)
+{
+  fb_time_t delay;
+
+  if (admission->rate_limit == NULL)
+    return 0;
+  for (uint32_t i = 0; i < rank->index; i++)
+    calls_ahead += (double)((rank_t *)g_ptr_array_index (admission->ranks, i))->waiting;
+  delay = fr_get_start_delay (admission->rate_limit, calls_ahead);
+  if (delay == 0)
+    return 0;
+  return (double)delay / get_available_fraction (admission, rank);
+}
+
+/* A caller retry is queued before the other calls of its customer. */
+static double
+count_calls_ahead (const flow_t *flow, bool is_caller_retry)
+{
+  return is_caller_retry ? flow->retries_waiting : fr_count_calls_ahead (flow);
+}
+
 double
 fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow, bool is_caller_retry)
 {
-  /* A caller retry is queued before the other calls of its customer. */
   return estimate_wait_behind (admission, flow->rank,
-                               is_caller_retry ? flow->retries_waiting
-                                               : fr_count_calls_ahead (flow));
+                               count_calls_ahead (flow, is_caller_retry));
+}
+
+double
+fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow,
+                        bool is_caller_retry)
+{
+  return estimate_limit_wait_behind (admission, flow->rank,
+                                     count_calls_ahead (flow, is_caller_retry));
 }
 
 fb_time_t
@@ -193,6 +250,8 @@
 {
   const rank_t *rank
       = g_ptr_array_index (admission->ranks, MIN (rank_index, admission->ranks->len - 1));
+  double waiting = (double)rank->waiting;
 
-  return (fb_time_t)estimate_wait_behind (admission, rank, (double)rank->waiting);
+  return (fb_time_t)MAX (estimate_wait_behind (admission, rank, waiting),
+                         estimate_limit_wait_behind (admission, rank, waiting));
 }
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -74,6 +74,8 @@
   fr_policy_t policy;
   uint32_t slots;
   const fb_clock_t *clock;
+  fr_rate_limit_t *rate_limit; /* borrowed; NULL for none */
+  double service_time_ns;      /* moving average of all ranks; 0 before the first sample */
   fr_admission_hooks_t hooks;
   GPtrArray *ranks;    /* rank_t, most urgent first */
   GHashTable *entries; /* id -> entry_t */
@@ -141,11 +143,18 @@
  * waits, or when FR_POLICY_SHARES reserves the free slots for more urgent ranks. */
 rank_t *fr_choose_rank (const fr_admission_t *admission);
 
-/* Returns the expected wait in ns of a new call of FLOW; a caller retry waits only for the
- * retries before it. */
+/* Returns the expected wait in ns of a new call of FLOW for a slot; a caller retry waits only
+ * for the retries before it. */
 double fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow,
                          bool is_caller_retry);
 
+/* Like fr_estimate_wait, for the rate limit; 0 without one. */
+double fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow,
+                               bool is_caller_retry);
+
+/* Returns whether the rate limit, if any, lets a call start now. */
+bool fr_can_start_by_limit (const fr_admission_t *admission);
+
 /* admission-limit.c */
 
 /* Updates the limit of FR_POLICY_ADAPTIVE after a call; LATENCY is since its arrival. */
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -9,6 +9,8 @@
     {
     case FR_REFUSED_QUEUE_FULL:
       return "queue-full";
+    case FR_REFUSED_RATE_LIMIT:
+      return "rate-limit";
     case FR_REFUSED_DEADLINE:
       return "deadline";
     case FR_REFUSED_DRAINING:
@@ -124,6 +126,8 @@
   fr_remove_entry (entry);
   fr_charge_start (entry);
   entry->started_at = now;
+  if (admission->rate_limit != NULL)
+    fr_count_start (admission->rate_limit);
   admission->waiting--;
   admission->started++;
   add_event (admission, entry->call, true, FR_REFUSED_QUEUE_FULL);
@@ -135,7 +139,8 @@
   fb_time_t now = fb_read_clock (admission->clock);
   rank_t *rank;
 
-  while (admission->started < admission->slots && (rank = fr_choose_rank (admission)) != NULL)
+  while (admission->started < admission->slots && fr_can_start_by_limit (admission)
+         && (rank = fr_choose_rank (admission)) != NULL)
     {
       entry_t *entry = fr_peek_entry (rank);
 
@@ -197,6 +202,12 @@
   return admission;
 }
 
+void
+fr_set_admission_rate_limit (fr_admission_t *admission, fr_rate_limit_t *limit)
+{
+  admission->rate_limit = limit;
+}
+
 void
 fr_destroy_admission (fr_admission_t *admission)
 {
@@ -269,6 +280,27 @@
   return rank->started > 0 || (times->target_time > 0 && rank->waiting > 0);
 }
 
+/* Returns whether the rate limit lets a new call of FLOW start too late for its deadline, or
+ * for its target time when its rank is over its share. Unlike the wait for a slot this is known
+ * without a sample of the service time. */
+static bool
+misses_by_rate_limit (const fr_admission_t *admission, const flow_t *flow,
+                      const fr_call_options_t *times, fb_time_t now)
+{
+  const rank_t *rank = flow->rank;
+  double wait;
+
+  if (admission->policy != FR_POLICY_SHARES)
+    return false;
+  wait = fr_estimate_limit_wait (admission, flow, times->is_caller_retry);
+  if (wait == 0)
+    return false;
+  if (wait + rank->service_time_ns > (double)(times->deadline - now))
+    return true;
+  return times->target_time > 0 && !fr_is_below_share (admission, rank)
+         && misses_target_time (rank, now + (fb_time_t)wait, times->target_time);
+}
+
 static bool
 should_refuse_call (fr_admission_t *admission, const flow_t *flow,
                     const fr_call_options_t *times, fr_refusal_t *refusal)
@@ -283,6 +315,10 @@
   *refusal = FR_REFUSED_DEADLINE;
   if (deadline <= now)
     return true;
+  *refusal = FR_REFUSED_RATE_LIMIT;
+  if (misses_by_rate_limit (admission, flow, times, now))
+    return true;
+  *refusal = FR_REFUSED_DEADLINE;
   if (admission->policy == FR_POLICY_SHARES && can_estimate_wait (rank, times))
     {
       double wait = fr_estimate_wait (admission, flow, times->is_caller_retry);
@@ -349,6 +385,12 @@
   deliver_events (admission);
 }
 
+static void
+update_service_time (double *average, double sample)
+{
+  *average = *average > 0 ? *average + (sample - *average) * SERVICE_TIME_GAIN : sample;
+}
+
 void
 fr_finish_call (fr_admission_t *admission, uint64_t id)
 {
@@ -362,10 +404,8 @@
   rank = entry->flow->rank;
   service_time = (double)(now - entry->started_at);
   fr_charge_finish (entry, now - entry->started_at);
-  rank->service_time_ns
-      = rank->service_time_ns > 0
-            ? rank->service_time_ns + (service_time - rank->service_time_ns) * SERVICE_TIME_GAIN
-            : service_time;
+  update_service_time (&rank->service_time_ns, service_time);
+  update_service_time (&admission->service_time_ns, service_time);
   if (admission->policy == FR_POLICY_ADAPTIVE)
     fr_update_concurrency_limit (admission, now - entry->arrived_at, now - entry->started_at);
   admission->started--;
--- a/packages/call/tests/test-admission.c
+++ b/packages/call/tests/test-admission.c
@@ -11,6 +11,7 @@
   fr_admission_t *admission;
   fb_clock_t *clock;
   fb_counters_t *counters;
+  fr_rate_limit_t *rate_limit;
   fr_rank_options_t ranks[RANKS_MAX];
   uint32_t slots;
   size_t rank_count;
@@ -35,8 +36,8 @@
 }
 
 /* Runs one step of a script: "oID,RANK,CUSTOMER,WEIGHT,DEADLINE" (ms from now) offers, "fID"
- * finishes, "cID" cancels, "+MS" advances the clock, "t" ticks, "d" drains, "SN" sets the slots
- * and "RN" the number of ranks. */
+ * finishes, "cID" cancels, "+MS" advances the clock, "t" ticks, "d" drains, "SN" sets the
+ * slots, "RN" the number of ranks and "LN" a limit of N calls a second. */
 static void
 run_step (fixture_t *fixture, const char *step)
 {
@@ -68,6 +69,9 @@
     case 'd':
       fr_drain_admission (fixture->admission);
       break;
+    case 'L':
+      fr_name_rate_limit (fixture->rate_limit, (double)id);
+      break;
     default:
       g_assert_true (step[0] == 'S' || step[0] == 'R');
       if (step[0] == 'S')
@@ -184,6 +188,24 @@
     "o1,2,a,1,900 o2,2,a,1,900 o3,1,b,1,900 o4,2,c,1,900 R1 o5,7,a,1,900 o6,0,d,1,900 f1 f3 f4 f6 "
     "f2 R3 f5",
     "s1 s3 s4 s6 s2 s5 " },
+  { "rate-limit", "free slots exceed the limit of the backend server", FR_POLICY_SHARES, 5, 0,
+    0, 0, 0, 0, "L10 o1,0,a,1,9000 o2,0,a,1,9000 o3,0,a,1,9000 +100 t +90 t +10 t f1 +100 t",
+    "s1 s2 s3 " },
+  { "rate-limit-urgent", "a less urgent call takes the start that the limit allows",
+    FR_POLICY_SHARES, 5, 0, 0, 0, 0, 0,
+    "L10 o1,1,a,1,9000 o2,1,a,1,9000 o3,0,a,1,9000 +100 t +100 t +100 t", "s3 s1 s2 " },
+  { "rate-limit-deadline", "a call that the limit starts too late waits until its deadline",
+    FR_POLICY_SHARES, 5, 0, 0, 0, 0, 0,
+    "L10 o1,0,a,1,250 o2,0,a,1,250 o3,0,a,1,250 o4,1,a,1,150 +100 t +100 t",
+    "rate-limit3 "
+    "rate-limit4 s1 s2 " },
+  { "rate-limit-share", "an urgent flood under a limit starves a rank within its share",
+    FR_POLICY_SHARES, 5, 0.5, 0.5, 0, 0, 0,
+    "o1,0,a,1,9000 +100 f1 L10 o2,0,a,1,9000 o3,0,a,1,9000 o4,0,a,1,9000 "
+    "o5,0,a,1,9000 o6,0,a,1,9000 o7,0,a,1,9000 o8,0,a,1,9000 o9,0,a,1,9000 "
+    "o10,0,a,1,9000 o11,0,a,1,9000 o12,0,a,1,9000 o20,1,a,1,9000 +100 t +100 f2 t "
+    "+100 f3 t +100 f4 t +100 f5 t +100 f6 t +100 f7 t +100 f8 t",
+    "s1 s2 s3 s4 s5 s6 s7 s8 s20 " },
   { "fifo", "the baseline respects ranks", FR_POLICY_FIFO, 1, 0, 0, 0, 0, 0,
     "o1,1,a,1,900 o2,1,a,1,900 o3,0,a,1,900 f1", "s1 s2 " },
   { "strict", "the baseline respects shares", FR_POLICY_STRICT, 1, 0, 0.9, 0, 0, 0,
@@ -215,9 +237,12 @@
   fixture.ranks[2].share = test->share_2;
   fixture.admission = fr_create_admission (test->policy, test->slots, fixture.ranks, RANKS_MAX,
                                            fixture.clock, fixture.counters, &hooks);
+  fixture.rate_limit = fr_create_rate_limit (100 * FB_MILLISECOND, fixture.clock);
+  fr_set_admission_rate_limit (fixture.admission, fixture.rate_limit);
   run_script (&fixture, test->script);
   g_assert_cmpstr (fixture.events->str, ==, test->events);
   fr_destroy_admission (fixture.admission);
+  fr_destroy_rate_limit (fixture.rate_limit);
   fb_destroy_counters (fixture.counters);
   fb_destroy_clock (fixture.clock);
   g_string_free (fixture.events, TRUE);
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -116,6 +116,10 @@
     "address of the backend server" },
   { "backend", "port", FC_TYPE_INTEGER, "", "0", 1, PORT_MAX, NULL,
     "HTTP port of the backend server; required with node.service" },
+  { "backend", "limit_burst_ms", FC_TYPE_INTEGER, "ms", G_STRINGIFY (FC_LIMIT_BURST_MS_DEFAULT),
+    0, 1000, NULL,
+    "under a rate limit that the backend server names, calls of this time at the limit, at least "
+    "one, may start at once after a pause" },
 
   { "platform", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the platform's configuration service and host list" },
--- a/packages/config/tests/test-settings.c
+++ b/packages/config/tests/test-settings.c
@@ -65,6 +65,9 @@
   { "backend-port", NODE "service = \"shop\"\n" LISTEN "[backend]\naddress = \"10.0.0.300\"\n",
     "f:8: backend.port: found no value, allowed: " PORT_TEXT "\n"
     "f:9: backend.address: found \"10.0.0.300\", allowed: a numeric IP address\n" },
+  { "backend-burst",
+    NODE "service = \"shop\"\n" LISTEN "[backend]\nport = 80\nlimit_burst_ms = 2000\n",
+    "f:10: backend.limit_burst_ms: found 2000, allowed: an integer from 0 to 1000\n" },
   { "backend-without-service", NODE LISTEN "[backend]\nport = 80\n",
     "f:7: backend: found a table, allowed: [backend] only with node.service\n" },
   { "platform-port", NODE LISTEN "[platform]\n",
@@ -142,6 +145,7 @@
   g_assert_cmpuint (settings.control_port, ==, 7402);
   g_assert_cmpuint (settings.admin_port, ==, 7403);
   g_assert_cmpuint (settings.backend.port, ==, 0);
+  g_assert_cmpint (settings.limit_burst, ==, 500 * FB_MILLISECOND);
   g_assert_cmpuint (settings.platform.port, ==, 0);
   g_assert_cmpuint (settings.seed_count, ==, 0);
   g_assert_cmpuint (settings.admin_key.len, ==, 0);
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -24,9 +24,6 @@
 /* Time after a failed connection in which calls are refused without a new attempt. */
 #define RECONNECT_DELAY (250 * FB_MILLISECOND)
 
-/* Calls that an idle backend server under a rate limit takes at once, as time at that rate. */
-#define LIMIT_BURST_TIME (500 * FB_MILLISECOND)
-
 #define ONCE_RECORDS_MAX 20000
 #define ONCE_BYTES_MAX (8 * 1024 * 1024)
 
@@ -256,8 +253,9 @@
 refuse_call (void *call, fr_refusal_t refusal, void *user)
 {
   fn_backend_call_t *backend_call = call;
+  bool is_busy = refusal == FR_REFUSED_QUEUE_FULL || refusal == FR_REFUSED_RATE_LIMIT;
   fw_call_t answer = { .outcome = FW_NOT_RUN,
-                       .status = refusal == FR_REFUSED_QUEUE_FULL ? 429 : 503,
+                       .status = is_busy ? 429 : 503,
                        .reason = fb_wrap_text (fr_describe_refusal (refusal)),
                        .retry_elsewhere = refusal == FR_REFUSED_CANCELLED };
 
@@ -473,7 +471,9 @@
   backend->calls = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, free_call);
   backend->admission = fr_create_admission (FR_POLICY_SHARES, 1, &rank, 1,
                                             fk_get_clock (kernel), counters, &hooks);
-  backend->rate_limit = fr_create_rate_limit (LIMIT_BURST_TIME, fk_get_clock (kernel));
+  backend->rate_limit
+      = fr_create_rate_limit (fn_get_settings (kernel)->limit_burst, fk_get_clock (kernel));
+  fr_set_admission_rate_limit (backend->admission, backend->rate_limit);
   backend->once = fr_create_once (&fn_get_settings (kernel)->id, fn_get_start_id (kernel),
                                   secret, ONCE_RECORDS_MAX, ONCE_BYTES_MAX);
   backend->started = fb_find_counter (counters, "backend_calls", "end=\"started\"");
