Tell a restarted node the rate limit that its backend server named

Cause: the limit lives at the node beside the backend server. When that node restarts, it starts calls in all slots before the first response names the limit again, though the callers' nodes have passed on the limit and are bound by it.

Answers between nodes now name the instance, its incarnation and its limit. An entry node remembers them and sends the limit with its calls; the node beside the instance takes it over until the first response of its own. An outdated word is corrected by that response.

The message format of calls is raised to 5."

--- a/fuzz/fuzz-call.c
+++ b/fuzz/fuzz-call.c
@@ -25,8 +25,10 @@
   FUZZ_CHECK (a->reached_backend == b->reached_backend);
   FUZZ_CHECK (a->load == b->load);
   FUZZ_CHECK (a->service_us == b->service_us);
-  FUZZ_CHECK (fb_equal_str (a->leaving_instance, b->leaving_instance));
-  FUZZ_CHECK (a->leaving_incarnation == b->leaving_incarnation);
+  FUZZ_CHECK (a->leaving == b->leaving);
+  FUZZ_CHECK (fb_equal_str (a->instance, b->instance));
+  FUZZ_CHECK (a->incarnation == b->incarnation);
+  FUZZ_CHECK (a->rate_limit_milli == b->rate_limit_milli);
   FUZZ_CHECK (a->header_count == b->header_count);
   for (size_t i = 0; i < a->header_count; i++)
     {
--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -69,6 +69,14 @@
 void fr_report_times (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
                       fb_time_t service_time, fb_time_t expected_wait);
 
+/* Records the rate limit of INCARNATION of an instance in calls per 1,000 s, 0 for none. */
+void fr_report_rate_limit (fr_picker_t *picker, const fb_name_t *instance, uint64_t incarnation,
+                           uint64_t limit_milli);
+
+/* Returns the rate limit last reported of INCARNATION of an instance, 0 for none. */
+uint64_t fr_get_reported_rate_limit (const fr_picker_t *picker, const fb_name_t *instance,
+                                     uint64_t incarnation);
+
 /* Like fr_begin_attempt and fr_report_result, for a call of RANK. */
 void fr_begin_attempt_for_rank (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank);
 void fr_report_result_for_rank (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -419,6 +419,29 @@
   fr_report_result_for_rank (picker, name, 0, result, latency, load);
 }
 
+void
+fr_report_rate_limit (fr_picker_t *picker, const fb_name_t *name, uint64_t incarnation,
+                      uint64_t limit_milli)
+{
+  instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
+
+  if (instance == NULL)
+    return;
+  instance->rate_limit_milli = limit_milli;
+  instance->limited_incarnation = incarnation;
+}
+
+uint64_t
+fr_get_reported_rate_limit (const fr_picker_t *picker, const fb_name_t *name,
+                            uint64_t incarnation)
+{
+  const instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
+
+  return instance != NULL && instance->limited_incarnation == incarnation
+             ? instance->rate_limit_milli
+             : 0;
+}
+
 void
 fr_eject_until (fr_picker_t *picker, const fb_name_t *name, fb_time_t until)
 {
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -48,6 +48,8 @@
   rank_stats_t rank_stats[FC_RANKS_MAX];
   uint32_t load; /* per 1,000 slots, as last reported */
   fb_time_t load_reported_at;
+  uint64_t rate_limit_milli;    /* calls per 1,000 s, as last reported; 0 for none */
+  uint64_t limited_incarnation; /* that RATE_LIMIT_MILLI is about */
   fb_time_t slow_start_begin;
   uint32_t consecutive_failures;
   uint32_t ejections; /* since the last successful attempt */
--- a/packages/node/source/node-backend-report.c
+++ b/packages/node/source/node-backend-report.c
@@ -106,6 +106,34 @@
                     backend_call->call.request_id);
 }
 
+void
+fn_set_answer_report (fn_backend_t *backend, fw_call_t *answer)
+{
+  bool leaving = fn_is_backend_leaving (backend);
+  double rate;
+
+  if (!leaving && !fr_is_rate_limit_known (backend->rate_limit))
+    return;
+  answer->instance = fb_get_name (&backend->local.instance);
+  answer->incarnation = backend->local.incarnation;
+  answer->leaving = leaving;
+  /* 0 stands for no limit. */
+  if (fr_get_rate_limit (backend->rate_limit, &rate))
+    answer->rate_limit_milli = MAX ((uint64_t)(rate * 1000), 1);
+}
+
+void
+fn_adopt_reported_limit (fn_backend_t *backend, const fw_call_t *call)
+{
+  if (call->rate_limit_milli == 0
+      || !fb_equal_str (call->instance, fb_get_name (&backend->local.instance))
+      || call->incarnation != backend->local.incarnation)
+    return;
+  if (fr_adopt_rate_limit (backend->rate_limit, (double)call->rate_limit_milli / 1000))
+    log_rate_limit (backend, "rate limit of the backend server known from another node",
+                    call->request_id);
+}
+
 void
 fn_handle_backend_report (const fn_backend_call_t *backend_call, const fh_response_t *response)
 {
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -78,11 +78,7 @@
   answer->wait_us
       = (uint64_t)(fr_get_expected_wait (backend->admission, find_rank (backend_call))
                    / FB_MICROSECOND);
-  if (fn_is_backend_leaving (backend))
-    {
-      answer->leaving_instance = fb_get_name (&backend->local.instance);
-      answer->leaving_incarnation = backend->local.incarnation;
-    }
+  fn_set_answer_report (backend, answer);
   if (answer->outcome != FW_ANSWERED)
     log_unanswered (backend_call, answer);
   if (backend_call->answered)
@@ -395,6 +391,7 @@
   fr_call_options_t times = { backend_call->deadline, backend_call->target_time,
                               backend_call->call.is_caller_retry };
 
+  fn_adopt_reported_limit (backend, &backend_call->call);
   if (backend_call->has_ticket && !fn_begin_ticket (backend_call))
     return;
   configure_admission (backend, snapshot);
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -78,6 +78,14 @@
 void fn_refuse_for_retry_elsewhere (fn_backend_call_t *backend_call, uint32_t status,
                                     const char *reason);
 
+/* Writes what this node knows of the backend server into ANSWER; its strings borrow from
+ * BACKEND. */
+void fn_set_answer_report (fn_backend_t *backend, fw_call_t *answer);
+
+/* Takes over the rate limit that the entry node of CALL heard of, until the backend server
+ * responds to this node. */
+void fn_adopt_reported_limit (fn_backend_t *backend, const fw_call_t *call);
+
 /* Returns whether the backend server is listed as leaving or said so itself. */
 bool fn_is_backend_leaving (const fn_backend_t *backend);
 
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -97,14 +97,16 @@
              || fr_withdraw_retry (call->entry->budget, get_service_name (call), route->rank));
 }
 
-/* Sends no more calls to INSTANCE if ANSWER says that it leaves. */
+/* Records what ANSWER reports of INSTANCE: its rate limit, and whether it leaves. */
 static void
-read_leaving_notice (fn_entry_t *entry, const fb_name_t *instance, const fw_call_t *answer)
+read_instance_report (fn_entry_t *entry, const fb_name_t *instance, const fw_call_t *answer)
 {
-  if (answer->leaving_instance.len > 0
-      && fb_equal_str (answer->leaving_instance, fb_get_name (instance)))
+  if (answer->instance.len == 0 || !fb_equal_str (answer->instance, fb_get_name (instance)))
+    return;
+  fr_report_rate_limit (entry->picker, instance, answer->incarnation, answer->rate_limit_milli);
+  if (answer->leaving)
     fn_record_leaving (fk_find_service (entry->kernel, FN_DIRECTORY), instance,
-                       answer->leaving_incarnation);
+                       answer->incarnation);
 }
 
 static void
@@ -114,7 +116,7 @@
   const fb_name_t *instance = close_attempt (call);
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
-  read_leaving_notice (entry, instance, answer);
+  read_instance_report (entry, instance, answer);
   fr_report_times (entry->picker, instance, call->route->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
@@ -189,7 +191,7 @@
 }
 
 static void
-build_message (fn_entry_call_t *call, fw_call_t *message)
+build_message (fn_entry_call_t *call, const fw_member_t *node, fw_call_t *message)
 {
   const fc_route_t *route = call->route;
 
@@ -214,6 +216,14 @@
   };
   if (message->ticket.len == 0 && !route->repeatable && route->ticket)
     message->ticket = FN_TICKET_REQUEST;
+  /* The node beside the instance may have restarted since it heard of the limit. */
+  message->rate_limit_milli
+      = fr_get_reported_rate_limit (call->entry->picker, &node->id, node->incarnation);
+  if (message->rate_limit_milli > 0)
+    {
+      message->instance = fb_get_name (&node->id);
+      message->incarnation = node->incarnation;
+    }
   copy_headers (call, message);
 }
 
@@ -229,7 +239,7 @@
   call->attempt_started_at = read_time (entry);
   call->is_local = is_local (entry, node);
   g_hash_table_insert (entry->attempts, &call->attempt_id, call);
-  build_message (call, &message);
+  build_message (call, node, &message);
   if (!call->is_local)
     {
       fn_send_call (fk_find_service (entry->kernel, FN_CALLS), node, &message);
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -55,17 +55,20 @@
   fb_str_t request_id;
   /* ANSWER */
   fw_outcome_t outcome;
-  uint32_t status;           /* HTTP status */
-  bool close_delimited;      /* the body ended with its connection */
-  fb_str_t reason;           /* why the outcome is not FW_ANSWERED */
-  bool retry_elsewhere;      /* not run for a reason specific to this instance */
-  bool reached_backend;      /* the request reached, or may have reached, the backend server */
-  uint32_t load;             /* running and waiting calls per 1,000 slots */
-  uint64_t service_us;       /* time at the backend server */
-  uint64_t wait_us;          /* expected wait of a further call of the same rank */
-  fb_str_t leaving_instance; /* at the answering node; empty unless it leaves */
-  uint64_t leaving_incarnation; /* of LEAVING_INSTANCE */
+  uint32_t status;      /* HTTP status */
+  bool close_delimited; /* the body ended with its connection */
+  fb_str_t reason;      /* why the outcome is not FW_ANSWERED */
+  bool retry_elsewhere; /* not run for a reason specific to this instance */
+  bool reached_backend; /* the request reached, or may have reached, the backend server */
+  uint32_t load;        /* running and waiting calls per 1,000 slots */
+  uint64_t service_us;  /* time at the backend server */
+  uint64_t wait_us;     /* expected wait of a further call of the same rank */
+  bool leaving;         /* INSTANCE is about to stop */
   /* CALL and ANSWER */
+  fb_str_t instance;         /* that the next two, and LEAVING, are about; empty when the sender
+                                knows nothing of it */
+  uint64_t incarnation;      /* of INSTANCE */
+  uint64_t rate_limit_milli; /* calls that INSTANCE takes in 1,000 s; 0 if it names no limit */
   size_t header_count;
   fw_header_t headers[FW_HEADERS_MAX];
   fb_bytes_t body;
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -5,8 +5,8 @@
 #include <glib.h>
 #include <string.h>
 
-#define CALL_FORMAT 4
-#define CALL_FIELDS 28
+#define CALL_FORMAT 5
+#define CALL_FIELDS 30
 
 /* Longest path, header name or value, ticket or other free text in bytes. */
 #define TEXT_MAX (16 * 1024)
@@ -46,8 +46,10 @@
   msgpack_pack_uint64 (&packer, message->load);
   msgpack_pack_uint64 (&packer, message->service_us);
   msgpack_pack_uint64 (&packer, message->wait_us);
-  fw_pack_str (&packer, message->leaving_instance);
-  msgpack_pack_uint64 (&packer, message->leaving_incarnation);
+  msgpack_pack_uint64 (&packer, message->leaving);
+  fw_pack_str (&packer, message->instance);
+  msgpack_pack_uint64 (&packer, message->incarnation);
+  msgpack_pack_uint64 (&packer, message->rate_limit_milli);
   msgpack_pack_array (&packer, 2 * message->header_count);
   for (size_t i = 0; i < message->header_count; i++)
     {
@@ -92,8 +94,10 @@
   message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
   message->service_us = fw_read_u64 (&reader, UINT64_MAX);
   message->wait_us = fw_read_u64 (&reader, UINT64_MAX);
-  message->leaving_instance = fw_read_str (&reader, FB_NAME_MAX);
-  message->leaving_incarnation = fw_read_u64 (&reader, UINT64_MAX);
+  message->leaving = fw_read_u64 (&reader, 1) == 1;
+  message->instance = fw_read_str (&reader, FB_NAME_MAX);
+  message->incarnation = fw_read_u64 (&reader, UINT64_MAX);
+  message->rate_limit_milli = fw_read_u64 (&reader, UINT64_MAX);
   headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
   if (!fw_finish_reader (&reader) || message->kind < FW_CALL || headers.count % 2 != 0)
     return false;
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -132,8 +132,10 @@
                       .ticket = FB_LITERAL ("ftr1-n-1-1-1"),
                       .request_id = FB_LITERAL ("r-1"),
                       .reason = FB_LITERAL (""),
-                      .leaving_instance = FB_LITERAL ("i-1"),
-                      .leaving_incarnation = 5,
+                      .leaving = true,
+                      .instance = FB_LITERAL ("i-1"),
+                      .incarnation = 5,
+                      .rate_limit_milli = 59700,
                       .header_count = 1,
                       .headers
                       = { { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") } } };
@@ -154,8 +156,10 @@
   g_assert_cmpuint (decoded.remaining_us, ==, 250000);
   g_assert_true (fb_equal_str (decoded.path, sent.path));
   g_assert_true (fb_equal_str (decoded.ticket, sent.ticket));
-  g_assert_true (fb_equal_str (decoded.leaving_instance, sent.leaving_instance));
-  g_assert_cmpuint (decoded.leaving_incarnation, ==, 5);
+  g_assert_true (decoded.leaving);
+  g_assert_true (fb_equal_str (decoded.instance, sent.instance));
+  g_assert_cmpuint (decoded.incarnation, ==, 5);
+  g_assert_cmpuint (decoded.rate_limit_milli, ==, 59700);
   g_assert_cmpuint (decoded.header_count, ==, 1);
   g_assert_true (fb_equal_str (decoded.headers[0].value, sent.headers[0].value));
   g_assert_cmpmem (decoded.body.data, decoded.body.len, "body", 4);
