Report a request that was sent before as possibly run when no connection follows

Callers' repeatable requests ran on more instances than their routes allow, and one that had run could be refused as "not run".

Cause: a repeatable request whose reused connection closes is sent again. When the node had been killed, no second connection came about, and the client reported the request as never sent, which costs no attempt, although the node had passed the first copy on.

Such a request now ends without an answer, as one that may have run.

--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -72,7 +72,8 @@
   bool repeatable;
   bool allows_close_delimited;
   bool sent;
-  GList link; /* in exchanges of the client */
+  bool resent; /* sent before on a connection that then closed */
+  GList link;  /* in exchanges of the client */
 };
 
 typedef struct
@@ -152,9 +153,15 @@
     return;
   /* The server closed the idle connection while the request was being sent. */
   if (stale && result == FH_NO_ANSWER && exchange->repeatable)
-    start_exchange (exchange, true);
-  else
-    finish_exchange (exchange, &response);
+    {
+      exchange->resent = true;
+      start_exchange (exchange, true);
+      return;
+    }
+  /* The server may have run what was sent on the first connection. */
+  if (exchange->resent && result == FH_NOT_SENT)
+    response.result = FH_NO_ANSWER;
+  finish_exchange (exchange, &response);
 }
 
 static void
