--- a/packages/call/source/rate-limit.c
+++ b/packages/call/source/rate-limit.c
@@ -73,13 +73,13 @@
   return MIN (limit->tokens + rate * (double)elapsed / FB_SECOND, tokens_max);
 }
 
-/* Puts RATE in force. A new limit begins without tokens: calls were started just before it. */
+/* Puts RATE in force; a limit that was not in force before begins with FIRST_TOKENS. */
 static bool
-set_rate (fr_rate_limit_t *limit, double rate)
+set_rate (fr_rate_limit_t *limit, double rate, double first_tokens)
 {
   bool changes = !limit->in_force || limit->rate != rate;
 
-  limit->tokens = limit->in_force ? get_tokens (limit) : 0;
+  limit->tokens = limit->in_force ? get_tokens (limit) : first_tokens;
   limit->updated_at = fb_read_clock (limit->clock);
   limit->in_force = true;
   limit->rate = rate;
@@ -92,7 +92,8 @@
   limit->heard = true;
   limit->adopted = false;
   limit->named_at = fb_read_clock (limit->clock);
-  return set_rate (limit, rate);
+  /* Calls were started just before the limit. */
+  return set_rate (limit, rate, 0);
 }
 
 bool
@@ -112,7 +113,8 @@
   if (limit->heard)
     return false;
   limit->adopted = true;
-  return set_rate (limit, rate);
+  /* One call at once, whose response shows whether the limit still holds. */
+  return set_rate (limit, rate, 1);
 }
 
 void
