Count starts, not slot time, in a rank's share of a rate limit

Less urgent calls waited some 0.7 s at a limited instance and were refused then. Cause: the part of the limit that is left for a rank was estimated from the slots that more urgent ranks use; short calls use few slots but as much of the limit as long ones, so that the estimated wait was too short.

A rank's recent starts now decide what of the limit is left for it and whether it is below its share. call-test-admission (rate-limit-short-calls) fails before, as the call is queued, and passes.

--- a/packages/call/source/admission-queue.c
+++ b/packages/call/source/admission-queue.c
@@ -218,6 +218,7 @@
   void *value;
 
   to->usage += from->usage;
+  to->start_rate += from->start_rate;
   to->started += from->started;
   to->waiting += from->waiting;
   g_hash_table_iter_init (&iter, from->flows);
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -16,9 +16,6 @@
 /* Fraction of the slots that more urgent ranks must use for a reserve to apply. */
 #define RESERVE_URGENT_USAGE_MIN 0.02
 
-/* Lower bound of the slots that calls can use under a rate limit. */
-#define USABLE_SLOTS_MIN 0.01
-
 /* Least share that FR_POLICY_FAIR assumes for a rank. */
 #define ASSUMED_SHARE_MIN 0.01
 
@@ -37,29 +34,26 @@
       rank_t *rank = g_ptr_array_index (admission->ranks, i);
 
       rank->usage = rank->usage * decay + rank->started * (1 - decay);
+      rank->start_rate *= decay;
     }
 }
 
-/* Returns the slots that calls can use: under a rate limit, those that calls at this rate
- * occupy.
- */
-static double
-get_usable_slots (const fr_admission_t *admission)
+/* Sets RATE to the limit in force; returns false if there is none. */
+static bool
+get_limit (const fr_admission_t *admission, double *rate)
 {
-  double rate;
-  double occupied;
-
-  if (admission->rate_limit == NULL || admission->service_time_ns == 0
-      || !fr_get_rate_limit (admission->rate_limit, &rate))
-    return admission->slots;
-  occupied = rate * admission->service_time_ns / (double)FB_SECOND;
-  return CLAMP (occupied, USABLE_SLOTS_MIN, admission->slots);
+  return admission->rate_limit != NULL && fr_get_rate_limit (admission->rate_limit, rate);
 }
 
 bool
 fr_is_below_share (const fr_admission_t *admission, const rank_t *rank)
 {
-  return rank->usage < rank->options.share * get_usable_slots (admission);
+  double rate;
+
+  /* Calls of different length take the same part of a rate limit. */
+  if (get_limit (admission, &rate))
+    return rank->start_rate < rank->options.share * rate;
+  return rank->usage < rank->options.share * admission->slots;
 }
 
 bool
@@ -174,18 +168,19 @@
   return choose_by_share (admission);
 }
 
-/* Returns the fraction of the slots available to RANK: all except those used by more urgent
- * ranks, or by less urgent ones within their shares, but at least its own share. */
+/* Returns the fraction of TOTAL, of which GET_USED returns a rank's part, available to RANK:
+ * all except what is used by more urgent ranks, or by less urgent ones within their shares, but
+ * at least its own share. */
 static double
-get_available_fraction (const fr_admission_t *admission, const rank_t *rank)
+get_available_fraction (const fr_admission_t *admission, const rank_t *rank, double total,
+                        double (*get_used) (const rank_t *rank))
 {
-  double usable_slots = get_usable_slots (admission);
   double available = 1;
 
   for (size_t i = 0; i < admission->ranks->len; i++)
     {
       const rank_t *other = g_ptr_array_index (admission->ranks, i);
-      double used = other->usage / usable_slots;
+      double used = get_used (other) / total;
 
       if (other->index < rank->index)
         available -= used;
@@ -195,6 +190,18 @@
   return MAX (MAX (available, rank->options.share), AVAILABLE_FRACTION_MIN);
 }
 
+static double
+get_usage (const rank_t *rank)
+{
+  return rank->usage;
+}
+
+static double
+get_start_rate (const rank_t *rank)
+{
+  return rank->start_rate;
+}
+
 /* Returns the expected wait in ns of a call with CALLS_AHEAD calls of RANK before it. */
 static double
 estimate_wait_behind (const fr_admission_t *admission, const rank_t *rank, double calls_ahead)
@@ -202,7 +209,8 @@
   if (admission->started < admission->slots && admission->waiting == 0)
     return 0;
   return (calls_ahead + 1) * rank->service_time_ns
-         / (admission->slots * get_available_fraction (admission, rank));
+         / (admission->slots
+            * get_available_fraction (admission, rank, admission->slots, get_usage));
 }
 
 /* Returns the expected wait in ns for the rate limit of a call with CALLS_AHEAD calls of RANK
@@ -212,15 +220,17 @@
                             double calls_ahead)
 {
   fb_time_t delay;
+  double rate;
 
-  if (admission->rate_limit == NULL)
+  if (!get_limit (admission, &rate))
     return 0;
   for (uint32_t i = 0; i < rank->index; i++)
     calls_ahead += (double)((rank_t *)g_ptr_array_index (admission->ranks, i))->waiting;
   delay = fr_get_start_delay (admission->rate_limit, calls_ahead);
   if (delay == 0)
     return 0;
-  return (double)delay / get_available_fraction (admission, rank);
+  return (double)delay
+         / get_available_fraction (admission, rank, MAX (rate, FR_RATE_MIN), get_start_rate);
 }
 
 /* A caller retry is queued before the other calls of its customer. */
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -57,6 +57,7 @@
   size_t waiting;
   uint32_t started;
   double usage;           /* decaying average of slots in use */
+  double start_rate;      /* decaying average of starts per second */
   double service_time_ns; /* moving average; 0 before the first sample */
   uint64_t last_flow;     /* unused */
 };
@@ -75,7 +76,6 @@
   uint32_t slots;
   const fb_clock_t *clock;
   fr_rate_limit_t *rate_limit; /* borrowed; NULL for none */
-  double service_time_ns;      /* moving average of all ranks; 0 before the first sample */
   fr_admission_hooks_t hooks;
   GPtrArray *ranks;    /* rank_t, most urgent first */
   GHashTable *entries; /* id -> entry_t */
@@ -136,7 +136,8 @@
 
 void fr_update_usage (fr_admission_t *admission);
 
-/* Returns whether the recent usage of RANK is below its guaranteed share. */
+/* Returns whether the recent usage of RANK is below its guaranteed share: of the slots, or
+ * under a rate limit of the starts. */
 bool fr_is_below_share (const fr_admission_t *admission, const rank_t *rank);
 
 /* Returns the rank with waiting calls that gets the next free slot; NULL when no call
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -126,6 +126,7 @@
   fr_remove_entry (entry);
   fr_charge_start (entry);
   entry->started_at = now;
+  entry->flow->rank->start_rate += (double)FB_SECOND / (double)USAGE_TIME_CONSTANT;
   if (admission->rate_limit != NULL)
     fr_count_start (admission->rate_limit);
   admission->waiting--;
@@ -385,12 +386,6 @@
   deliver_events (admission);
 }
 
-static void
-update_service_time (double *average, double sample)
-{
-  *average = *average > 0 ? *average + (sample - *average) * SERVICE_TIME_GAIN : sample;
-}
-
 void
 fr_finish_call (fr_admission_t *admission, uint64_t id)
 {
@@ -404,8 +399,10 @@
   rank = entry->flow->rank;
   service_time = (double)(now - entry->started_at);
   fr_charge_finish (entry, now - entry->started_at);
-  update_service_time (&rank->service_time_ns, service_time);
-  update_service_time (&admission->service_time_ns, service_time);
+  rank->service_time_ns
+      = rank->service_time_ns > 0
+            ? rank->service_time_ns + (service_time - rank->service_time_ns) * SERVICE_TIME_GAIN
+            : service_time;
   if (admission->policy == FR_POLICY_ADAPTIVE)
     fr_update_concurrency_limit (admission, now - entry->arrived_at, now - entry->started_at);
   admission->started--;
--- a/packages/call/tests/test-admission.c
+++ b/packages/call/tests/test-admission.c
@@ -206,6 +206,20 @@
     "o10,0,a,1,9000 o11,0,a,1,9000 o12,0,a,1,9000 o20,1,a,1,9000 +100 t +100 f2 t "
     "+100 f3 t +100 f4 t +100 f5 t +100 f6 t +100 f7 t +100 f8 t",
     "s1 s2 s3 s4 s5 s6 s7 s8 s20 " },
+  { "rate-limit-short-calls",
+    "a call waits until its deadline behind short urgent ones that take the whole limit",
+    FR_POLICY_SHARES, 5, 0, 0, 0, 0, 0,
+    "o50,1,a,1,900 +500 f50 L10 o1,0,a,1,900 +100 t +1 f1 o2,0,a,1,900 +100 t +1 f2 o3,0,a,1,900 +100 t +1 f3 "
+    "o4,0,a,1,900 +100 t +1 f4 o5,0,a,1,900 +100 t +1 f5 o6,0,a,1,900 +100 t +1 f6 "
+    "o7,0,a,1,900 +100 t +1 f7 o8,0,a,1,900 +100 t +1 f8 o9,0,a,1,900 +100 t +1 f9 "
+    "o10,0,a,1,900 +100 t +1 f10 o11,0,a,1,900 +100 t +1 f11 o12,0,a,1,900 +100 t +1 f12 "
+    "o13,0,a,1,900 +100 t +1 f13 o14,0,a,1,900 +100 t +1 f14 o15,0,a,1,900 +100 t +1 f15 "
+    "o16,0,a,1,900 +100 t +1 f16 o17,0,a,1,900 +100 t +1 f17 o18,0,a,1,900 +100 t +1 f18 "
+    "o19,0,a,1,900 +100 t +1 f19 o20,0,a,1,900 +100 t +1 f20 o21,0,a,1,900 +100 t +1 f21 "
+    "o22,0,a,1,900 +100 t +1 f22 o23,0,a,1,900 +100 t +1 f23 o24,0,a,1,900 +100 t +1 f24 "
+    "o25,0,a,1,900 +100 t +1 f25 o26,0,a,1,900 o99,1,a,1,2000",
+    "s50 s1 s2 s3 s4 s5 s6 s7 s8 s9 s10 s11 s12 s13 s14 s15 s16 s17 s18 s19 s20 s21 s22 s23 "
+    "s24 s25 rate-limit99 " },
   { "fifo", "the baseline respects ranks", FR_POLICY_FIFO, 1, 0, 0, 0, 0, 0,
     "o1,1,a,1,900 o2,1,a,1,900 o3,0,a,1,900 f1", "s1 s2 " },
   { "strict", "the baseline respects shares", FR_POLICY_STRICT, 1, 0, 0.9, 0, 0, 0,
