Report instances in answers between nodes only when they leave or have a limit

Each answer named its instance once a response had come, also without a limit. An answer of the instance without a report now says that there is no limit, and a refusal without one leaves the known limit: the node beside the instance may just have restarted. platform-test-process-limit and -leaving pass.

--- a/packages/call/include/foxtailrun/call/rate-limit.h
+++ b/packages/call/include/foxtailrun/call/rate-limit.h
@@ -45,9 +45,6 @@
 /* Sets RATE to the limit in force; returns false if there is none. */
 bool fr_get_rate_limit (const fr_rate_limit_t *limit, double *rate);
 
-/* Returns whether the limit or its absence is known, from a response or another node. */
-bool fr_is_rate_limit_known (const fr_rate_limit_t *limit);
-
 /* Returns the time in ns until the limit lets a call start that has CALLS_AHEAD calls before
  * it; 0 when it may start now. */
 fb_time_t fr_get_start_delay (const fr_rate_limit_t *limit, double calls_ahead);
--- a/packages/call/source/rate-limit.c
+++ b/packages/call/source/rate-limit.c
@@ -132,12 +132,6 @@
   return limit->in_force;
 }
 
-bool
-fr_is_rate_limit_known (const fr_rate_limit_t *limit)
-{
-  return limit->heard || limit->adopted;
-}
-
 fb_time_t
 fr_get_start_delay (const fr_rate_limit_t *limit, double calls_ahead)
 {
--- a/packages/node/source/node-backend-report.c
+++ b/packages/node/source/node-backend-report.c
@@ -109,16 +109,16 @@
 void
 fn_set_answer_report (fn_backend_t *backend, fw_call_t *answer)
 {
-  bool leaving = fn_is_backend_leaving (backend);
   double rate;
+  bool limited = fr_get_rate_limit (backend->rate_limit, &rate);
 
-  if (!leaving && !fr_is_rate_limit_known (backend->rate_limit))
+  answer->leaving = fn_is_backend_leaving (backend);
+  if (!answer->leaving && !limited)
     return;
   answer->instance = fb_get_name (&backend->local.instance);
   answer->incarnation = backend->local.incarnation;
-  answer->leaving = leaving;
   /* 0 stands for no limit. */
-  if (fr_get_rate_limit (backend->rate_limit, &rate))
+  if (limited)
     answer->rate_limit_milli = MAX ((uint64_t)(rate * 1000), 1);
 }
 
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -97,10 +97,14 @@
              || fr_withdraw_retry (call->entry->budget, get_service_name (call), route->rank));
 }
 
-/* Records what ANSWER reports of INSTANCE: its rate limit, and whether it leaves. */
+/* Records what ANSWER reports of INSTANCE: its rate limit, and whether it leaves. A refusal
+ * without a report does not end a limit: the node beside the instance may not know of it yet.
+ */
 static void
 read_instance_report (fn_entry_t *entry, const fb_name_t *instance, const fw_call_t *answer)
 {
+  if (answer->instance.len == 0 && answer->outcome == FW_ANSWERED)
+    fr_report_rate_limit (entry->picker, instance, 0, 0);
   if (answer->instance.len == 0 || !fb_equal_str (answer->instance, fb_get_name (instance)))
     return;
   fr_report_rate_limit (entry->picker, instance, answer->incarnation, answer->rate_limit_milli);
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -65,8 +65,8 @@
   uint64_t wait_us;     /* expected wait of a further call of the same rank */
   bool leaving;         /* INSTANCE is about to stop */
   /* CALL and ANSWER */
-  fb_str_t instance;         /* that the next two, and LEAVING, are about; empty when the sender
-                                knows nothing of it */
+  fb_str_t instance;         /* that the next two, and LEAVING, are about; empty if it neither
+                                leaves nor names a limit */
   uint64_t incarnation;      /* of INSTANCE */
   uint64_t rate_limit_milli; /* calls that INSTANCE takes in 1,000 s; 0 if it names no limit */
   size_t header_count;
