--- a/packages/http/tests/test-resend.c
+++ b/packages/http/tests/test-resend.c
@@ -16,6 +16,7 @@
   uint16_t port;
   bool stops; /* the server stops when it reads the second request */
   size_t requests;
+  size_t open_connections;
   fh_result_t result;
 } fixture_t;
 
@@ -30,6 +31,9 @@
 static void
 free_stream (uv_handle_t *handle)
 {
+  fixture_t *fixture = handle->data;
+
+  fixture->open_connections--;
   g_free (handle);
 }
 
@@ -63,6 +67,7 @@
 
   uv_tcp_init (listener->loop, stream);
   stream->data = listener->data;
+  ((fixture_t *)listener->data)->open_connections++;
   g_assert_cmpint (uv_accept (listener, (uv_stream_t *)stream), ==, 0);
   uv_read_start ((uv_stream_t *)stream, allocate_buffer, receive_request);
 }
@@ -92,6 +97,9 @@
   fh_destroy_client (fixture->client);
   if (!uv_is_closing ((uv_handle_t *)&fixture->listener))
     uv_close ((uv_handle_t *)&fixture->listener, NULL);
+  /* The client's end closes the connections. */
+  while (fixture->open_connections > 0)
+    uv_run (fk_get_loop (fixture->kernel), UV_RUN_ONCE);
   fk_destroy_kernel (fixture->kernel);
 }
 
