--- a/packages/call/include/foxtailrun/call/rate-limit.h
+++ b/packages/call/include/foxtailrun/call/rate-limit.h
@@ -1,4 +1,4 @@
-/* Limit of the calls per second that a backend server names while it is in need. */
+/* Limit of the calls per second that a backend server names while it is overloaded. */
 #ifndef FOXTAILRUN_CALL_RATE_LIMIT_H
 #define FOXTAILRUN_CALL_RATE_LIMIT_H
 
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -18,8 +18,8 @@
   fb_str_t caller;     /* to backend servers: service on the host that sent the request */
   fb_str_t instance;   /* to backend servers: the only instance that may run the request */
   fb_str_t not_run;    /* from backend servers: the request was refused without being run */
-  fb_str_t rate_limit; /* from backend servers in need: requests per second that they take from
-                          all hosts together, a decimal number */
+  fb_str_t rate_limit; /* from overloaded backend servers: requests per second that they take
+                          from all hosts together, a decimal number */
   fb_str_t leaving;    /* from backend servers: "1" while the server is about to stop */
   bool allows_close_delimited; /* backend servers may end a body that has no length by closing
                                   the connection */
