Log and count restores of the store, and documents and updates ignored for their position

After a restore of the store nodes ignored configurations; the log showed a compacted history or nothing. The store now names its era in each response; a higher one leaves a line with both positions. A document that is not above the newest one held, unless it is that one, and an update of a relay that is dropped leave a line and a count. No decision has changed.

--- a/packages/dist/include/foxtailrun/dist/feed.h
+++ b/packages/dist/include/foxtailrun/dist/feed.h
@@ -36,6 +36,7 @@
 typedef struct
 {
   fd_read_result_kind_t kind;
+  uint64_t era; /* of the store, rises by one when it is restored from a copy; 0 if unknown */
   uint64_t position;    /* of the store at the time of the read */
   const char *last_key; /* HAS_MORE: last key of the page, borrowed */
   uint32_t http_status; /* FAILED: HTTP status, 0 without a response */
--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -35,6 +35,9 @@
 {
   feed->reads = fb_find_counter (counters, "source_calls", "");
   feed->read_failures = fb_find_counter (counters, "source_failures", "");
+  feed->restores = fb_find_counter (counters, "source_restores", "");
+  feed->ignored_documents = fb_find_counter (counters, "source_ignored_documents", "");
+  feed->ignored_updates = fb_find_counter (counters, "feed_news", "way=\"ignored\"");
   feed->updates_received = fb_find_counter (counters, "feed_news", "way=\"taken\"");
   feed->updates_sent = fb_find_counter (counters, "feed_news", "way=\"given\"");
   feed->request_failures = fb_find_counter (counters, "feed_news", "way=\"failed\"");
@@ -303,10 +306,28 @@
     }
 }
 
+static void
+record_era (fd_feed_t *feed, const fd_read_result_t *result)
+{
+  if (result->era <= feed->era)
+    return;
+  if (feed->era > 0)
+    {
+      fb_add_counter (feed->restores, 1);
+      FB_LOG (feed->log, FB_LOG_WARNING, FD_FEED_LOG_SERVICE, "store was restored from a copy",
+              FB_NUMBER ("era", result->era), FB_NUMBER ("store_position", result->position),
+              FB_NUMBER ("position", feed->position),
+              FB_NUMBER ("document_position", feed->documents[0].position),
+              FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
+    }
+  feed->era = result->era;
+}
+
 void
 fd_end_read (fd_feed_t *feed, const fd_read_result_t *result)
 {
   feed->read_outstanding = false;
+  record_era (feed, result);
   if (result->kind == FD_RESULT_FAILED)
     record_failure (feed, result);
   else
--- a/packages/dist/source/feed-document.c
+++ b/packages/dist/source/feed-document.c
@@ -18,11 +18,30 @@
   g_clear_pointer (&document->delta, g_bytes_unref);
 }
 
+/* Records that a document of POSITION is not added. The newest one is read again by each full
+ * read and is not worth a line. */
+static void
+record_ignored_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text)
+{
+  fb_digest_t digest = fb_compute_digest (text);
+
+  if (fb_compare_digests (&digest, &feed->documents[0].digest) == 0)
+    return;
+  fb_add_counter (feed->ignored_documents, 1);
+  FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
+          "document ignored: not above the newest one held", FB_NUMBER ("position", position),
+          FB_NUMBER ("held_position", feed->documents[0].position),
+          FB_NUMBER ("era", feed->era), FB_NUMBER ("bytes", text.len));
+}
+
 bool
 fd_add_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text)
 {
   if (position <= feed->documents[0].position)
-    return false;
+    {
+      record_ignored_document (feed, position, text);
+      return false;
+    }
   clear_document (&feed->documents[FD_DOCUMENTS_MAX - 1]);
   for (size_t i = FD_DOCUMENTS_MAX - 1; i > 0; i--)
     {
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -277,6 +277,16 @@
   feed->hooks.document_changed (feed->hooks.user);
 }
 
+static void
+record_ignored_update (fd_feed_t *feed, const fw_feed_message_t *update)
+{
+  fb_add_counter (feed->ignored_updates, 1);
+  FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "update of relay ignored",
+          FB_TEXT ("relay", feed->relay_address.data),
+          FB_NUMBER ("update_position", update->position),
+          FB_NUMBER ("position", feed->position), FB_NUMBER ("era", feed->era));
+}
+
 void
 fd_handle_response (fd_feed_t *feed, const fw_feed_message_t *response)
 {
@@ -292,6 +302,8 @@
   /* A full read, or a read of the store with a higher position, supersedes the update. */
   if (feed->read_kind != FD_READ_ALL && response->position >= feed->position)
     apply_update (feed, response, now);
+  else
+    record_ignored_update (feed, response);
 }
 
 void
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -49,6 +49,7 @@
   fd_read_kind_t read_kind; /* of the outstanding or next read */
   bool read_outstanding;
   bool synced;                        /* everything was read once */
+  uint64_t era;                       /* highest one that the store has reported */
   uint32_t documents_read;            /* by the outstanding or last read */
   bool document_read_found_new;       /* the last FD_READ_DOCUMENT found one */
   fb_time_t next_read_at;             /* of a retry, or of a read other than FD_READ_CHANGES */
@@ -81,6 +82,9 @@
 
   fb_counter_t *reads;
   fb_counter_t *read_failures;
+  fb_counter_t *restores;
+  fb_counter_t *ignored_documents;
+  fb_counter_t *ignored_updates;
   fb_counter_t *updates_received;
   fb_counter_t *updates_sent;
   fb_counter_t *request_failures;
