--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -37,21 +37,31 @@
   uint64_t position; /* of the last write */
 } listed_endpoint_t;
 
+/* Contents of the store. */
+typedef struct
+{
+  listed_endpoint_t endpoints[FEED_NODES_MAX];
+  uint64_t position;
+  uint64_t compacted_position; /* changes before this position are compacted */
+  char *text;
+  uint64_t text_position;
+} store_t;
+
 struct fleet
 {
   fb_clock_t *clock;
   fb_counters_t *counters;
   size_t count;
   node_t nodes[FEED_NODES_MAX];
-  listed_endpoint_t endpoints[FEED_NODES_MAX];
-  uint64_t position;
-  uint64_t compacted_position; /* changes before this position are compacted */
+  store_t store;
+  store_t copy;
+  uint64_t era;
   bool store_available;
-  char *text;
-  uint64_t text_position;
+  bool updates_stopped;
   uint64_t steps;
   size_t reads;
   size_t document_reads;
+  size_t full_reads;
 };
 
 static fb_name_t
@@ -68,7 +78,7 @@
 {
   return (fw_endpoint_t){ .member = { .id = make_name ("i-", number),
                                       .incarnation = 1,
-                                      .state = fleet->endpoints[number].state,
+                                      .state = fleet->store.endpoints[number].state,
                                       .address = make_name ("10.0.0.", number),
                                       .call_port = 80,
                                       .zone = make_name ("zone-", number % FEED_ZONES),
@@ -87,6 +97,7 @@
   node->read_end_at = fb_read_clock (node->fleet->clock) + READ_DURATION;
   node->fleet->reads++;
   node->fleet->document_reads += read->kind == FD_READ_DOCUMENT;
+  node->fleet->full_reads += read->kind == FD_READ_ALL;
 }
 
 static node_t *
@@ -161,7 +172,7 @@
 
   for (size_t i = 0; i < fleet->count; i++)
     {
-      const listed_endpoint_t *listed = &fleet->endpoints[i];
+      const listed_endpoint_t *listed = &fleet->store.endpoints[i];
       fw_endpoint_t endpoint = make_endpoint (fleet, i);
 
       if (listed->position <= position)
@@ -178,15 +189,17 @@
 {
   const fleet_t *fleet = node->fleet;
 
-  fd_set_document (node->feed, fleet->text_position,
-                   (fb_bytes_t){ (const uint8_t *)fleet->text, strlen (fleet->text) });
+  fd_set_document (
+      node->feed, fleet->store.text_position,
+      (fb_bytes_t){ (const uint8_t *)fleet->store.text, strlen (fleet->store.text) });
 }
 
 static void
 end_read (node_t *node)
 {
   fleet_t *fleet = node->fleet;
-  fd_read_result_t result = { .kind = FD_RESULT_COMPLETE, .position = fleet->position };
+  fd_read_result_t result
+      = { .kind = FD_RESULT_COMPLETE, .era = fleet->era, .position = fleet->store.position };
   const fd_read_t *read = &node->read;
 
   node->read_outstanding = false;
@@ -199,12 +212,13 @@
       deliver_endpoints (node, 0, false);
       deliver_document (node);
     }
-  else if (read->after_position < fleet->compacted_position)
+  else if (read->after_position < fleet->store.compacted_position
+           || read->after_position > fleet->store.position)
     result.kind = FD_RESULT_COMPACTED;
   else
     {
       deliver_endpoints (node, read->after_position, true);
-      if (read->kind == FD_READ_CHANGES && fleet->text_position > read->after_position)
+      if (read->kind == FD_READ_CHANGES && fleet->store.text_position > read->after_position)
         deliver_document (node);
     }
   fd_end_read (node->feed, &result);
@@ -260,9 +274,9 @@
 rewrite_endpoints (fleet_t *fleet)
 {
   for (size_t i = 0; i < fleet->count; i++)
-    if (fleet->endpoints[i].state != FW_DEAD
+    if (fleet->store.endpoints[i].state != FW_DEAD
         && (fleet->steps + i * 7) % ENDPOINT_WRITE_STEPS == 0)
-      fleet->endpoints[i].position = ++fleet->position;
+      fleet->store.endpoints[i].position = ++fleet->store.position;
 }
 
 void
@@ -271,7 +285,8 @@
   for (; time > 0; time -= STEP)
     {
       fleet->steps++;
-      rewrite_endpoints (fleet);
+      if (!fleet->updates_stopped)
+        rewrite_endpoints (fleet);
       for (size_t i = 0; i < fleet->count; i++)
         step_node (&fleet->nodes[i]);
       fb_advance_clock (fleet->clock, STEP);
@@ -287,6 +302,7 @@
   fleet->counters = fb_create_counters ();
   fleet->count = count;
   fleet->store_available = true;
+  fleet->era = 1;
   feed_publish (fleet, "first");
   for (size_t i = 0; i < count; i++)
     feed_set_endpoint (fleet, i, FW_ALIVE);
@@ -321,7 +337,8 @@
     }
   fb_destroy_counters (fleet->counters);
   fb_destroy_clock (fleet->clock);
-  g_free (fleet->text);
+  g_free (fleet->store.text);
+  g_free (fleet->copy.text);
   g_free (fleet);
 }
 
@@ -341,21 +358,50 @@
 void
 feed_compact_store (fleet_t *fleet)
 {
-  fleet->compacted_position = ++fleet->position;
+  fleet->store.compacted_position = ++fleet->store.position;
+}
+
+static void
+copy_store (store_t *to, const store_t *from)
+{
+  char *text = g_strdup (from->text);
+
+  g_free (to->text);
+  *to = *from;
+  to->text = text;
+}
+
+void
+feed_copy_store (fleet_t *fleet)
+{
+  copy_store (&fleet->copy, &fleet->store);
+}
+
+void
+feed_restore_store (fleet_t *fleet)
+{
+  copy_store (&fleet->store, &fleet->copy);
+  fleet->era++;
+}
+
+void
+feed_stop_endpoint_updates (fleet_t *fleet)
+{
+  fleet->updates_stopped = true;
 }
 
 void
 feed_set_endpoint (fleet_t *fleet, size_t node, fw_member_state_t state)
 {
-  fleet->endpoints[node] = (listed_endpoint_t){ state, ++fleet->position };
+  fleet->store.endpoints[node] = (listed_endpoint_t){ state, ++fleet->store.position };
 }
 
 void
 feed_publish (fleet_t *fleet, const char *text)
 {
-  g_free (fleet->text);
-  fleet->text = g_strdup (text);
-  fleet->text_position = ++fleet->position;
+  g_free (fleet->store.text);
+  fleet->store.text = g_strdup (text);
+  fleet->store.text_position = ++fleet->store.position;
 }
 
 size_t
@@ -373,7 +419,7 @@
 fw_member_state_t
 feed_get_endpoint_state (const fleet_t *fleet, size_t node)
 {
-  return fleet->endpoints[node].state;
+  return fleet->store.endpoints[node].state;
 }
 
 bool
@@ -382,8 +428,8 @@
   uint64_t position;
   fb_bytes_t text = fd_get_document (fleet->nodes[node].feed, &position);
 
-  return position == fleet->text_position && text.len == strlen (fleet->text)
-         && memcmp (text.data, fleet->text, text.len) == 0;
+  return position == fleet->store.text_position && text.len == strlen (fleet->store.text)
+         && memcmp (text.data, fleet->store.text, text.len) == 0;
 }
 
 bool
@@ -403,3 +449,9 @@
 {
   return fleet->document_reads;
 }
+
+size_t
+feed_count_full_reads (const fleet_t *fleet)
+{
+  return fleet->full_reads;
+}
--- a/packages/dist/tests/fixture-feed.h
+++ b/packages/dist/tests/fixture-feed.h
@@ -40,6 +40,15 @@
  * FD_RESULT_COMPACTED. */
 void feed_compact_store (fleet_t *fleet);
 
+/* Takes a copy of the store, or restores it from the last one: later writes are lost, their
+ * positions are given out again, and the store's era rises. A read of changes after a position
+ * that the store does not have gets FD_RESULT_COMPACTED. */
+void feed_copy_store (fleet_t *fleet);
+void feed_restore_store (fleet_t *fleet);
+
+/* From now on the instances do not update their unchanged endpoints once a second. */
+void feed_stop_endpoint_updates (fleet_t *fleet);
+
 /* Changes the endpoint of NODE in the store; FW_DEAD removes it. */
 void feed_set_endpoint (fleet_t *fleet, size_t node, fw_member_state_t state);
 
@@ -61,4 +70,7 @@
 size_t feed_count_reads (const fleet_t *fleet);
 size_t feed_count_document_reads (const fleet_t *fleet);
 
+/* Returns the number of reads of everything by all nodes. */
+size_t feed_count_full_reads (const fleet_t *fleet);
+
 #endif
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -5,8 +5,10 @@
  * PUT /standin/item?KEY with a body writes an item, DELETE removes it. PUT /standin/mode with a
  * body sets how read calls are answered: "good" normally, "busy" with 503, "many" with 429,
  * "silent" not at all, "lost" only every second one, "slow" after 300 ms. PUT /standin/forget
- * drops the history, so that watches from an earlier revision get 410. GET /standin/calls
- * returns the number of read calls. */
+ * drops the history, so that watches from an earlier revision get 410. PUT /standin/copy takes
+ * a copy of items and revision, PUT /standin/restore goes back to the last copy, or to the
+ * start: revisions are given out again, and the header "store-era" of all responses rises by
+ * one. GET /standin/calls returns the number of read calls. */
 #include <foxtailrun/http/server.h>
 #include <glib.h>
 #include <jansson.h>
@@ -38,11 +40,15 @@
 typedef struct
 {
   fk_kernel_t *kernel;
-  GTree *items; /* item_t by key, including removed items */
+  GTree *items;      /* item_t by key, including removed items */
+  GTree *copy;       /* ITEMS as of the last copy */
+  char era_text[24]; /* ERA as a header value */
+  uint64_t era;
   GPtrArray *watches;
   GPtrArray *unanswered; /* requests that get no response */
   char mode[16];
   uint64_t revision;
+  uint64_t copied_revision;
   uint64_t oldest_revision; /* a watch from an earlier revision gets 410 */
   uint64_t calls;
 } store_t;
@@ -55,21 +61,28 @@
 } delayed_request_t;
 
 static void
-respond_json (fh_request_t *request, uint32_t status, json_t *object)
+respond (const store_t *store, fh_request_t *request, uint32_t status, fb_bytes_t body)
+{
+  fh_header_t headers[] = { { FB_LITERAL ("content-type"), FB_LITERAL ("application/json") },
+                            { FB_LITERAL ("store-era"), fb_wrap_text (store->era_text) } };
+
+  fh_respond (request, status, headers, G_N_ELEMENTS (headers), body);
+}
+
+static void
+respond_json (const store_t *store, fh_request_t *request, uint32_t status, json_t *object)
 {
-  static const fh_header_t type
-      = { FB_LITERAL ("content-type"), FB_LITERAL ("application/json") };
   char *text = json_dumps (object, JSON_COMPACT);
 
-  fh_respond (request, status, &type, 1, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+  respond (store, request, status, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
   free (text);
   json_decref (object);
 }
 
 static void
-respond_status (fh_request_t *request, uint32_t status)
+respond_status (const store_t *store, fh_request_t *request, uint32_t status)
 {
-  fh_respond (request, status, NULL, 0, (fb_bytes_t){ NULL, 0 });
+  respond (store, request, status, (fb_bytes_t){ NULL, 0 });
 }
 
 /* Returns the decoded value of PARAMETER in the query of PATH, or NULL; free with g_free. */
@@ -142,10 +155,10 @@
     {
       answer = encode_item (item);
       json_object_set_new (answer, "At", json_integer ((json_int_t)store->revision));
-      respond_json (request, 200, answer);
+      respond_json (store, request, 200, answer);
     }
   else
-    respond_status (request, 404);
+    respond_status (store, request, 404);
   g_free (key);
 }
 
@@ -158,7 +171,7 @@
       = { json_array (), prefix ? prefix : "", after, 0, false, false, PAGE_ITEMS_MAX };
 
   g_tree_foreach (store->items, select_item, &selection);
-  respond_json (request, 200,
+  respond_json (store, request, 200,
                 json_pack ("{s:o,s:b,s:I}", "items", selection.list, "HasMore",
                            selection.has_more, "At", (json_int_t)store->revision));
   g_free (prefix);
@@ -180,7 +193,7 @@
       return false;
     }
   respond_json (
-      watch->request, 200,
+      store, watch->request, 200,
       json_pack ("{s:o,s:I}", "events", selection.list, "At", (json_int_t)store->revision));
   return true;
 }
@@ -204,8 +217,15 @@
       || strcmp (store->mode, "silent") == 0)
     return;
   for (guint i = store->watches->len; i > 0; i--)
-    if (complete_watch (store, store->watches->pdata[i - 1]))
+    {
+      watch_t *watch = store->watches->pdata[i - 1];
+
+      if (watch->after > store->revision)
+        respond_status (store, watch->request, 410);
+      else if (!complete_watch (store, watch))
+        continue;
       g_ptr_array_remove_index_fast (store->watches, i - 1);
+    }
 }
 
 static void
@@ -216,7 +236,14 @@
   for (guint i = store->watches->len; i > 0; i--)
     if (((watch_t *)store->watches->pdata[i - 1])->request == request)
       g_ptr_array_remove_index_fast (store->watches, i - 1);
-  respond_status (request, 499);
+  respond_status (store, request, 499);
+}
+
+/* Returns whether the store has the changes after REVISION. */
+static bool
+is_known_revision (const store_t *store, uint64_t revision)
+{
+  return revision >= store->oldest_revision && revision <= store->revision;
 }
 
 static void
@@ -233,9 +260,9 @@
                    + (fb_time_t)(wait ? g_ascii_strtoull (wait, NULL, 10) : 0) * FB_MILLISECOND;
   g_free (after);
   g_free (wait);
-  if (watch->after < store->oldest_revision)
+  if (!is_known_revision (store, watch->after))
     {
-      respond_status (request, 410);
+      respond_status (store, request, 410);
       free_watch (watch);
       return;
     }
@@ -260,7 +287,7 @@
   else if (g_str_has_prefix (path, "/foxtailrun/kv-watch?"))
     respond_watch (store, request, path);
   else
-    respond_status (request, 404);
+    respond_status (store, request, 404);
   g_free (path);
 }
 
@@ -279,9 +306,9 @@
 {
   store->calls++;
   if (strcmp (store->mode, "busy") == 0)
-    respond_status (request, 503);
+    respond_status (store, request, 503);
   else if (strcmp (store->mode, "many") == 0)
-    respond_status (request, 429);
+    respond_status (store, request, 429);
   else if (strcmp (store->mode, "silent") == 0
            || (strcmp (store->mode, "lost") == 0 && store->calls % 2 == 0))
     g_ptr_array_add (store->unanswered, request);
@@ -297,6 +324,76 @@
     respond_read (store, request);
 }
 
+static void
+free_item (void *data)
+{
+  item_t *item = data;
+
+  g_free (item->key);
+  g_free (item->value);
+  g_free (item);
+}
+
+static gint
+compare_keys (gconstpointer a, gconstpointer b, gpointer user)
+{
+  return strcmp (a, b);
+}
+
+static GTree *
+create_items (void)
+{
+  return g_tree_new_full (compare_keys, NULL, NULL, free_item);
+}
+
+static gboolean
+copy_item (gpointer key, gpointer value, gpointer user)
+{
+  const item_t *item = value;
+  item_t *copy = g_new (item_t, 1);
+
+  *copy = *item;
+  copy->key = g_strdup (item->key);
+  copy->value = g_strdup (item->value);
+  g_tree_insert (user, copy->key, copy);
+  return FALSE;
+}
+
+/* Returns a copy of ITEMS. */
+static GTree *
+copy_items (GTree *items)
+{
+  GTree *copy = create_items ();
+
+  g_tree_foreach (items, copy_item, copy);
+  return copy;
+}
+
+static void
+set_era (store_t *store, uint64_t era)
+{
+  store->era = era;
+  g_snprintf (store->era_text, sizeof store->era_text, "%" G_GUINT64_FORMAT, era);
+}
+
+static void
+take_copy (store_t *store)
+{
+  g_tree_unref (store->copy);
+  store->copy = copy_items (store->items);
+  store->copied_revision = store->revision;
+}
+
+static void
+restore_copy (store_t *store)
+{
+  g_tree_unref (store->items);
+  store->items = copy_items (store->copy);
+  store->revision = store->copied_revision;
+  store->oldest_revision = 0;
+  set_era (store, store->era + 1);
+}
+
 static void
 write_item (store_t *store, const char *key, const fb_bytes_t *value)
 {
@@ -331,6 +428,10 @@
                 (const char *)body.data);
   else if (strcmp (path, "/standin/forget") == 0)
     store->oldest_revision = store->revision + 1;
+  else if (strcmp (path, "/standin/copy") == 0)
+    take_copy (store);
+  else if (strcmp (path, "/standin/restore") == 0)
+    restore_copy (store);
   len = g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT "\n", store->calls);
   fh_respond (request, 200, NULL, 0, (fb_bytes_t){ (const uint8_t *)text, (size_t)len });
 }
@@ -367,7 +468,10 @@
     }
   address = fb_make_name (argv[1]);
   store.kernel = fk_create_kernel (NULL);
-  store.items = g_tree_new ((GCompareFunc)strcmp);
+  store.items = create_items ();
+  store.copy = create_items ();
+  store.copied_revision = store.revision;
+  set_era (&store, 1);
   store.watches = g_ptr_array_new_with_free_func (free_watch);
   store.unanswered = g_ptr_array_new ();
   if (!fh_create_server (store.kernel, &address, (uint16_t)atoi (argv[2]), BODY_MAX,
