--- a/bench/bench-dist.c
+++ b/bench/bench-dist.c
@@ -72,8 +72,8 @@
     return;
   source->outstanding = true;
   source->started_at = now;
-  source->index = 0;
-  node->hooks.read_source (0, node->hooks.user);
+  source->position = (fb_position_t){ 0 };
+  node->hooks.read_source (source->position, node->hooks.user);
 }
 
 void
@@ -280,7 +280,7 @@
 }
 
 static void
-drop_read (uint64_t index, void *user)
+drop_read (fb_position_t position, void *user)
 {
 }
 
--- a/fuzz/fuzz-feed.c
+++ b/fuzz/fuzz-feed.c
@@ -10,9 +10,10 @@
   FUZZ_CHECK (a->kind == b->kind);
   FUZZ_CHECK (a->feed_id == b->feed_id);
   FUZZ_CHECK (a->sequence == b->sequence);
-  FUZZ_CHECK (a->position == b->position);
-  FUZZ_CHECK (a->document_position == b->document_position);
-  FUZZ_CHECK (a->document_known_position == b->document_known_position);
+  FUZZ_CHECK (fb_compare_positions (a->position, b->position) == 0);
+  FUZZ_CHECK (fb_compare_positions (a->document_position, b->document_position) == 0);
+  FUZZ_CHECK (fb_compare_positions (a->document_known_position, b->document_known_position)
+              == 0);
   FUZZ_CHECK (fb_compare_digests (&a->digest, &b->digest) == 0);
   FUZZ_CHECK (a->delta.len == b->delta.len);
   FUZZ_CHECK (a->delta.len == 0 || memcmp (a->delta.data, b->delta.data, a->delta.len) == 0);
--- a/packages/dist/include/foxtailrun/dist/feed.h
+++ b/packages/dist/include/foxtailrun/dist/feed.h
@@ -20,7 +20,7 @@
 typedef struct
 {
   fd_read_kind_t kind;
-  uint64_t after_position; /* position after which changes are read */
+  uint64_t after_revision; /* revision after which changes are read */
   uint32_t wait_ms;        /* how long the store waits for a change */
   const char *after_key;   /* last key of the previous page; NULL for the first page */
 } fd_read_t;
@@ -36,11 +36,10 @@
 typedef struct
 {
   fd_read_result_kind_t kind;
-  uint64_t era; /* of the store, rises by one when it is restored from a copy; 0 if unknown */
-  uint64_t position;    /* of the store at the time of the read */
-  const char *last_key; /* HAS_MORE: last key of the page, borrowed */
-  uint32_t http_status; /* FAILED: HTTP status, 0 without a response */
-  const char *error;    /* FAILED: static text, or NULL */
+  fb_position_t position; /* of the store at the time of the read; COMPACTED: its era */
+  const char *last_key;   /* HAS_MORE: last key of the page, borrowed */
+  uint32_t http_status;   /* FAILED: HTTP status, 0 without a response */
+  const char *error;      /* FAILED: static text, or NULL */
 } fd_read_result_t;
 
 typedef struct
@@ -82,10 +81,11 @@
  * below. */
 fb_time_t fd_run_feed (fd_feed_t *feed);
 
-/* Deliver results of the outstanding read as of POSITION of the store. TEXT is copied. */
-void fd_add_endpoint (fd_feed_t *feed, uint64_t position, const fw_endpoint_t *endpoint);
-void fd_remove_endpoint (fd_feed_t *feed, uint64_t position, const fb_name_t *id);
-void fd_set_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text);
+/* Deliver results of the outstanding read: what was written at POSITION, whose era is that of
+ * the response. TEXT is copied. */
+void fd_add_endpoint (fd_feed_t *feed, fb_position_t position, const fw_endpoint_t *endpoint);
+void fd_remove_endpoint (fd_feed_t *feed, fb_position_t position, const fb_name_t *id);
+void fd_set_document (fd_feed_t *feed, fb_position_t position, fb_bytes_t text);
 
 /* Ends the outstanding read. */
 void fd_end_read (fd_feed_t *feed, const fd_read_result_t *result);
@@ -105,14 +105,14 @@
 
 /* Returns the newest configuration document, borrowed, and its POSITION; empty and 0
  * without one. */
-fb_bytes_t fd_get_document (const fd_feed_t *feed, uint64_t *position);
+fb_bytes_t fd_get_document (const fd_feed_t *feed, fb_position_t *position);
 
 /* Returns whether everything has been read once. */
 bool fd_is_synced (const fd_feed_t *feed);
 
 /* Return the store position up to which endpoints are known, and the age in ns of that
  * state. */
-uint64_t fd_get_position (const fd_feed_t *feed);
+fb_position_t fd_get_position (const fd_feed_t *feed);
 fb_time_t fd_get_age (const fd_feed_t *feed);
 
 #endif
--- a/packages/dist/include/foxtailrun/dist/node.h
+++ b/packages/dist/include/foxtailrun/dist/node.h
@@ -6,6 +6,7 @@
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/counter.h>
 #include <foxtailrun/base/log.h>
+#include <foxtailrun/base/position.h>
 #include <foxtailrun/config/snapshot.h>
 #include <foxtailrun/member/table.h>
 #include <foxtailrun/wire/control.h>
@@ -19,10 +20,10 @@
 {
   /* Sends a control message to a member; both are borrowed. */
   void (*send) (const fw_member_t *to, const fw_control_t *message, void *user);
-  /* Starts a read of the source's document; at once for INDEX 0, otherwise waits up to
-   * FD_WATCH_WAIT_MAX for a higher index. Ends by fd_handle_source_result. At most one is
-   * outstanding. */
-  void (*read_source) (uint64_t index, void *user);
+  /* Starts a read of the source's document; at once for revision 0, otherwise waits up to
+   * FD_WATCH_WAIT_MAX for a position above POSITION. Ends by fd_handle_source_result. At most
+   * one is outstanding. */
+  void (*read_source) (fb_position_t position, void *user);
   /* Applies SNAPSHOT in one step; the receiver retains it as long as it needs it. */
   void (*apply) (fc_snapshot_t *snapshot, const fb_version_t *version, void *user);
   /* READY is whether the node may accept calls. */
@@ -60,9 +61,9 @@
 /* Handles a control message from another node. */
 void fd_handle_message (fd_node_t *node, const fw_control_t *message);
 
-/* Ends a source read: STATUS is FB_OK with INDEX and DOCUMENT, FB_NOT_FOUND when nothing is
+/* Ends a source read: STATUS is FB_OK with POSITION and DOCUMENT, FB_NOT_FOUND when nothing is
  * published, FB_TIMEOUT for no change, anything else for a failed read. */
-void fd_handle_source_result (fd_node_t *node, fb_status_t status, uint64_t index,
+void fd_handle_source_result (fd_node_t *node, fb_status_t status, fb_position_t position,
                               fb_bytes_t document);
 
 /* Runs what is due; call every 100 ms. Over 2 s late means a pause of the process: the node
--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -96,19 +96,34 @@
   return feed->known_at + get_read_age (feed, now);
 }
 
+/* Returns the kind of the read to start. Changes of a document that is known up to a position
+ * of an earlier era cannot be requested: the document is read by itself. */
+static fd_read_kind_t
+get_read_kind (const fd_feed_t *feed)
+{
+  if (feed->read_kind == FD_READ_CHANGES
+      && feed->document_known_position.era < feed->position.era)
+    return FD_READ_DOCUMENT;
+  return feed->read_kind;
+}
+
 static void
 start_read (fd_feed_t *feed, fb_time_t now)
 {
-  fd_read_t read = { .kind = feed->read_kind, .after_key = feed->page_key };
+  fd_read_t read = { .after_key = feed->page_key };
 
+  feed->read_kind = get_read_kind (feed);
+  feed->read_era = feed->page_key ? feed->first_page_position.era : feed->position.era;
+  read.kind = feed->read_kind;
   switch (feed->read_kind)
     {
     case FD_READ_CHANGES:
-      read.after_position = MIN (feed->position, feed->document_known_position);
+      read.after_revision
+          = fb_get_earlier_position (feed->position, feed->document_known_position).revision;
       read.wait_ms = fd_has_followers (feed, now) ? RELAY_CHANGE_WAIT_MS : CHANGE_WAIT_MS;
       break;
     case FD_READ_ENDPOINTS:
-      read.after_position = feed->position;
+      read.after_revision = feed->position.revision;
       read.wait_ms = 1;
       break;
     case FD_READ_DOCUMENT:
@@ -145,30 +160,40 @@
   return next;
 }
 
-/* Returns whether a result of the outstanding read as of POSITION may be older than an
- * update received meanwhile. */
 static bool
-is_superseded (const fd_feed_t *feed, uint64_t position)
+is_first_page (const fd_feed_t *feed)
+{
+  return feed->read_kind == FD_READ_ALL && !feed->page_key;
+}
+
+/* Returns whether the outstanding read can deliver what was written at POSITION: it must be of
+ * the era in which the read continues, and may be older than an update received meanwhile. */
+static bool
+is_usable (const fd_feed_t *feed, fb_position_t position)
 {
-  return feed->read_kind != FD_READ_ALL && position <= feed->position;
+  if (is_first_page (feed))
+    return position.era >= feed->position.era;
+  return position.era == feed->read_era
+         && (feed->read_kind == FD_READ_ALL
+             || fb_compare_positions (position, feed->position) > 0);
 }
 
 void
-fd_add_endpoint (fd_feed_t *feed, uint64_t position, const fw_endpoint_t *endpoint)
+fd_add_endpoint (fd_feed_t *feed, fb_position_t position, const fw_endpoint_t *endpoint)
 {
-  if (!is_superseded (feed, position))
+  if (is_usable (feed, position))
     fm_add_endpoint (feed->listing, endpoint);
 }
 
 void
-fd_remove_endpoint (fd_feed_t *feed, uint64_t position, const fb_name_t *id)
+fd_remove_endpoint (fd_feed_t *feed, fb_position_t position, const fb_name_t *id)
 {
-  if (!is_superseded (feed, position))
+  if (is_usable (feed, position))
     fm_remove_endpoint (feed->listing, id);
 }
 
 void
-fd_set_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text)
+fd_set_document (fd_feed_t *feed, fb_position_t position, fb_bytes_t text)
 {
   if (fd_add_document (feed, position, text))
     feed->documents_read++;
@@ -193,10 +218,11 @@
 }
 
 static void
-finish_changes (fd_feed_t *feed, uint64_t position)
+finish_changes (fd_feed_t *feed, fb_position_t position)
 {
-  feed->position = MAX (feed->position, position);
-  feed->document_known_position = MAX (feed->document_known_position, position);
+  feed->position = fb_get_later_position (feed->position, position);
+  feed->document_known_position
+      = fb_get_later_position (feed->document_known_position, position);
   feed->known_at = MAX (feed->known_at, feed->read_started_at);
   feed->read_completed_at = get_time (feed);
   schedule_next_read (feed, feed->documents_read > 1
@@ -204,18 +230,19 @@
 }
 
 static void
-finish_endpoints (fd_feed_t *feed, uint64_t position)
+finish_endpoints (fd_feed_t *feed, fb_position_t position)
 {
-  feed->position = MAX (feed->position, position);
+  feed->position = fb_get_later_position (feed->position, position);
   feed->known_at = MAX (feed->known_at, feed->document_read_started_at);
   feed->read_completed_at = get_time (feed);
   schedule_next_read (feed, feed->document_read_found_new);
 }
 
 static void
-finish_document (fd_feed_t *feed, uint64_t position)
+finish_document (fd_feed_t *feed, fb_position_t position)
 {
-  feed->document_known_position = MAX (feed->document_known_position, position);
+  feed->document_known_position
+      = fb_get_later_position (feed->document_known_position, position);
   feed->document_read_found_new = feed->documents_read > 0;
   if (fd_is_following (feed, get_time (feed)))
     schedule_read (feed, FD_READ_CHANGES);
@@ -264,7 +291,7 @@
     FB_LOG (feed->log, FB_LOG_WARNING, FD_FEED_LOG_SERVICE, "store cannot be read",
             FB_NUMBER ("status", result->http_status),
             FB_TEXT ("error", result->error ? result->error : ""),
-            FB_NUMBER ("position", feed->position),
+            FB_NUMBER ("position", feed->position.revision),
             FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
   feed->consecutive_failures++;
   fb_add_counter (feed->read_failures, 1);
@@ -306,41 +333,79 @@
     }
 }
 
+/* Records that the store now has STORE_POSITION, of a higher era than the known position. */
 static void
-record_era (fd_feed_t *feed, const fd_read_result_t *result)
+record_restore (fd_feed_t *feed, fb_position_t store_position)
 {
-  if (result->era <= feed->era)
-    return;
-  if (feed->era > 0)
+  if (feed->synced)
     {
       fb_add_counter (feed->restores, 1);
       FB_LOG (feed->log, FB_LOG_WARNING, FD_FEED_LOG_SERVICE, "store was restored from a copy",
-              FB_NUMBER ("era", result->era), FB_NUMBER ("store_position", result->position),
-              FB_NUMBER ("position", feed->position),
-              FB_NUMBER ("document_position", feed->documents[0].position),
+              FB_NUMBER ("era", store_position.era),
+              FB_NUMBER ("store_position", store_position.revision),
+              FB_NUMBER ("position", feed->position.revision),
+              FB_NUMBER ("document_position", feed->documents[0].position.revision),
               FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
     }
-  feed->era = result->era;
+  feed->position = (fb_position_t){ .era = store_position.era };
+  feed->relay_feed_id = 0;
 }
 
 void
-fd_end_read (fd_feed_t *feed, const fd_read_result_t *result)
+fd_begin_era (fd_feed_t *feed, fb_position_t store_position)
 {
-  feed->read_outstanding = false;
-  record_era (feed, result);
-  if (result->kind == FD_RESULT_FAILED)
-    record_failure (feed, result);
-  else
-    record_success (feed);
+  record_restore (feed, store_position);
+  restart_full_read (feed);
+}
+
+/* Returns whether the outstanding read goes on with a response of ERA. */
+static bool
+continues_in_era (const fd_feed_t *feed, uint64_t era)
+{
+  return is_first_page (feed) || feed->read_kind == FD_READ_DOCUMENT || era == feed->read_era;
+}
+
+static void
+handle_result (fd_feed_t *feed, const fd_read_result_t *result)
+{
+  uint64_t era = result->position.era;
+
+  if (era > feed->position.era && is_first_page (feed))
+    record_restore (feed, result->position);
+  else if (era > feed->position.era)
+    {
+      fd_begin_era (feed, result->position);
+      return;
+    }
   if (result->kind == FD_RESULT_COMPACTED)
     {
       FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
               "store history compacted; reading everything again",
-              FB_NUMBER ("position", feed->position));
+              FB_NUMBER ("position", feed->position.revision));
       restart_full_read (feed);
     }
-  else if (result->kind != FD_RESULT_FAILED)
+  else if (continues_in_era (feed, era))
     finish_read (feed, result);
+  else if (feed->read_kind == FD_READ_ALL)
+    restart_full_read (feed);
+}
+
+void
+fd_end_read (fd_feed_t *feed, const fd_read_result_t *result)
+{
+  fd_read_result_t late
+      = { .kind = FD_RESULT_FAILED, .error = "response from before the store was restored" };
+
+  feed->read_outstanding = false;
+  if (result->kind != FD_RESULT_FAILED && result->position.era < feed->position.era)
+    result = &late;
+  if (result->kind == FD_RESULT_FAILED)
+    record_failure (feed, result);
+  else
+    {
+      record_success (feed);
+      handle_result (feed, result);
+    }
   fd_respond_to_requests (feed);
   if (feed->synced)
     feed->hooks.document_changed (feed->hooks.user);
@@ -352,7 +417,7 @@
   return feed->synced;
 }
 
-uint64_t
+fb_position_t
 fd_get_position (const fd_feed_t *feed)
 {
   return feed->position;
--- a/packages/dist/source/dist-source.c
+++ b/packages/dist/source/dist-source.c
@@ -1,6 +1,9 @@
 /* Reads of the configuration source: which nodes read, when, and how results are handled. */
 #include "dist-state.h"
 
+/* Reads the source without a wait. */
+static const fb_position_t no_position;
+
 typedef struct
 {
   const fw_member_t *self;
@@ -67,7 +70,7 @@
   /* The index may have been reset meanwhile; with the old one the first read could wait its
    * full time and miss a new document. */
   if (node->source.is_reader && !was_reader)
-    node->source.index = 0;
+    node->source.position = no_position;
 }
 
 /* Returns whether a joining node still needs a response of the source. */
@@ -90,11 +93,11 @@
   if (!node->standalone && !fd_consume_token (&source->call_bucket, now))
     return;
   if (needs_source_response (node))
-    source->index = 0;
+    source->position = no_position;
   source->outstanding = true;
   source->started_at = now;
   fb_add_counter (node->counters.source_reads, 1);
-  node->hooks.read_source (source->index, node->hooks.user);
+  node->hooks.read_source (source->position, node->hooks.user);
 }
 
 /* Full jitter: a uniform delay below a bound that doubles with each failure, so that readers
@@ -113,9 +116,9 @@
 }
 
 static void
-apply_value (fd_node_t *node, uint64_t index, fb_bytes_t document)
+apply_value (fd_node_t *node, fb_position_t position, fb_bytes_t document)
 {
-  fb_version_t version = { .revision = index };
+  fb_version_t version = { .revision = position.revision };
   fd_document_outcome_t outcome = fd_apply_document (node, &version, document);
 
   if (outcome == FD_DOCUMENT_STALE)
@@ -124,26 +127,26 @@
 
 /* Handles the result of a read; returns false when the read failed. */
 static bool
-handle_result (fd_node_t *node, fb_status_t status, uint64_t index, fb_bytes_t document)
+handle_result (fd_node_t *node, fb_status_t status, fb_position_t position, fb_bytes_t document)
 {
   fd_source_t *source = &node->source;
 
   switch (status)
     {
     case FB_OK:
-      apply_value (node, index, document);
-      source->index = index;
+      apply_value (node, position, document);
+      source->position = position;
       return true;
     case FB_NOT_FOUND:
       /* When nothing is published, the version in force stays. */
-      source->index = index;
+      source->position = position;
       return true;
     case FB_TIMEOUT:
       /* A read without a wait cannot time out for lack of a change. */
-      if (source->index == 0)
+      if (source->position.revision == 0)
         return false;
-      if (index != 0 && index < source->index)
-        source->index = 0;
+      if (position.revision != 0 && position.revision < source->position.revision)
+        source->position = no_position;
       return true;
     default:
       return false;
@@ -151,7 +154,7 @@
 }
 
 void
-fd_handle_source_result (fd_node_t *node, fb_status_t status, uint64_t index,
+fd_handle_source_result (fd_node_t *node, fb_status_t status, fb_position_t position,
                          fb_bytes_t document)
 {
   fd_source_t *source = &node->source;
@@ -163,7 +166,7 @@
       return;
     }
   source->outstanding = false;
-  if (handle_result (node, status, index, document))
+  if (handle_result (node, status, position, document))
     {
       source->failures = 0;
       source->next_at = fb_read_clock (node->clock);
@@ -171,14 +174,14 @@
       if (source->started_at >= node->join.started_at)
         node->join.source_responded = true;
       /* The source cannot wait for a change after index 0. */
-      if (source->index == 0)
+      if (source->position.revision == 0)
         schedule_retry (node);
     }
   else
     {
       /* A source that was down may come back with a lower index, and a wait for the old one
        * would miss its next changes. */
-      source->index = 0;
+      source->position = no_position;
       fb_add_counter (node->counters.source_failures, 1);
       schedule_retry (node);
     }
--- a/packages/dist/source/dist-state.h
+++ b/packages/dist/source/dist-state.h
@@ -108,7 +108,7 @@
 {
   bool outstanding;
   bool is_reader;
-  uint64_t index; /* last seen; 0: read without a wait */
+  fb_position_t position; /* last seen; revision 0: read without a wait */
   fb_time_t started_at;
   fb_time_t next_at;
   fb_time_t reader_checked_at; /* when IS_READER was updated */
--- a/packages/dist/source/feed-document.c
+++ b/packages/dist/source/feed-document.c
@@ -21,7 +21,7 @@
 /* Records that a document of POSITION is not added. The newest one is read again by each full
  * read and is not worth a line. */
 static void
-record_ignored_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text)
+record_ignored_document (fd_feed_t *feed, fb_position_t position, fb_bytes_t text)
 {
   fb_digest_t digest = fb_compute_digest (text);
 
@@ -29,15 +29,17 @@
     return;
   fb_add_counter (feed->ignored_documents, 1);
   FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
-          "document ignored: not above the newest one held", FB_NUMBER ("position", position),
-          FB_NUMBER ("held_position", feed->documents[0].position),
-          FB_NUMBER ("era", feed->era), FB_NUMBER ("bytes", text.len));
+          "document ignored: not above the newest one held", FB_NUMBER ("era", position.era),
+          FB_NUMBER ("position", position.revision),
+          FB_NUMBER ("held_era", feed->documents[0].position.era),
+          FB_NUMBER ("held_position", feed->documents[0].position.revision),
+          FB_NUMBER ("bytes", text.len));
 }
 
 bool
-fd_add_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text)
+fd_add_document (fd_feed_t *feed, fb_position_t position, fb_bytes_t text)
 {
-  if (position <= feed->documents[0].position)
+  if (fb_compare_positions (position, feed->documents[0].position) <= 0)
     {
       record_ignored_document (feed, position, text);
       return false;
@@ -55,7 +57,7 @@
 }
 
 fb_bytes_t
-fd_find_delta (fd_feed_t *feed, uint64_t position)
+fd_find_delta (fd_feed_t *feed, fb_position_t position)
 {
   for (size_t i = 1; i < FD_DOCUMENTS_MAX; i++)
     {
@@ -63,7 +65,7 @@
       size_t len;
       uint8_t *frame;
 
-      if (!document->text || document->position != position)
+      if (!document->text || fb_compare_positions (document->position, position) != 0)
         continue;
       if (!document->delta)
         {
@@ -78,7 +80,8 @@
 }
 
 bool
-fd_apply_delta (fd_feed_t *feed, uint64_t position, const fb_digest_t *digest, fb_bytes_t delta)
+fd_apply_delta (fd_feed_t *feed, fb_position_t position, const fb_digest_t *digest,
+                fb_bytes_t delta)
 {
   uint8_t *text = NULL;
   size_t len = 0;
@@ -103,7 +106,7 @@
 }
 
 fb_bytes_t
-fd_get_document (const fd_feed_t *feed, uint64_t *position)
+fd_get_document (const fd_feed_t *feed, fb_position_t *position)
 {
   *position = feed->documents[0].position;
   return view_bytes (feed->documents[0].text);
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -139,7 +139,7 @@
   FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
           address->len > 0 ? "following a relay" : "reading the store directly",
           FB_TEXT ("relay", address->data), FB_TEXT ("reason", reason),
-          FB_NUMBER ("position", feed->position),
+          FB_NUMBER ("position", feed->position.revision),
           FB_NUMBER ("age_ms", (now - feed->known_at) / FB_MILLISECOND));
 }
 
@@ -147,12 +147,13 @@
 send_request (fd_feed_t *feed, const fw_member_t *relay, fb_time_t now)
 {
   /* An announced document is read from the store and needs no second announcement. */
-  fw_feed_message_t request = { .kind = FW_FEED_REQUEST,
-                                .feed_id = feed->relay_feed_id,
-                                .sequence = feed->relay_sequence,
-                                .position = feed->position,
-                                .document_position = MAX (feed->documents[0].position,
-                                                          feed->announced_document_position) };
+  fw_feed_message_t request
+      = { .kind = FW_FEED_REQUEST,
+          .feed_id = feed->relay_feed_id,
+          .sequence = feed->relay_sequence,
+          .position = feed->position,
+          .document_position = fb_get_later_position (feed->documents[0].position,
+                                                      feed->announced_document_position) };
 
   feed->request_outstanding = true;
   feed->request_sent_at = now;
@@ -200,7 +201,7 @@
   fb_add_counter (feed->request_failures, 1);
   FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "request to relay failed",
           FB_TEXT ("relay", feed->relay_address.data), FB_TEXT ("reason", reason),
-          FB_NUMBER ("position", feed->position),
+          FB_NUMBER ("position", feed->position.revision),
           FB_NUMBER ("age_ms", (now - feed->known_at) / FB_MILLISECOND));
   avoid_relay (feed, now);
   feed->next_request_at = now + RELAY_RETRY_DELAY;
@@ -227,15 +228,15 @@
 static void
 update_document (fd_feed_t *feed, const fw_feed_message_t *update)
 {
-  if (update->document_position > feed->documents[0].position)
+  if (fb_compare_positions (update->document_position, feed->documents[0].position) > 0)
     {
       if (update->delta.len > 0
           && fd_apply_delta (feed, update->document_position, &update->digest, update->delta))
         fb_add_counter (feed->deltas_applied, 1);
       else
         {
-          feed->announced_document_position
-              = MAX (feed->announced_document_position, update->document_position);
+          feed->announced_document_position = fb_get_later_position (
+              feed->announced_document_position, update->document_position);
           if (!feed->read_outstanding)
             {
               feed->read_kind = FD_READ_DOCUMENT;
@@ -245,7 +246,7 @@
         }
     }
   feed->document_known_position
-      = MAX (feed->document_known_position, update->document_known_position);
+      = fb_get_later_position (feed->document_known_position, update->document_known_position);
 }
 
 /* Returns, by this node's clock, the time up to which UPDATE is complete. The round trip
@@ -283,8 +284,10 @@
   fb_add_counter (feed->ignored_updates, 1);
   FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "update of relay ignored",
           FB_TEXT ("relay", feed->relay_address.data),
-          FB_NUMBER ("update_position", update->position),
-          FB_NUMBER ("position", feed->position), FB_NUMBER ("era", feed->era));
+          FB_NUMBER ("update_era", update->position.era),
+          FB_NUMBER ("update_position", update->position.revision),
+          FB_NUMBER ("era", feed->position.era),
+          FB_NUMBER ("position", feed->position.revision));
 }
 
 void
@@ -299,8 +302,12 @@
       return;
     }
   feed->next_request_at = now;
+  /* Changes since the relay's last update do not tell what else a restore has changed. */
+  if (response->position.era > feed->position.era && !response->complete)
+    fd_begin_era (feed, response->position);
   /* A full read, or a read of the store with a higher position, supersedes the update. */
-  if (feed->read_kind != FD_READ_ALL && response->position >= feed->position)
+  if (feed->read_kind != FD_READ_ALL
+      && fb_compare_positions (response->position, feed->position) >= 0)
     apply_update (feed, response, now);
   else
     record_ignored_update (feed, response);
@@ -351,7 +358,7 @@
     fm_visit_listing_changes (feed->listing, 0, append_endpoint, endpoints);
   update.endpoint_count = MIN (endpoints->len, FW_ENDPOINTS_MAX);
   update.endpoints = (fw_endpoint_t *)(void *)endpoints->data;
-  if (pending->message.document_position < update.document_position)
+  if (fb_compare_positions (pending->message.document_position, update.document_position) < 0)
     update.delta = fd_find_delta (feed, pending->message.document_position);
   fb_add_counter (feed->updates_sent, 1);
   feed->hooks.send_response (pending->requester, &update, feed->hooks.user);
@@ -365,11 +372,12 @@
 {
   const fw_feed_message_t *request = &pending->message;
 
-  if (feed->position < request->position || now >= feed->known_at + feed->options.poll_interval)
+  if (fb_compare_positions (feed->position, request->position) < 0
+      || now >= feed->known_at + feed->options.poll_interval)
     return false;
   return request->feed_id != feed->id
          || request->sequence != fm_get_listing_sequence (feed->listing)
-         || request->document_position < feed->documents[0].position
+         || fb_compare_positions (request->document_position, feed->documents[0].position) < 0
          || feed->read_completed_at > pending->arrived_at;
 }
 
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -15,7 +15,7 @@
 
 typedef struct
 {
-  uint64_t position;
+  fb_position_t position;
   fb_digest_t digest;
   GBytes *text;
   GBytes *delta; /* from this document to the newest; NULL until needed */
@@ -49,7 +49,6 @@
   fd_read_kind_t read_kind; /* of the outstanding or next read */
   bool read_outstanding;
   bool synced;                        /* everything was read once */
-  uint64_t era;                       /* highest one that the store has reported */
   uint32_t documents_read;            /* by the outstanding or last read */
   bool document_read_found_new;       /* the last FD_READ_DOCUMENT found one */
   fb_time_t next_read_at;             /* of a retry, or of a read other than FD_READ_CHANGES */
@@ -57,11 +56,13 @@
   fb_time_t document_read_started_at; /* of the last FD_READ_DOCUMENT */
   fb_time_t known_at;                 /* everything up to this time is known */
   uint32_t consecutive_failures;      /* of reads */
-  char *page_key; /* last key of the previous page, in a full read of several pages */
-  uint64_t first_page_position;         /* of the full read */
-  uint64_t position;                    /* all endpoint changes up to here are known */
-  uint64_t document_known_position;     /* no newer document exists up to here */
-  uint64_t announced_document_position; /* of a relay's document, to be read from the store */
+  char *page_key;    /* last key of the previous page, in a full read of several pages */
+  uint64_t read_era; /* era of POSITION at the start of that read */
+  fb_position_t first_page_position;     /* of the full read */
+  fb_position_t position;                /* all endpoint changes up to here are known */
+  fb_position_t document_known_position; /* no newer document exists up to here */
+  fb_position_t
+      announced_document_position; /* of a relay's document, to be read from the store */
   fd_document_t documents[FD_DOCUMENTS_MAX]; /* newest first */
 
   /* Following another node. */
@@ -95,19 +96,25 @@
 
 /* Adds TEXT, copied, as the newest document; returns false when one of POSITION or above is
  * stored already. */
-bool fd_add_document (fd_feed_t *feed, uint64_t position, fb_bytes_t text);
+bool fd_add_document (fd_feed_t *feed, fb_position_t position, fb_bytes_t text);
 
 /* Returns the delta from the document of POSITION to the newest one, borrowed; empty when
  * that document is not stored or the delta too large to send. */
-fb_bytes_t fd_find_delta (fd_feed_t *feed, uint64_t position);
+fb_bytes_t fd_find_delta (fd_feed_t *feed, fb_position_t position);
 
 /* Decodes DELTA against the newest document and adds the result at POSITION; false unless
  * it has DIGEST. */
-bool fd_apply_delta (fd_feed_t *feed, uint64_t position, const fb_digest_t *digest,
+bool fd_apply_delta (fd_feed_t *feed, fb_position_t position, const fb_digest_t *digest,
                      fb_bytes_t delta);
 
 void fd_clear_feed_documents (fd_feed_t *feed);
 
+/* dist-feed.c */
+
+/* Begins ERA, above that of the known position: the store was restored from a copy, and nothing
+ * is known of its changes. Everything is read again. */
+void fd_begin_era (fd_feed_t *feed, fb_position_t store_position);
+
 /* feed-relay.c */
 
 void fd_update_relay (fd_feed_t *feed, fb_time_t now);
--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -34,17 +34,17 @@
 typedef struct
 {
   fw_member_state_t state;
-  uint64_t position; /* of the last write */
+  uint64_t revision; /* of the last write */
 } listed_endpoint_t;
 
 /* Contents of the store. */
 typedef struct
 {
   listed_endpoint_t endpoints[FEED_NODES_MAX];
-  uint64_t position;
-  uint64_t compacted_position; /* changes before this position are compacted */
+  uint64_t revision;
+  uint64_t compacted_revision; /* changes before this revision are compacted */
   char *text;
-  uint64_t text_position;
+  uint64_t text_revision;
 } store_t;
 
 struct fleet
@@ -164,9 +164,15 @@
 {
 }
 
-/* Delivers the endpoints changed after POSITION to NODE; removed ones only WITH_REMOVED. */
+static fb_position_t
+make_position (const fleet_t *fleet, uint64_t revision)
+{
+  return (fb_position_t){ fleet->era, revision };
+}
+
+/* Delivers the endpoints changed after REVISION to NODE; removed ones only WITH_REMOVED. */
 static void
-deliver_endpoints (node_t *node, uint64_t position, bool with_removed)
+deliver_endpoints (node_t *node, uint64_t revision, bool with_removed)
 {
   fleet_t *fleet = node->fleet;
 
@@ -175,12 +181,13 @@
       const listed_endpoint_t *listed = &fleet->store.endpoints[i];
       fw_endpoint_t endpoint = make_endpoint (fleet, i);
 
-      if (listed->position <= position)
+      if (listed->revision <= revision)
         continue;
       if (listed->state != FW_DEAD)
-        fd_add_endpoint (node->feed, listed->position, &endpoint);
+        fd_add_endpoint (node->feed, make_position (fleet, listed->revision), &endpoint);
       else if (with_removed)
-        fd_remove_endpoint (node->feed, listed->position, &endpoint.member.id);
+        fd_remove_endpoint (node->feed, make_position (fleet, listed->revision),
+                            &endpoint.member.id);
     }
 }
 
@@ -190,7 +197,7 @@
   const fleet_t *fleet = node->fleet;
 
   fd_set_document (
-      node->feed, fleet->store.text_position,
+      node->feed, make_position (fleet, fleet->store.text_revision),
       (fb_bytes_t){ (const uint8_t *)fleet->store.text, strlen (fleet->store.text) });
 }
 
@@ -198,8 +205,8 @@
 end_read (node_t *node)
 {
   fleet_t *fleet = node->fleet;
-  fd_read_result_t result
-      = { .kind = FD_RESULT_COMPLETE, .era = fleet->era, .position = fleet->store.position };
+  fd_read_result_t result = { .kind = FD_RESULT_COMPLETE,
+                              .position = make_position (fleet, fleet->store.revision) };
   const fd_read_t *read = &node->read;
 
   node->read_outstanding = false;
@@ -212,13 +219,13 @@
       deliver_endpoints (node, 0, false);
       deliver_document (node);
     }
-  else if (read->after_position < fleet->store.compacted_position
-           || read->after_position > fleet->store.position)
+  else if (read->after_revision < fleet->store.compacted_revision
+           || read->after_revision > fleet->store.revision)
     result.kind = FD_RESULT_COMPACTED;
   else
     {
-      deliver_endpoints (node, read->after_position, true);
-      if (read->kind == FD_READ_CHANGES && fleet->store.text_position > read->after_position)
+      deliver_endpoints (node, read->after_revision, true);
+      if (read->kind == FD_READ_CHANGES && fleet->store.text_revision > read->after_revision)
         deliver_document (node);
     }
   fd_end_read (node->feed, &result);
@@ -276,7 +283,7 @@
   for (size_t i = 0; i < fleet->count; i++)
     if (fleet->store.endpoints[i].state != FW_DEAD
         && (fleet->steps + i * 7) % ENDPOINT_WRITE_STEPS == 0)
-      fleet->store.endpoints[i].position = ++fleet->store.position;
+      fleet->store.endpoints[i].revision = ++fleet->store.revision;
 }
 
 void
@@ -358,7 +365,7 @@
 void
 feed_compact_store (fleet_t *fleet)
 {
-  fleet->store.compacted_position = ++fleet->store.position;
+  fleet->store.compacted_revision = ++fleet->store.revision;
 }
 
 static void
@@ -393,7 +400,7 @@
 void
 feed_set_endpoint (fleet_t *fleet, size_t node, fw_member_state_t state)
 {
-  fleet->store.endpoints[node] = (listed_endpoint_t){ state, ++fleet->store.position };
+  fleet->store.endpoints[node] = (listed_endpoint_t){ state, ++fleet->store.revision };
 }
 
 void
@@ -401,7 +408,7 @@
 {
   g_free (fleet->store.text);
   fleet->store.text = g_strdup (text);
-  fleet->store.text_position = ++fleet->store.position;
+  fleet->store.text_revision = ++fleet->store.revision;
 }
 
 size_t
@@ -425,10 +432,11 @@
 bool
 feed_has_newest_document (const fleet_t *fleet, size_t node)
 {
-  uint64_t position;
+  fb_position_t position;
   fb_bytes_t text = fd_get_document (fleet->nodes[node].feed, &position);
 
-  return position == fleet->store.text_position && text.len == strlen (fleet->store.text)
+  return fb_compare_positions (position, make_position (fleet, fleet->store.text_revision)) == 0
+         && text.len == strlen (fleet->store.text)
          && memcmp (text.data, fleet->store.text, text.len) == 0;
 }
 
--- a/packages/dist/tests/fixture-node.c
+++ b/packages/dist/tests/fixture-node.c
@@ -23,14 +23,14 @@
 }
 
 static void
-record_read (uint64_t index, void *user)
+record_read (fb_position_t position, void *user)
 {
   node_fixture_t *fixture = user;
 
   g_assert_false (fixture->read_outstanding);
   fixture->read_outstanding = true;
   fixture->reads++;
-  fixture->read_index = index;
+  fixture->read_index = position.revision;
 }
 
 static void
@@ -143,7 +143,7 @@
   bytes.data = g_bytes_get_data (document, &bytes.len);
   g_assert_true (fixture->read_outstanding);
   fixture->read_outstanding = false;
-  fd_handle_source_result (fixture->node, FB_OK, index, bytes);
+  fd_handle_source_result (fixture->node, FB_OK, (fb_position_t){ .revision = index }, bytes);
 }
 
 void
@@ -151,7 +151,8 @@
 {
   g_assert_true (fixture->read_outstanding);
   fixture->read_outstanding = false;
-  fd_handle_source_result (fixture->node, status, 0, (fb_bytes_t){ NULL, 0 });
+  fd_handle_source_result (fixture->node, status, (fb_position_t){ 0 },
+                           (fb_bytes_t){ NULL, 0 });
 }
 
 void
--- a/packages/dist/tests/test-feed.c
+++ b/packages/dist/tests/test-feed.c
@@ -1,5 +1,6 @@
 /* Feeds that follow each other around one store. */
 #include "fixture-feed.h"
+#include "fixture-recorder.h"
 #include <stdlib.h>
 #include <string.h>
 
@@ -8,6 +9,13 @@
 /* Shortest time between two reads of the store by a node with followers. */
 #define READER_READ_PERIOD (FEED_POLL_INTERVAL * 3 / 5)
 
+/* Returns the position of REVISION in a store that names no era. */
+static fb_position_t
+at (uint64_t revision)
+{
+  return (fb_position_t){ .revision = revision };
+}
+
 /* Returns the node that most nodes of ZONE follow. */
 static size_t
 find_reader (const fleet_t *fleet, size_t zone)
@@ -177,25 +185,25 @@
       fw_endpoint_t listed = { { .id = fb_make_name ("i"), .state = FW_ALIVE }, 9 };
       fw_endpoint_t removed = { { .id = fb_make_name ("i"), .state = FW_DEAD }, 9 };
       fw_feed_message_t update = { .kind = FW_FEED_UPDATE,
-                                   .position = cases[i].update_position,
+                                   .position = at (cases[i].update_position),
                                    .endpoint_count = 1,
                                    .endpoints = &removed };
       fw_feed_message_t late_update = { .kind = FW_FEED_UPDATE,
-                                        .position = cases[i].late_update_position,
+                                        .position = at (cases[i].late_update_position),
                                         .endpoint_count = 1,
                                         .endpoints = &listed };
 
       fd_run_feed (feed);
-      fd_add_endpoint (feed, 5, &listed);
-      fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPLETE, .position = 10 });
+      fd_add_endpoint (feed, at (5), &listed);
+      fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPLETE, .position = at (10) });
       fb_advance_clock (clock, FEED_POLL_INTERVAL);
       fd_run_feed (feed);
       fd_handle_response (feed, &update);
       if (cases[i].late_update_position > 0)
         fd_handle_response (feed, &late_update);
-      fd_add_endpoint (feed, cases[i].endpoint_position, &listed);
+      fd_add_endpoint (feed, at (cases[i].endpoint_position), &listed);
       fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPLETE,
-                                              .position = cases[i].endpoint_position });
+                                              .position = at (cases[i].endpoint_position) });
       g_assert_cmpint (state, ==, cases[i].state);
       fd_destroy_feed (feed);
       fb_destroy_counters (counters);
@@ -203,113 +211,20 @@
     }
 }
 
-/* Records reads that a feed starts, requests that it sends and its response to a request. */
-typedef struct
-{
-  fd_read_t read;
-  bool requested;
-  fw_feed_message_t request;
-  uint8_t *response;
-  size_t response_len;
-} recorder_t;
-
-static void
-record_read (const fd_read_t *read, void *user)
-{
-  ((recorder_t *)user)->read = *read;
-}
-
-static void
-record_request (const fw_member_t *peer, const fw_feed_message_t *request, void *user)
-{
-  recorder_t *recorder = user;
-
-  recorder->requested = true;
-  recorder->request = *request;
-}
-
-static void
-record_response (void *requester, const fw_feed_message_t *response, void *user)
-{
-  recorder_t *recorder = user;
-
-  recorder->response = fw_encode_feed (response, &recorder->response_len);
-}
-
-static void
-ignore_endpoint (const fw_endpoint_t *endpoint, void *user)
-{
-}
-
-static fd_feed_t *
-create_recorded_feed (const char *address, const fb_clock_t *clock, fb_counters_t *counters,
-                      recorder_t *recorder)
-{
-  fd_feed_options_t options = { .address = fb_make_name (address),
-                                .zone = fb_make_name ("z"),
-                                .poll_interval = FEED_POLL_INTERVAL };
-  fd_feed_hooks_t hooks = { record_read,     record_request,  record_response,
-                            ignore_endpoint, ignore_document, recorder };
-
-  return fd_create_feed (&options, 1, clock, counters, NULL, &hooks);
-}
-
-static void
-deliver_text (fd_feed_t *feed, uint64_t position, const char *text)
-{
-  fd_set_document (feed, position, (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
-}
-
-static void
-finish_recorded_read (fd_feed_t *feed, uint64_t position)
-{
-  fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPLETE, .position = position });
-}
-
-/* Reads everything as of position 10, with a document of position 5 and two nodes. */
-static void
-sync_recorded_feed (fd_feed_t *feed)
-{
-  static const char *const addresses[] = { "10.0.0.1", "10.0.0.2" };
-
-  fd_run_feed (feed);
-  for (size_t i = 0; i < G_N_ELEMENTS (addresses); i++)
-    {
-      fw_endpoint_t endpoint = { { .id = fb_make_name (addresses[i]),
-                                   .state = FW_ALIVE,
-                                   .address = fb_make_name (addresses[i]),
-                                   .zone = fb_make_name ("z") },
-                                 9 };
-
-      fd_add_endpoint (feed, 4, &endpoint);
-    }
-  deliver_text (feed, 5, "first");
-  finish_recorded_read (feed, 10);
-}
-
-static void
-wait_for_read (fd_feed_t *feed, fb_clock_t *clock, const recorder_t *recorder,
-               fd_read_kind_t kind)
-{
-  fb_advance_clock (clock, FEED_POLL_INTERVAL);
-  fd_run_feed (feed);
-  g_assert_cmpint (recorder->read.kind, ==, kind);
-}
-
 /* Lets RELAY know the document up to position 14 and the endpoints up to position 20, as after
  * a series of publications. */
 static void
 read_document_before_endpoints (fd_feed_t *relay, fb_clock_t *clock, const recorder_t *recorder)
 {
   wait_for_read (relay, clock, recorder, FD_READ_CHANGES);
-  deliver_text (relay, 11, "second");
-  deliver_text (relay, 12, "third");
-  finish_recorded_read (relay, 12);
+  deliver_text (relay, at (11), "second");
+  deliver_text (relay, at (12), "third");
+  finish_recorded_read (relay, at (12));
   wait_for_read (relay, clock, recorder, FD_READ_DOCUMENT);
-  finish_recorded_read (relay, 14);
+  finish_recorded_read (relay, at (14));
   fd_run_feed (relay);
   g_assert_cmpint (recorder->read.kind, ==, FD_READ_ENDPOINTS);
-  finish_recorded_read (relay, 20);
+  finish_recorded_read (relay, at (20));
 }
 
 /* Returns RECORDED's response as a node before the field document_known_position sends it. */
@@ -323,7 +238,7 @@
   g_assert_cmpint (
       fw_decode_feed ((fb_bytes_t){ recorder->response, recorder->response_len }, &message), ==,
       FB_OK);
-  message.document_known_position = 0;
+  message.document_known_position = at (0);
   bytes = fw_encode_feed (&message, &len);
   fw_clear_feed (&message);
   g_free (recorder->response);
@@ -340,7 +255,7 @@
   static const struct
   {
     bool old_relay;          /* does not send up to where it knows the document */
-    uint64_t after_position; /* of the follower's next read of changes */
+    uint64_t after_revision; /* of the follower's next read of changes */
   } cases[] = { { false, 14 }, { true, 12 } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
@@ -354,9 +269,9 @@
       fw_feed_message_t update;
       fb_bytes_t bytes;
 
-      sync_recorded_feed (relay);
+      sync_recorded_feed (relay, 0);
       read_document_before_endpoints (relay, clock, &relay_calls);
-      sync_recorded_feed (follower);
+      sync_recorded_feed (follower, 0);
       fd_run_feed (follower);
       g_assert_true (follower_calls.requested);
       fd_handle_request (relay, follower, &follower_calls.request);
@@ -367,13 +282,13 @@
       g_assert_cmpint (fw_decode_feed (bytes, &update), ==, FB_OK);
       fd_handle_response (follower, &update);
       fw_clear_feed (&update);
-      g_assert_cmpuint (fd_get_position (follower), ==, 20);
+      g_assert_cmpint (fb_compare_positions (fd_get_position (follower), at (20)), ==, 0);
       fd_run_feed (follower);
       fd_fail_request (follower, "relay ended");
       fb_advance_clock (clock, 2 * FEED_POLL_INTERVAL);
       fd_run_feed (follower);
       g_assert_cmpint (follower_calls.read.kind, ==, FD_READ_CHANGES);
-      g_assert_cmpuint (follower_calls.read.after_position, ==, cases[i].after_position);
+      g_assert_cmpuint (follower_calls.read.after_revision, ==, cases[i].after_revision);
       g_free (relay_calls.response);
       fd_destroy_feed (follower);
       fd_destroy_feed (relay);
--- a/packages/dist/tests/test-restore.c
+++ b/packages/dist/tests/test-restore.c
@@ -1,6 +1,7 @@
 /* Feeds around a store that is restored from a copy: its positions go back and are given out
  * again. */
 #include "fixture-feed.h"
+#include "fixture-recorder.h"
 
 #define NODES 36
 
@@ -114,11 +115,137 @@
     }
 }
 
+static fb_position_t
+at (uint64_t era, uint64_t revision)
+{
+  return (fb_position_t){ era, revision };
+}
+
+/* Guards against a read that goes on in another era: its response says nothing about changes
+ * after a position of the old one, and pages of two eras make no list. */
+static void
+test_read_across_restore (void)
+{
+  static const struct
+  {
+    fb_position_t first_page; /* of a full read; revision 0 for a read of changes */
+    fb_position_t response;   /* of the second page or the changes, with a leaving node */
+    bool used;
+    fd_read_kind_t next_read; /* its first page, if it reads everything */
+  } cases[] = {
+    { { 0, 0 }, { 1, 12 }, true, FD_READ_CHANGES },
+    { { 0, 0 }, { 2, 12 }, false, FD_READ_ALL },
+    { { 0, 0 }, { 2, 8 }, false, FD_READ_ALL },
+    { { 1, 12 }, { 1, 13 }, true, FD_READ_CHANGES },
+    { { 1, 12 }, { 2, 13 }, false, FD_READ_ALL },
+    { { 2, 8 }, { 2, 9 }, true, FD_READ_CHANGES },
+    { { 2, 8 }, { 1, 13 }, false, FD_READ_ALL },
+    { { 2, 8 }, { 3, 9 }, false, FD_READ_ALL },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      recorder_t recorder = { 0 };
+      fd_feed_t *feed = create_recorded_feed ("10.0.0.1", clock, counters, &recorder);
+
+      g_test_message ("case %zu", i);
+      sync_recorded_feed (feed, 1);
+      wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
+      if (cases[i].first_page.revision > 0)
+        {
+          fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPACTED,
+                                                  { .era = cases[i].first_page.era } });
+          wait_for_read (feed, clock, &recorder, FD_READ_ALL);
+          deliver_node (feed, cases[i].first_page, "10.0.0.1", FW_ALIVE);
+          fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_HAS_MORE, cases[i].first_page,
+                                                  .last_key = "k" });
+          wait_for_read (feed, clock, &recorder, FD_READ_ALL);
+          g_assert_cmpstr (recorder.read.after_key, ==, "k");
+        }
+      deliver_node (feed, cases[i].response, "10.0.0.2", FW_LEAVING);
+      finish_recorded_read (feed, cases[i].response);
+      g_assert_cmpint (recorder.state, ==, cases[i].used ? FW_LEAVING : FW_ALIVE);
+      /* After a failure the next read follows a back-off of at most 1 s. */
+      fb_advance_clock (clock, FB_SECOND);
+      wait_for_read (feed, clock, &recorder, cases[i].next_read);
+      g_assert_null (recorder.read.after_key);
+      fd_destroy_feed (feed);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
+/* Guards against a response from before the restore that arrives after the feed has learned of
+ * it.
+ */
+static void
+test_late_response (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+  fb_counters_t *counters = fb_create_counters ();
+  recorder_t recorder = { 0 };
+  fd_feed_t *feed = create_recorded_feed ("10.0.0.1", clock, counters, &recorder);
+  fw_feed_message_t update = { .kind = FW_FEED_UPDATE, .position = { 2, 6 }, .complete = true };
+
+  sync_recorded_feed (feed, 1);
+  wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
+  fd_handle_response (feed, &update);
+  deliver_node (feed, at (1, 11), "10.0.0.2", FW_LEAVING);
+  finish_recorded_read (feed, at (1, 11));
+  g_assert_cmpint (recorder.state, !=, FW_LEAVING);
+  g_assert_cmpint (fb_compare_positions (fd_get_position (feed), at (2, 6)), ==, 0);
+  fd_destroy_feed (feed);
+  fb_destroy_counters (counters);
+  fb_destroy_clock (clock);
+}
+
+/* Guards against a follower that takes the changes of a relay which has read everything again
+ * for all that a restore has changed, or asks the store for changes after a position of the old
+ * era. */
+static void
+test_update_across_restore (void)
+{
+  static const struct
+  {
+    bool complete;
+    fd_read_kind_t next_read;
+  } cases[] = { { false, FD_READ_ALL }, { true, FD_READ_DOCUMENT } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      recorder_t recorder = { 0 };
+      fd_feed_t *feed = create_recorded_feed ("10.0.0.2", clock, counters, &recorder);
+      fw_feed_message_t update = { .kind = FW_FEED_UPDATE,
+                                   .position = { 2, 6 },
+                                   .document_position = { 2, 5 },
+                                   .document_known_position = { 2, 6 },
+                                   .complete = cases[i].complete };
+
+      g_test_message ("case %zu", i);
+      sync_recorded_feed (feed, 1);
+      fd_run_feed (feed);
+      fd_handle_response (feed, &update);
+      fb_advance_clock (clock, FB_SECOND);
+      wait_for_read (feed, clock, &recorder, cases[i].next_read);
+      g_assert_null (recorder.read.after_key);
+      fd_destroy_feed (feed);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/dist/restore/document", test_document);
   g_test_add_func ("/dist/restore/passed-position", test_passed_position);
+  g_test_add_func ("/dist/restore/read-across-restore", test_read_across_restore);
+  g_test_add_func ("/dist/restore/late-response", test_late_response);
+  g_test_add_func ("/dist/restore/update-across-restore", test_update_across_restore);
   return g_test_run ();
 }
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -35,9 +35,9 @@
 
 struct fn_source
 {
-  /* Starts a read that ends with fn_finish_source_read: at once if INDEX is 0, otherwise when
-   * the source has a document with an index above INDEX. */
-  void (*read) (fn_source_t *source, uint64_t index);
+  /* Starts a read that ends with fn_finish_source_read: at once if the revision is 0,
+   * otherwise when the source has a document with a position above POSITION. */
+  void (*read) (fn_source_t *source, fb_position_t position);
 };
 
 typedef struct
@@ -77,9 +77,9 @@
 /* Ends the open read of the store. */
 void fn_end_store_read (fn_feed_t *feed, const fd_read_result_t *result);
 
-/* Ends a read of the source. STATUS: FB_OK with INDEX and DOCUMENT, FB_NOT_FOUND if nothing is
- * published, FB_TIMEOUT if nothing changed in time, anything else if the read failed. */
-void fn_finish_source_read (fk_kernel_t *kernel, fb_status_t status, uint64_t index,
+/* Ends a read of the source. STATUS: FB_OK with POSITION and DOCUMENT, FB_NOT_FOUND if nothing
+ * is published, FB_TIMEOUT if nothing changed in time, anything else if the read failed. */
+void fn_finish_source_read (fk_kernel_t *kernel, fb_status_t status, fb_position_t position,
                             fb_bytes_t document);
 
 /* Adds or updates ENDPOINT by state: FW_ALIVE gets calls, FW_LEAVING no new ones, FW_DEAD is
--- a/packages/node/source/node-distribution.c
+++ b/packages/node/source/node-distribution.c
@@ -35,13 +35,13 @@
 }
 
 static void
-read_source (uint64_t index, void *user)
+read_source (fb_position_t position, void *user)
 {
   fn_distribution_t *distribution = user;
 
   fn_source_t *source = fk_find_service (distribution->kernel, FN_SOURCE);
 
-  source->read (source, index);
+  source->read (source, position);
 }
 
 static void
@@ -204,12 +204,12 @@
 }
 
 void
-fn_finish_source_read (fk_kernel_t *kernel, fb_status_t status, uint64_t index,
+fn_finish_source_read (fk_kernel_t *kernel, fb_status_t status, fb_position_t position,
                        fb_bytes_t document)
 {
   fn_distribution_t *distribution = fk_find_service (kernel, FN_DISTRIBUTION);
 
-  fd_handle_source_result (distribution->node, status, index, document);
+  fd_handle_source_result (distribution->node, status, position, document);
 }
 
 void
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -29,7 +29,7 @@
   fh_client_t *relay_client; /* NULL before the first request */
   fb_name_t relay_address;
   bool is_awaiting_document; /* the distribution waits for a document above DOCUMENT_POSITION */
-  uint64_t document_position;
+  fb_position_t document_position;
   fb_name_t local_backend_id; /* endpoint of the backend server on this node's host */
   uint64_t local_backend_incarnation;
   fb_counter_t *malformed;
@@ -53,20 +53,20 @@
 deliver_document (void *user)
 {
   fn_feed_t *feed = user;
-  uint64_t position;
+  fb_position_t position;
   fb_bytes_t text = fd_get_document (feed->feed, &position);
 
   if (!feed->is_awaiting_document || !fd_is_synced (feed->feed))
     return;
-  if (position > feed->document_position)
+  if (fb_compare_positions (position, feed->document_position) > 0)
     {
       feed->is_awaiting_document = false;
       fn_finish_source_read (feed->kernel, FB_OK, position, text);
     }
-  else if (feed->document_position == 0)
+  else if (feed->document_position.revision == 0)
     {
       feed->is_awaiting_document = false;
-      fn_finish_source_read (feed->kernel, FB_NOT_FOUND, 0, (fb_bytes_t){ NULL, 0 });
+      fn_finish_source_read (feed->kernel, FB_NOT_FOUND, position, (fb_bytes_t){ NULL, 0 });
     }
 }
 
@@ -80,7 +80,7 @@
 }
 
 static void
-read_document (fn_source_t *source, uint64_t position)
+read_document (fn_source_t *source, fb_position_t position)
 {
   fn_feed_t *feed = (fn_feed_t *)source;
 
@@ -121,7 +121,7 @@
           FB_TEXT ("instance", member->id.data),
           FB_TEXT ("state", fw_describe_state (member->state)),
           FB_TEXT ("address", member->address.data), FB_TEXT ("zone", member->zone.data),
-          FB_NUMBER ("position", fd_get_position (feed->feed)),
+          FB_NUMBER ("position", fd_get_position (feed->feed).revision),
           FB_NUMBER ("age_ms", fd_get_age (feed->feed) / FB_MILLISECOND));
   if (fb_equal_name (&member->address, &fn_get_settings (feed->kernel)->address))
     update_local_backend (feed, endpoint);
--- a/packages/node/source/node-source.c
+++ b/packages/node/source/node-source.c
@@ -57,6 +57,7 @@
 end_document_read (const fh_response_t *response, void *user)
 {
   consul_source_t *source = user;
+  fb_position_t position = { 0 };
   fb_status_t status = FB_UNAVAILABLE;
 
   source->document_read = NULL;
@@ -64,8 +65,9 @@
     status = FB_OK;
   else if (response->result == FH_ANSWERED && response->status == 404)
     status = FB_NOT_FOUND;
-  fn_finish_source_read (source->kernel, status, status == FB_OK ? parse_index (response) : 0,
-                         response->body);
+  if (status == FB_OK)
+    position.revision = parse_index (response);
+  fn_finish_source_read (source->kernel, status, position, response->body);
 }
 
 static const char *
@@ -216,18 +218,18 @@
 }
 
 static void
-read_document (fn_source_t *base, uint64_t index)
+read_document (fn_source_t *base, fb_position_t position)
 {
   consul_source_t *source = (consul_source_t *)base;
   char path[128];
 
   if (!source->client || source->document_read)
     return;
-  if (index == 0)
+  if (position.revision == 0)
     g_strlcpy (path, DOCUMENT_PATH, sizeof path);
   else
-    snprintf (path, sizeof path, DOCUMENT_PATH "&index=%" G_GUINT64_FORMAT "&wait=%ds", index,
-              (int)(FD_WATCH_WAIT_MAX / FB_SECOND));
+    snprintf (path, sizeof path, DOCUMENT_PATH "&index=%" G_GUINT64_FORMAT "&wait=%ds",
+              position.revision, (int)(FD_WATCH_WAIT_MAX / FB_SECOND));
   source->document_read = send_get (source, path, end_document_read);
 }
 
--- a/packages/wire/include/foxtailrun/wire/feed.h
+++ b/packages/wire/include/foxtailrun/wire/feed.h
@@ -4,6 +4,7 @@
 
 #include "member.h"
 #include <foxtailrun/base/digest.h>
+#include <foxtailrun/base/position.h>
 #include <foxtailrun/base/status.h>
 
 /* Largest number of endpoints in one message: the target fleet size with headroom. */
@@ -23,13 +24,13 @@
 {
   fw_feed_message_kind_t kind;
   uint64_t feed_id; /* of the relay's change list that SEQUENCE refers to; random per process */
-  uint64_t sequence;          /* REQUEST: last change received; UPDATE: last change included */
-  uint64_t position;          /* of the source, up to which its changes are known */
-  uint64_t document_position; /* position of the newest document known; 0 without one */
+  uint64_t sequence;      /* REQUEST: last change received; UPDATE: last change included */
+  fb_position_t position; /* of the source, up to which its changes are known */
+  fb_position_t document_position; /* position of the newest document known; 0 without one */
   /* UPDATE: position of the source up to which no newer document exists. Below POSITION when
    * the relay reads document and endpoints separately. 0 is not encoded; a message without it
    * decodes to DOCUMENT_POSITION. */
-  uint64_t document_known_position;
+  fb_position_t document_known_position;
   fb_digest_t digest; /* UPDATE: of that document */
   fb_bytes_t delta;   /* UPDATE: zstd frame against the requester's document; may be empty;
                          borrowed from the encoded bytes after decoding */
--- a/packages/wire/source/wire-feed.c
+++ b/packages/wire/source/wire-feed.c
@@ -12,27 +12,46 @@
  * accept them during a rolling replacement. */
 #define FEED_FIELDS_WITH_KNOWN_POSITION (FEED_FIELDS + 1)
 
+/* With the known position and the eras of all three positions. Builds without eras refuse such
+ * a message: they would take revisions of two eras for one sequence. */
+#define FEED_FIELDS_WITH_ERAS (FEED_FIELDS_WITH_KNOWN_POSITION + 3)
+
 /* Elements of one endpoint: the member and its slots. */
 #define ENDPOINT_FIELDS 2
 
+static bool
+has_eras (const fw_feed_message_t *message)
+{
+  return message->position.era > 0 || message->document_position.era > 0
+         || message->document_known_position.era > 0;
+}
+
+static size_t
+count_fields (const fw_feed_message_t *message)
+{
+  if (has_eras (message))
+    return FEED_FIELDS_WITH_ERAS;
+  return message->document_known_position.revision > 0 ? FEED_FIELDS_WITH_KNOWN_POSITION
+                                                       : FEED_FIELDS;
+}
+
 uint8_t *
 fw_encode_feed (const fw_feed_message_t *message, size_t *length)
 {
   msgpack_sbuffer buffer;
   msgpack_packer packer;
-  bool has_known_position = message->document_known_position > 0;
+  size_t field_count = count_fields (message);
   uint8_t *copy;
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer,
-                      has_known_position ? FEED_FIELDS_WITH_KNOWN_POSITION : FEED_FIELDS);
+  msgpack_pack_array (&packer, field_count);
   msgpack_pack_uint64 (&packer, FEED_FORMAT);
   msgpack_pack_uint64 (&packer, (uint64_t)message->kind);
   msgpack_pack_uint64 (&packer, message->feed_id);
   msgpack_pack_uint64 (&packer, message->sequence);
-  msgpack_pack_uint64 (&packer, message->position);
-  msgpack_pack_uint64 (&packer, message->document_position);
+  msgpack_pack_uint64 (&packer, message->position.revision);
+  msgpack_pack_uint64 (&packer, message->document_position.revision);
   fw_pack_bin (&packer, message->digest.bytes, FB_DIGEST_LEN);
   fw_pack_bin (&packer, message->delta.data, message->delta.len);
   msgpack_pack_uint64 (&packer, message->age_us);
@@ -44,8 +63,14 @@
       fw_pack_member (&packer, &message->endpoints[i].member);
       msgpack_pack_uint64 (&packer, message->endpoints[i].slots);
     }
-  if (has_known_position)
-    msgpack_pack_uint64 (&packer, message->document_known_position);
+  if (field_count >= FEED_FIELDS_WITH_KNOWN_POSITION)
+    msgpack_pack_uint64 (&packer, message->document_known_position.revision);
+  if (field_count >= FEED_FIELDS_WITH_ERAS)
+    {
+      msgpack_pack_uint64 (&packer, message->position.era);
+      msgpack_pack_uint64 (&packer, message->document_position.era);
+      msgpack_pack_uint64 (&packer, message->document_known_position.era);
+    }
   copy = g_memdup2 (buffer.data, buffer.size);
   *length = buffer.size;
   msgpack_sbuffer_destroy (&buffer);
@@ -68,6 +93,21 @@
   return fw_finish_reader (list);
 }
 
+/* Reads the fields after the endpoints. */
+static bool
+read_known_position (fw_reader_t *reader, fw_feed_message_t *message)
+{
+  message->document_known_position = message->document_position;
+  if (reader->count >= FEED_FIELDS_WITH_KNOWN_POSITION)
+    message->document_known_position.revision = fw_read_u64 (reader, UINT64_MAX);
+  if (reader->count < FEED_FIELDS_WITH_ERAS)
+    return reader->count == FEED_FIELDS || message->document_known_position.revision > 0;
+  message->position.era = fw_read_u64 (reader, UINT64_MAX);
+  message->document_position.era = fw_read_u64 (reader, UINT64_MAX);
+  message->document_known_position.era = fw_read_u64 (reader, UINT64_MAX);
+  return has_eras (message);
+}
+
 static bool
 read_feed (const msgpack_object *object, fw_feed_message_t *message)
 {
@@ -79,18 +119,15 @@
   message->kind = (fw_feed_message_kind_t)fw_read_u64 (&reader, FW_FEED_UNAVAILABLE);
   message->feed_id = fw_read_u64 (&reader, UINT64_MAX);
   message->sequence = fw_read_u64 (&reader, UINT64_MAX);
-  message->position = fw_read_u64 (&reader, UINT64_MAX);
-  message->document_position = fw_read_u64 (&reader, UINT64_MAX);
+  message->position.revision = fw_read_u64 (&reader, UINT64_MAX);
+  message->document_position.revision = fw_read_u64 (&reader, UINT64_MAX);
   fw_read_digest (&reader, &message->digest);
   message->delta = fw_read_bin (&reader, FW_DELTA_MAX);
   message->age_us = fw_read_u64 (&reader, INT64_MAX / 1000);
   message->request_wait_us = fw_read_u64 (&reader, INT64_MAX / 1000);
   list = fw_start_reader (
       fw_read_array (&reader, 1 + ENDPOINT_FIELDS * (size_t)FW_ENDPOINTS_MAX));
-  message->document_known_position = reader.count > FEED_FIELDS
-                                         ? fw_read_u64 (&reader, UINT64_MAX)
-                                         : message->document_position;
-  if (reader.count > FEED_FIELDS && message->document_known_position == 0)
+  if (!read_known_position (&reader, message))
     return false;
   return fw_finish_reader (&reader) && message->kind >= FW_FEED_REQUEST
          && read_endpoints (&list, message);
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -177,9 +177,9 @@
   return (fw_feed_message_t){ .kind = FW_FEED_UPDATE,
                               .feed_id = UINT64_MAX,
                               .sequence = 7,
-                              .position = 8,
-                              .document_position = 9,
-                              .document_known_position = 12,
+                              .position = { 3, 8 },
+                              .document_position = { 2, 9 },
+                              .document_known_position = { 3, 12 },
                               .digest = { { 1 } },
                               .delta = { (const uint8_t *)"delta", 5 },
                               .age_us = 10,
@@ -196,9 +196,11 @@
 {
   static const struct
   {
+    uint64_t era; /* of all positions; 0 as sent by a build without eras */
     uint64_t sent;
     uint64_t decoded;
-  } cases[] = { { 12, 12 }, { 0, 9 }, { UINT64_MAX, UINT64_MAX } };
+  } cases[] = { { 0, 12, 12 }, { 0, 0, 9 }, { 0, UINT64_MAX, UINT64_MAX },
+                { 3, 12, 12 }, { 3, 0, 0 }, { UINT64_MAX, UINT64_MAX, UINT64_MAX } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -208,10 +210,14 @@
       size_t length;
       uint8_t *bytes;
 
-      sent.document_known_position = cases[i].sent;
+      sent.position.era = cases[i].era;
+      sent.document_position.era = cases[i].era;
+      sent.document_known_position = (fb_position_t){ cases[i].era, cases[i].sent };
       bytes = fw_encode_feed (&sent, &length);
       g_assert_cmpint (fw_decode_feed ((fb_bytes_t){ bytes, length }, &decoded), ==, FB_OK);
-      g_assert_cmpuint (decoded.document_known_position, ==, cases[i].decoded);
+      g_assert_cmpuint (decoded.document_known_position.revision, ==, cases[i].decoded);
+      g_assert_cmpuint (decoded.document_known_position.era, ==, cases[i].era);
+      g_assert_cmpuint (decoded.position.era, ==, cases[i].era);
       fw_clear_feed (&decoded);
       g_free (bytes);
     }
@@ -231,8 +237,12 @@
   g_assert_cmpint (decoded.kind, ==, FW_FEED_UPDATE);
   g_assert_cmpuint (decoded.feed_id, ==, UINT64_MAX);
   g_assert_cmpuint (decoded.sequence, ==, 7);
-  g_assert_cmpuint (decoded.position, ==, 8);
-  g_assert_cmpuint (decoded.document_position, ==, 9);
+  g_assert_cmpint (fb_compare_positions (decoded.position, sent.position), ==, 0);
+  g_assert_cmpint (fb_compare_positions (decoded.document_position, sent.document_position), ==,
+                   0);
+  g_assert_cmpint (
+      fb_compare_positions (decoded.document_known_position, sent.document_known_position), ==,
+      0);
   g_assert_cmpmem (decoded.digest.bytes, FB_DIGEST_LEN, sent.digest.bytes, FB_DIGEST_LEN);
   g_assert_cmpmem (decoded.delta.data, decoded.delta.len, "delta", 5);
   g_assert_cmpuint (decoded.age_us, ==, 10);
--- a/standins/fleet/fleet-host.c
+++ b/standins/fleet/fleet-host.c
@@ -75,13 +75,13 @@
 }
 
 static void
-read_source (uint64_t index, void *user)
+read_source (fb_position_t position, void *user)
 {
   sf_host_t *host = user;
   sf_event_t *event = sf_schedule_event (host, SF_SOURCE_READ, (fb_bytes_t){ NULL, 0 });
 
   FB_INVARIANT (!host->watch.waiting);
-  event->index = index;
+  event->index = position.revision;
   host->watch.requested_at = fb_read_clock (host->fleet->clock);
   host->source_calls++;
   host->fleet->source.calls++;
--- a/standins/fleet/fleet-network.c
+++ b/standins/fleet/fleet-network.c
@@ -88,7 +88,8 @@
       if (host->watch.requested_at >= host->join_started_at
           && (event->status == FB_OK || event->status == FB_NOT_FOUND))
         host->source_values++;
-      fd_handle_source_result (host->node, event->status, event->index, bytes);
+      fd_handle_source_result (host->node, event->status,
+                               (fb_position_t){ .revision = event->index }, bytes);
       break;
     }
 }
