Keep instances listed for the grace period after a restore of the store

A node that did not see the store away dropped instances at once that had registered after the copy was taken: the first full read of the restored store does not list them, although they register again within seconds. Callers lose these instances for that time. Cause: removals waited only after an outage that the node itself had seen; a restore can be over between two reads. The grace period now begins with a restore, too, from the store or from a relay's complete update. Found by reading, when looking for other state that depends on the store's history. The case lost-registration of dist/test-restore failed before (state dead after 0.1 s, without an outage) and passes now; an instance that does not register again is still removed.

--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -333,9 +333,8 @@
     }
 }
 
-/* Records that the store now has STORE_POSITION, of a higher era than the known position. */
-static void
-record_restore (fd_feed_t *feed, fb_position_t store_position)
+void
+fd_record_restore (fd_feed_t *feed, fb_position_t store_position)
 {
   if (feed->synced)
     {
@@ -349,12 +348,13 @@
     }
   feed->position = (fb_position_t){ .era = store_position.era };
   feed->relay_feed_id = 0;
+  fm_mark_source_restored (feed->listing);
 }
 
 void
 fd_begin_era (fd_feed_t *feed, fb_position_t store_position)
 {
-  record_restore (feed, store_position);
+  fd_record_restore (feed, store_position);
   restart_full_read (feed);
 }
 
@@ -371,7 +371,7 @@
   uint64_t era = result->position.era;
 
   if (era > feed->position.era && is_first_page (feed))
-    record_restore (feed, result->position);
+    fd_record_restore (feed, result->position);
   else if (era > feed->position.era)
     {
       fd_begin_era (feed, result->position);
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -303,8 +303,13 @@
     }
   feed->next_request_at = now;
   /* Changes since the relay's last update do not tell what else a restore has changed. */
-  if (response->position.era > feed->position.era && !response->complete)
-    fd_begin_era (feed, response->position);
+  if (response->position.era > feed->position.era)
+    {
+      if (response->complete)
+        fd_record_restore (feed, response->position);
+      else
+        fd_begin_era (feed, response->position);
+    }
   /* A full read, or a read of the store with a higher position, supersedes the update. */
   if (feed->read_kind != FD_READ_ALL
       && fb_compare_positions (response->position, feed->position) >= 0)
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -111,8 +111,11 @@
 
 /* dist-feed.c */
 
-/* Begins ERA, above that of the known position: the store was restored from a copy, and nothing
- * is known of its changes. Everything is read again. */
+/* Records that the store was restored from a copy and now has STORE_POSITION, of a higher era
+ * than the known position: nothing is known of its changes. */
+void fd_record_restore (fd_feed_t *feed, fb_position_t store_position);
+
+/* Does the same, and reads everything again. */
 void fd_begin_era (fd_feed_t *feed, fb_position_t store_position);
 
 /* feed-relay.c */
--- a/packages/dist/tests/test-restore.c
+++ b/packages/dist/tests/test-restore.c
@@ -11,6 +11,10 @@
 /* Time after a restore until the deadline of changes applies to every node again. */
 #define RECOVERY_TIME (3 * FB_SECOND)
 
+/* Time in which an instance whose registration was lost registers again. */
+#define REGISTRATION_TIME (1900 * FB_MILLISECOND)
+#define CHECK_PERIOD (100 * FB_MILLISECOND)
+
 /* Documents published between the copy and the restore. */
 #define LOST_DOCUMENTS 3
 
@@ -115,6 +119,42 @@
     }
 }
 
+/* Guards against instances that are dropped at once because they registered after the copy, and
+ * against ones that stay although they do not register again. */
+static void
+test_lost_registration (void)
+{
+  static const fb_time_t outages[] = { 0, 100 * FB_MILLISECOND, 2 * FB_SECOND };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (outages); i++)
+    {
+      fleet_t *fleet = feed_create_fleet (NODES, (uint32_t)i);
+
+      feed_stop_endpoint_updates (fleet);
+      feed_set_endpoint (fleet, 7, FW_DEAD);
+      feed_set_endpoint (fleet, 8, FW_DEAD);
+      feed_advance (fleet, SETTLED_TIME);
+      feed_copy_store (fleet);
+      feed_set_endpoint (fleet, 7, FW_ALIVE);
+      feed_set_endpoint (fleet, 8, FW_ALIVE);
+      feed_advance (fleet, SETTLED_TIME);
+      feed_set_store_available (fleet, outages[i] == 0);
+      feed_advance (fleet, outages[i]);
+      feed_restore_store (fleet);
+      feed_set_store_available (fleet, true);
+      for (fb_time_t elapsed = 0; elapsed < REGISTRATION_TIME; elapsed += CHECK_PERIOD)
+        {
+          feed_advance (fleet, CHECK_PERIOD);
+          check_state (fleet, 7, FW_ALIVE);
+        }
+      feed_set_endpoint (fleet, 7, FW_ALIVE);
+      feed_advance (fleet, RECOVERY_TIME + FEED_CHANGE_DEADLINE);
+      check_state (fleet, 7, FW_ALIVE);
+      check_state (fleet, 8, FW_DEAD);
+      feed_destroy_fleet (fleet);
+    }
+}
+
 static fb_position_t
 at (uint64_t era, uint64_t revision)
 {
@@ -244,6 +284,7 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/dist/restore/document", test_document);
   g_test_add_func ("/dist/restore/passed-position", test_passed_position);
+  g_test_add_func ("/dist/restore/lost-registration", test_lost_registration);
   g_test_add_func ("/dist/restore/read-across-restore", test_read_across_restore);
   g_test_add_func ("/dist/restore/late-response", test_late_response);
   g_test_add_func ("/dist/restore/update-across-restore", test_update_across_restore);
--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -1,12 +1,13 @@
 /* Endpoints listed by a platform. Removals wait while the list cannot be read and for a
- * grace period after, since endpoints that expired meanwhile are registered again. */
+ * grace period after that and after a restore of the source, since endpoints that expired or
+ * were lost meanwhile are registered again. */
 #ifndef FOXTAILRUN_MEMBER_LISTING_H
 #define FOXTAILRUN_MEMBER_LISTING_H
 
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/wire/member.h>
 
-/* Time for which removals are delayed after the source is available again. */
+/* Time for which removals are delayed after the source is available again or was restored. */
 #define FM_RELIST_GRACE (2 * FB_SECOND)
 
 /* An endpoint was listed or changed; FW_DEAD when no longer listed. */
@@ -35,6 +36,10 @@
 void fm_mark_source_unavailable (fm_listing_t *listing);
 void fm_mark_source_available (fm_listing_t *listing);
 
+/* Records that the source was restored from a copy: endpoints registered since the copy are
+ * missing until they are registered again. */
+void fm_mark_source_restored (fm_listing_t *listing);
+
 /* Removes missing endpoints once the listing is settled; call about every 100 ms. */
 void fm_tick_listing (fm_listing_t *listing);
 
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -170,13 +170,25 @@
   listing->source_unavailable = true;
 }
 
+static void
+begin_grace (fm_listing_t *listing)
+{
+  listing->grace_ends_at = fb_read_clock (listing->clock) + FM_RELIST_GRACE;
+}
+
 void
 fm_mark_source_available (fm_listing_t *listing)
 {
   if (!listing->source_unavailable)
     return;
   listing->source_unavailable = false;
-  listing->grace_ends_at = fb_read_clock (listing->clock) + FM_RELIST_GRACE;
+  begin_grace (listing);
+}
+
+void
+fm_mark_source_restored (fm_listing_t *listing)
+{
+  begin_grace (listing);
 }
 
 void
