Begin the full read after a restore only when the outstanding read has ended

When a relay reported a restore while a read of the store was outstanding, the result of that read was taken for the first page of the full read: instances that it did not list would have been dropped after the grace period, or the incomplete update was applied. Position 0 of an era now says that nothing is known of it: the full read starts when the outstanding read ends, after the back-off of a failure, and an incomplete update is dropped until then.

--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -199,11 +199,13 @@
     feed->documents_read++;
 }
 
+/* Schedules the next read at once, or after the back-off of a failure. */
 static void
 schedule_read (fd_feed_t *feed, fd_read_kind_t kind)
 {
   feed->read_kind = kind;
-  feed->next_read_at = 0;
+  if (feed->consecutive_failures == 0)
+    feed->next_read_at = 0;
 }
 
 /* Schedules the next read. A read of changes returns every document since the last one in
@@ -355,7 +357,15 @@
 fd_begin_era (fd_feed_t *feed, fb_position_t store_position)
 {
   fd_record_restore (feed, store_position);
-  restart_full_read (feed);
+  if (!feed->read_outstanding)
+    restart_full_read (feed);
+}
+
+/* Returns whether nothing is known of the store's era, and no full read of it has begun. */
+static bool
+needs_full_read (const fd_feed_t *feed)
+{
+  return feed->synced && feed->position.revision == 0 && feed->read_kind != FD_READ_ALL;
 }
 
 /* Returns whether the outstanding read goes on with a response of ERA. */
@@ -406,6 +416,8 @@
       record_success (feed);
       handle_result (feed, result);
     }
+  if (needs_full_read (feed))
+    restart_full_read (feed);
   fd_respond_to_requests (feed);
   if (feed->synced)
     feed->hooks.document_changed (feed->hooks.user);
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -290,6 +290,16 @@
           FB_NUMBER ("position", feed->position.revision));
 }
 
+/* Returns whether UPDATE can be applied. A full read, or a read of the store with a higher
+ * position, supersedes it; changes since the relay's last update do not tell what else a
+ * restore has changed. */
+static bool
+is_applicable (const fd_feed_t *feed, const fw_feed_message_t *update)
+{
+  return feed->read_kind != FD_READ_ALL && (update->complete || feed->position.revision > 0)
+         && fb_compare_positions (update->position, feed->position) >= 0;
+}
+
 void
 fd_handle_response (fd_feed_t *feed, const fw_feed_message_t *response)
 {
@@ -302,7 +312,6 @@
       return;
     }
   feed->next_request_at = now;
-  /* Changes since the relay's last update do not tell what else a restore has changed. */
   if (response->position.era > feed->position.era)
     {
       if (response->complete)
@@ -310,9 +319,7 @@
       else
         fd_begin_era (feed, response->position);
     }
-  /* A full read, or a read of the store with a higher position, supersedes the update. */
-  if (feed->read_kind != FD_READ_ALL
-      && fb_compare_positions (response->position, feed->position) >= 0)
+  if (is_applicable (feed, response))
     apply_update (feed, response, now);
   else
     record_ignored_update (feed, response);
--- a/packages/dist/tests/test-restore.c
+++ b/packages/dist/tests/test-restore.c
@@ -278,6 +278,66 @@
     }
 }
 
+/* Guards against the changes of an outstanding read being taken for a list of everything, when
+ * a relay reports the restore before the store does. */
+static void
+test_outstanding_read (void)
+{
+  static const struct
+  {
+    bool lists_all; /* the outstanding read: everything, or changes */
+    fd_read_result_t result;
+  } cases[] = {
+    { false, { FD_RESULT_COMPLETE, { 1, 11 } } },
+    { false, { FD_RESULT_COMPLETE, { 2, 12 } } },
+    { false, { FD_RESULT_FAILED } },
+    { false, { FD_RESULT_COMPACTED, { 2, 0 } } },
+    { true, { FD_RESULT_COMPLETE, { 1, 11 } } },
+    { true, { FD_RESULT_FAILED } },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      recorder_t recorder = { 0 };
+      fd_feed_t *feed = create_recorded_feed ("10.0.0.1", clock, counters, &recorder);
+      fw_feed_message_t update = { .kind = FW_FEED_UPDATE, .position = { 2, 6 } };
+
+      g_test_message ("case %zu", i);
+      sync_recorded_feed (feed, 1);
+      wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
+      if (cases[i].lists_all)
+        {
+          fd_end_read (feed, &(fd_read_result_t){ FD_RESULT_COMPACTED, { .era = 1 } });
+          wait_for_read (feed, clock, &recorder, FD_READ_ALL);
+          deliver_node (feed, at (1, 4), "10.0.0.1", FW_ALIVE);
+          fd_end_read (feed,
+                       &(fd_read_result_t){ FD_RESULT_HAS_MORE, { 1, 11 }, .last_key = "k" });
+          wait_for_read (feed, clock, &recorder, FD_READ_ALL);
+        }
+      fd_handle_response (feed, &update);
+      fd_end_read (feed, &cases[i].result);
+      /* Missing instances are dropped once the grace period is over. */
+      for (int step = 0; step < 4; step++)
+        {
+          fb_advance_clock (clock, FB_SECOND);
+          fd_run_feed (feed);
+        }
+      g_assert_cmpint (recorder.state, ==, FW_ALIVE);
+      g_assert_cmpint (recorder.read.kind, ==, FD_READ_ALL);
+      g_assert_null (recorder.read.after_key);
+      deliver_node (feed, at (2, 4), "10.0.0.1", FW_ALIVE);
+      deliver_node (feed, at (2, 4), "10.0.0.2", FW_LEAVING);
+      finish_recorded_read (feed, at (2, 13));
+      g_assert_cmpint (recorder.state, ==, FW_LEAVING);
+      g_assert_cmpint (fb_compare_positions (fd_get_position (feed), at (2, 13)), ==, 0);
+      fd_destroy_feed (feed);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -288,5 +348,6 @@
   g_test_add_func ("/dist/restore/read-across-restore", test_read_across_restore);
   g_test_add_func ("/dist/restore/late-response", test_late_response);
   g_test_add_func ("/dist/restore/update-across-restore", test_update_across_restore);
+  g_test_add_func ("/dist/restore/outstanding-read", test_outstanding_read);
   return g_test_run ();
 }
