Apply a relay's changes only when the request is of the same era

A node that had read the restored store itself kept an instance that leaves as alive: its request to the relay was from before the restore, and the relay answered with the changes that it had seen since. It had seen none, as it read everything only when the instance had reported again, while this node read the older entry; the update still raised the position past that report. The era in which a request is sent now decides; complete updates count always. The case request-across-restore fails before (position 2.20) and passes now.

--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -157,6 +157,7 @@
 
   feed->request_outstanding = true;
   feed->request_sent_at = now;
+  feed->request_era = feed->position.era;
   feed->hooks.send_request (relay, &request, feed->hooks.user);
 }
 
@@ -291,12 +292,13 @@
 }
 
 /* Returns whether UPDATE can be applied. A full read, or a read of the store with a higher
- * position, supersedes it; changes since the relay's last update do not tell what else a
- * restore has changed. */
+ * position, supersedes it. The changes that the relay has seen across a restore do not tell
+ * what it has changed for this node, which has seen others. */
 static bool
 is_applicable (const fd_feed_t *feed, const fw_feed_message_t *update)
 {
-  return feed->read_kind != FD_READ_ALL && (update->complete || feed->position.revision > 0)
+  return feed->read_kind != FD_READ_ALL
+         && (update->complete || feed->request_era == update->position.era)
          && fb_compare_positions (update->position, feed->position) >= 0;
 }
 
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -69,6 +69,7 @@
   fb_name_t relay_address; /* empty while this node reads the store */
   bool request_outstanding;
   fb_time_t request_sent_at; /* of the outstanding request */
+  uint64_t request_era;      /* era of POSITION when it was sent */
   fb_time_t next_request_at; /* when a relay is next chosen and sent a request */
   fb_time_t relay_known_at;  /* KNOWN_AT of the last update received */
   uint64_t relay_feed_id;    /* feed whose changes RELAY_SEQUENCE counts */
--- a/packages/dist/tests/test-restore.c
+++ b/packages/dist/tests/test-restore.c
@@ -2,6 +2,7 @@
  * again. */
 #include "fixture-feed.h"
 #include "fixture-recorder.h"
+#include <stdlib.h>
 
 #define NODES 36
 
@@ -155,6 +156,123 @@
     }
 }
 
+/* What the operator and the instances have written last, and write again after a restore. */
+typedef struct
+{
+  fleet_t *fleet;
+  GRand *random;
+  fw_member_state_t states[NODES];
+  char text[32];
+  int published;
+} writers_t;
+
+static void
+write_changes (writers_t *writers, int count)
+{
+  static const fw_member_state_t states[] = { FW_ALIVE, FW_LEAVING, FW_DEAD };
+
+  for (int i = 0; i < count; i++)
+    {
+      size_t node = (size_t)g_rand_int_range (writers->random, 0, NODES);
+
+      writers->states[node] = states[g_rand_int_range (writers->random, 0, 3)];
+      feed_set_endpoint (writers->fleet, node, writers->states[node]);
+      g_snprintf (writers->text, sizeof writers->text, "%d", ++writers->published);
+      feed_publish (writers->fleet, writers->text);
+    }
+}
+
+/* Writes again what a restore has lost. */
+static void
+write_again (writers_t *writers)
+{
+  for (size_t i = 0; i < NODES; i++)
+    if (feed_get_endpoint_state (writers->fleet, i) != writers->states[i])
+      feed_set_endpoint (writers->fleet, i, writers->states[i]);
+  feed_publish (writers->fleet, writers->text);
+}
+
+/* Advances by a random time of at most MS. */
+static void
+advance_at_random (writers_t *writers, int ms)
+{
+  feed_advance (writers->fleet, g_rand_int_range (writers->random, 0, ms) * FB_MILLISECOND);
+}
+
+static void
+restore_at_random (writers_t *writers)
+{
+  GRand *random = writers->random;
+  bool is_away = g_rand_boolean (random);
+
+  for (int i = 0; i < 6; i++)
+    feed_set_fault (writers->fleet, (size_t)g_rand_int_range (random, 0, NODES),
+                    (feed_fault_t)g_rand_int_range (random, 0, FEED_STORE_UNREACHABLE + 1));
+  feed_set_store_available (writers->fleet, !is_away);
+  advance_at_random (writers, is_away ? 3000 : 200);
+  feed_restore_store (writers->fleet);
+  if (g_rand_boolean (random))
+    write_again (writers);
+  feed_set_store_available (writers->fleet, true);
+  advance_at_random (writers, 1500);
+  write_again (writers);
+  for (size_t i = 0; i < NODES; i++)
+    if (g_rand_boolean (random))
+      feed_set_fault (writers->fleet, i, FEED_NO_FAULT);
+}
+
+static void
+check_everything (const writers_t *writers)
+{
+  for (size_t i = 0; i < NODES; i++)
+    for (size_t j = 0; j < NODES && feed_is_healthy (writers->fleet, i); j++)
+      {
+        g_test_message ("node %zu, endpoint %zu", i, j);
+        g_assert_true (feed_has_newest_document (writers->fleet, i));
+        g_assert_cmpint (feed_get_state (writers->fleet, i, j), ==, writers->states[j]);
+      }
+}
+
+/* Guards against changes that are missed, or reverted for good, after restores in a row among
+ * faults of nodes. */
+static void
+run_random (uint32_t seed)
+{
+  writers_t writers
+      = { .fleet = feed_create_fleet (NODES, seed), .random = g_rand_new_with_seed (seed) };
+
+  feed_stop_endpoint_updates (writers.fleet);
+  for (int round = 0; round < 8; round++)
+    {
+      g_test_message ("seed %u round %d", seed, round);
+      write_changes (&writers, g_rand_int_range (writers.random, 1, 4));
+      advance_at_random (&writers, 2000);
+      feed_copy_store (writers.fleet);
+      for (int restores = g_rand_int_range (writers.random, 1, 3); restores > 0; restores--)
+        {
+          write_changes (&writers, g_rand_int_range (writers.random, 0, 6));
+          advance_at_random (&writers, 4000);
+          restore_at_random (&writers);
+        }
+      feed_advance (writers.fleet, RECOVERY_TIME + FEED_CHANGE_DEADLINE);
+      write_changes (&writers, 1);
+      feed_advance (writers.fleet, FEED_CHANGE_DEADLINE);
+      check_everything (&writers);
+    }
+  g_rand_free (writers.random);
+  feed_destroy_fleet (writers.fleet);
+}
+
+static void
+test_random (void)
+{
+  const char *seeds = g_getenv ("SEEDS");
+  unsigned long count = seeds ? strtoul (seeds, NULL, 10) : 10;
+
+  for (unsigned long seed = 1; seed <= count; seed++)
+    run_random ((uint32_t)seed);
+}
+
 static fb_position_t
 at (uint64_t era, uint64_t revision)
 {
@@ -338,6 +456,40 @@
     }
 }
 
+/* Guards against a change that is missed because the relay saw none: it read the restored store
+ * when an instance had registered again, this node before. */
+static void
+test_request_across_restore (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+  fb_counters_t *counters = fb_create_counters ();
+  recorder_t recorder = { 0 };
+  fd_feed_t *feed = create_recorded_feed ("10.0.0.2", clock, counters, &recorder);
+  fw_feed_message_t update
+      = { .kind = FW_FEED_UPDATE, .position = { 2, 20 }, .document_known_position = { 2, 20 } };
+
+  sync_recorded_feed (feed, 1);
+  fd_run_feed (feed);
+  g_assert_true (recorder.requested);
+  fb_advance_clock (clock, FEED_POLL_INTERVAL);
+  wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
+  finish_recorded_read (feed, at (2, 8));
+  fb_advance_clock (clock, FEED_POLL_INTERVAL);
+  wait_for_read (feed, clock, &recorder, FD_READ_ALL);
+  deliver_node (feed, at (2, 4), "10.0.0.1", FW_ALIVE);
+  deliver_node (feed, at (2, 4), "10.0.0.2", FW_ALIVE);
+  finish_recorded_read (feed, at (2, 13));
+  recorder.requested = false;
+  fd_handle_response (feed, &update);
+  g_assert_cmpint (fb_compare_positions (fd_get_position (feed), at (2, 13)), ==, 0);
+  fd_run_feed (feed);
+  g_assert_true (recorder.requested);
+  g_assert_cmpuint (recorder.request.feed_id, ==, 0);
+  fd_destroy_feed (feed);
+  fb_destroy_counters (counters);
+  fb_destroy_clock (clock);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -349,5 +501,7 @@
   g_test_add_func ("/dist/restore/late-response", test_late_response);
   g_test_add_func ("/dist/restore/update-across-restore", test_update_across_restore);
   g_test_add_func ("/dist/restore/outstanding-read", test_outstanding_read);
+  g_test_add_func ("/dist/restore/request-across-restore", test_request_across_restore);
+  g_test_add_func ("/dist/restore/random", test_random);
   return g_test_run ();
 }
