Have only the relays read everything after a restore of the store

Cause: a node that learned of a higher era read everything whatever its rank, all relays were avoided after the outage, and a relay refused requests while it read and in the grace period of instances that had to register again. Now a node that may follow another asks it first, at position 0 of the new era, and reads everything itself only after 0.6 to 1.25 poll intervals without an update. The request tells the relay of the restore, too; it holds requests while it reads everything, after compaction as well, and answers in the grace period after a restore. So that no follower passes the removal of an endpoint which the relay keeps for now, a missing endpoint counts as a change: followers get it as removed and wait for their own grace period.

--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -35,6 +35,7 @@
 {
   feed->reads = fb_find_counter (counters, "source_calls", "");
   feed->read_failures = fb_find_counter (counters, "source_failures", "");
+  feed->full_reads = fb_find_counter (counters, "source_full_reads", "");
   feed->restores = fb_find_counter (counters, "source_restores", "");
   feed->ignored_documents = fb_find_counter (counters, "source_ignored_documents", "");
   feed->ignored_updates = fb_find_counter (counters, "feed_news", "way=\"ignored\"");
@@ -107,6 +108,18 @@
   return feed->read_kind;
 }
 
+static void
+begin_full_read (fd_feed_t *feed)
+{
+  fb_add_counter (feed->full_reads, 1);
+  if (feed->synced)
+    FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "reading everything",
+            FB_NUMBER ("era", feed->position.era),
+            FB_NUMBER ("position", feed->position.revision),
+            FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
+  fm_begin_full_read (feed->listing);
+}
+
 static void
 start_read (fd_feed_t *feed, fb_time_t now)
 {
@@ -131,7 +144,7 @@
       break;
     case FD_READ_ALL:
       if (!feed->page_key)
-        fm_begin_full_read (feed->listing);
+        begin_full_read (feed);
       break;
     }
   feed->read_outstanding = true;
@@ -153,7 +166,7 @@
     start_read (feed, now);
   if (!feed->read_outstanding)
     next = MIN (next, get_next_read_time (feed, now));
-  if (fd_can_request (feed))
+  if (fd_can_request (feed, now))
     next = MIN (next, MAX (feed->next_request_at, now));
   if (!fm_is_listing_settled (feed->listing))
     next = MIN (next, now + SETTLE_CHECK_PERIOD);
@@ -268,6 +281,7 @@
     return;
   fm_end_full_read (feed->listing);
   feed->synced = true;
+  feed->rereading = false;
   feed->position = feed->first_page_position;
   feed->document_known_position = feed->first_page_position;
   feed->known_at = feed->read_started_at;
@@ -280,6 +294,7 @@
 {
   g_clear_pointer (&feed->page_key, g_free);
   schedule_read (feed, FD_READ_ALL);
+  feed->rereading = feed->synced;
 }
 
 static void
@@ -296,6 +311,7 @@
             FB_NUMBER ("position", feed->position.revision),
             FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
   feed->consecutive_failures++;
+  feed->rereading = false;
   fb_add_counter (feed->read_failures, 1);
   fm_mark_source_unavailable (feed->listing);
   feed->next_read_at = get_time (feed)
@@ -353,12 +369,25 @@
   fm_mark_source_restored (feed->listing);
 }
 
+/* Reads everything again, but not before EARLIEST, and only when no relay sends an update
+ * first. */
+static void
+schedule_full_read (fd_feed_t *feed, fb_time_t earliest)
+{
+  fb_time_t now = get_time (feed);
+
+  restart_full_read (feed);
+  feed->next_read_at = MAX (earliest, now + fd_prepare_full_read (feed, now));
+}
+
 void
 fd_begin_era (fd_feed_t *feed, fb_position_t store_position)
 {
   fd_record_restore (feed, store_position);
-  if (!feed->read_outstanding)
-    restart_full_read (feed);
+  if (feed->read_outstanding)
+    feed->rereading = true;
+  else
+    schedule_full_read (feed, 0);
 }
 
 /* Returns whether nothing is known of the store's era, and no full read of it has begun. */
@@ -389,8 +418,7 @@
     }
   if (result->kind == FD_RESULT_COMPACTED)
     {
-      FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
-              "store history compacted; reading everything again",
+      FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "store history compacted",
               FB_NUMBER ("position", feed->position.revision));
       restart_full_read (feed);
     }
@@ -417,7 +445,7 @@
       handle_result (feed, result);
     }
   if (needs_full_read (feed))
-    restart_full_read (feed);
+    schedule_full_read (feed, feed->consecutive_failures > 0 ? feed->next_read_at : 0);
   fd_respond_to_requests (feed);
   if (feed->synced)
     feed->hooks.document_changed (feed->hooks.user);
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -20,6 +20,13 @@
 
 #define RELAY_RETRY_DELAY (100 * FB_MILLISECOND)
 
+/* Poll intervals for which a node waits for a relay after a restore before it reads everything
+ * itself. Random, so that nodes whose relays fail do not read together; the longest wait, the
+ * back-off of a failed read and a full read fit the time in which changes must be known again.
+ */
+#define FULL_READ_DELAY_MIN_INTERVALS 0.6
+#define FULL_READ_DELAY_MAX_INTERVALS 1.25
+
 /* Poll intervals for which a node counts as followed after its last received request. */
 #define FOLLOWED_INTERVALS 3
 
@@ -162,19 +169,48 @@
 }
 
 bool
-fd_can_request (const fd_feed_t *feed)
+fd_is_full_read_due (const fd_feed_t *feed, fb_time_t now)
+{
+  return feed->read_kind == FD_READ_ALL
+         && (feed->read_outstanding || feed->page_key || now >= feed->next_read_at);
+}
+
+bool
+fd_can_request (const fd_feed_t *feed, fb_time_t now)
+{
+  return feed->synced && !fd_is_full_read_due (feed, now) && !feed->request_outstanding;
+}
+
+/* Returns the node to follow, or NULL when this node should read the store. */
+static const fw_member_t *
+find_relay (const fd_feed_t *feed, fb_time_t now)
+{
+  zone_nodes_t zone_nodes = { .feed = feed };
+
+  fm_visit_listing_changes (feed->listing, 0, add_candidate, &zone_nodes);
+  return choose_relay (feed, &zone_nodes, now);
+}
+
+fb_time_t
+fd_prepare_full_read (fd_feed_t *feed, fb_time_t now)
 {
-  return feed->synced && feed->read_kind != FD_READ_ALL && !feed->request_outstanding;
+  double intervals = g_rand_double_range (feed->random, FULL_READ_DELAY_MIN_INTERVALS,
+                                          FULL_READ_DELAY_MAX_INTERVALS);
+
+  memset (feed->avoided_relays, 0, sizeof feed->avoided_relays);
+  feed->next_request_at = now;
+  if (fd_has_followers (feed, now) || !find_relay (feed, now))
+    return 0;
+  return (fb_time_t)((double)feed->options.poll_interval * intervals);
 }
 
 void
 fd_update_relay (fd_feed_t *feed, fb_time_t now)
 {
   static const fb_name_t no_relay;
-  zone_nodes_t zone_nodes = { .feed = feed };
   const fw_member_t *relay;
 
-  if (!fd_can_request (feed) || now < feed->next_request_at)
+  if (!fd_can_request (feed, now) || now < feed->next_request_at)
     return;
   feed->next_request_at = now + RELAY_CHOICE_PERIOD;
   if (fd_has_followers (feed, now))
@@ -182,8 +218,7 @@
       set_relay (feed, &no_relay, "other nodes follow this one", now);
       return;
     }
-  fm_visit_listing_changes (feed->listing, 0, add_candidate, &zone_nodes);
-  relay = choose_relay (feed, &zone_nodes, now);
+  relay = find_relay (feed, now);
   if (relay)
     {
       set_relay (feed, &relay->address, "a reader of the zone", now);
@@ -266,6 +301,7 @@
 {
   fm_mark_source_available (feed->listing);
   feed->consecutive_failures = 0;
+  feed->rereading = false;
   if (!feed->read_outstanding)
     feed->read_kind = FD_READ_CHANGES;
   apply_endpoints (feed, update);
@@ -295,9 +331,9 @@
  * position, supersedes it. The changes that the relay has seen across a restore do not tell
  * what it has changed for this node, which has seen others. */
 static bool
-is_applicable (const fd_feed_t *feed, const fw_feed_message_t *update)
+is_applicable (const fd_feed_t *feed, const fw_feed_message_t *update, fb_time_t now)
 {
-  return feed->read_kind != FD_READ_ALL
+  return !fd_is_full_read_due (feed, now)
          && (update->complete || feed->request_era == update->position.era)
          && fb_compare_positions (update->position, feed->position) >= 0;
 }
@@ -315,13 +351,8 @@
     }
   feed->next_request_at = now;
   if (response->position.era > feed->position.era)
-    {
-      if (response->complete)
-        fd_record_restore (feed, response->position);
-      else
-        fd_begin_era (feed, response->position);
-    }
-  if (is_applicable (feed, response))
+    fd_begin_era (feed, response->position);
+  if (is_applicable (feed, response, now))
     apply_update (feed, response, now);
   else
     record_ignored_update (feed, response);
@@ -334,13 +365,12 @@
   handle_relay_failure (feed, reason);
 }
 
-/* Returns whether this node knows the current state of the store, and no removed endpoint may
- * still be listed again. */
+/* Returns whether this node knows the current state of the store, and can tell others. */
 static bool
 is_up_to_date (const fd_feed_t *feed, fb_time_t now)
 {
   return feed->synced && feed->read_kind != FD_READ_ALL && feed->consecutive_failures == 0
-         && fm_is_listing_settled (feed->listing)
+         && fm_is_listing_shareable (feed->listing)
          && now < feed->known_at + 2 * feed->options.poll_interval;
 }
 
@@ -400,13 +430,16 @@
 {
   fb_time_t now = get_time (feed);
   bool up_to_date = is_up_to_date (feed, now);
+  bool is_rereading
+      = feed->rereading && (feed->read_outstanding || fd_is_full_read_due (feed, now));
   fw_feed_message_t unavailable = { .kind = FW_FEED_UNAVAILABLE };
 
   for (guint i = feed->pending_requests->len; i > 0; i--)
     {
       fd_pending_request_t *pending = g_ptr_array_index (feed->pending_requests, i - 1);
 
-      if (up_to_date && !can_respond (feed, pending, now))
+      /* Otherwise its followers would read everything, too. */
+      if (is_rereading || (up_to_date && !can_respond (feed, pending, now)))
         continue;
       if (up_to_date)
         send_update (feed, pending, now);
@@ -426,6 +459,10 @@
   pending->message.endpoints = NULL;
   g_ptr_array_add (feed->pending_requests, pending);
   feed->followed_until = now + FOLLOWED_INTERVALS * feed->options.poll_interval;
+  if (request->position.era > feed->position.era)
+    fd_begin_era (feed, request->position);
+  else if (feed->rereading && feed->consecutive_failures == 0)
+    feed->next_read_at = MIN (feed->next_read_at, now);
   fd_respond_to_requests (feed);
 }
 
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -49,6 +49,7 @@
   fd_read_kind_t read_kind; /* of the outstanding or next read */
   bool read_outstanding;
   bool synced;                        /* everything was read once */
+  bool rereading;                     /* a full read after that is due and has not failed */
   uint32_t documents_read;            /* by the outstanding or last read */
   bool document_read_found_new;       /* the last FD_READ_DOCUMENT found one */
   fb_time_t next_read_at;             /* of a retry, or of a read other than FD_READ_CHANGES */
@@ -84,6 +85,7 @@
 
   fb_counter_t *reads;
   fb_counter_t *read_failures;
+  fb_counter_t *full_reads;
   fb_counter_t *restores;
   fb_counter_t *ignored_documents;
   fb_counter_t *ignored_updates;
@@ -116,15 +118,23 @@
  * than the known position: nothing is known of its changes. */
 void fd_record_restore (fd_feed_t *feed, fb_position_t store_position);
 
-/* Does the same, and reads everything again. */
+/* Does the same, and has everything read again unless an update of a relay comes first. */
 void fd_begin_era (fd_feed_t *feed, fb_position_t store_position);
 
 /* feed-relay.c */
 
 void fd_update_relay (fd_feed_t *feed, fb_time_t now);
 
-/* Returns whether a request may be sent: everything was read, and no request is outstanding. */
-bool fd_can_request (const fd_feed_t *feed);
+/* Returns whether a request may be sent: everything was read once, no full read is due, and no
+ * request is outstanding. */
+bool fd_can_request (const fd_feed_t *feed, fb_time_t now);
+
+/* Returns whether a full read is outstanding or due. */
+bool fd_is_full_read_due (const fd_feed_t *feed, fb_time_t now);
+
+/* Forgets which relays failed, as all do in an outage of the store; returns how long this node
+ * waits for one before it reads everything itself. */
+fb_time_t fd_prepare_full_read (fd_feed_t *feed, fb_time_t now);
 
 /* Whether another node sends this one updates. */
 bool fd_is_following (const fd_feed_t *feed, fb_time_t now);
--- a/packages/dist/tests/test-restore.c
+++ b/packages/dist/tests/test-restore.c
@@ -6,6 +6,9 @@
 
 #define NODES 36
 
+/* Nodes of a zone that others may follow: one reader for up to 40 nodes, and two spares. */
+#define RELAYS_PER_ZONE 3
+
 /* Time that a fleet runs before and after the store is copied. */
 #define SETTLED_TIME (4 * FB_SECOND)
 
@@ -156,6 +159,46 @@
     }
 }
 
+/* Guards against every node reading everything after a restore: only the nodes that others may
+ * follow do. */
+static void
+test_full_reads (void)
+{
+  static const struct
+  {
+    fb_time_t outage; /* before the restore */
+    bool passes;      /* the store passes the known position before the next read */
+  } cases[] = { { 0, false },
+                { 0, true },
+                { 100 * FB_MILLISECOND, false },
+                { 2 * FB_SECOND, false },
+                { 2 * FB_SECOND, true },
+                { 10 * FB_SECOND, false } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fleet_t *fleet = create_fleet_ahead_of_copy ((uint32_t)i);
+      size_t before;
+
+      feed_set_store_available (fleet, cases[i].outage == 0);
+      feed_advance (fleet, cases[i].outage);
+      before = feed_count_full_reads (fleet);
+      feed_restore_store (fleet);
+      for (int write = 0; cases[i].passes && write < 2 * LOST_DOCUMENTS; write++)
+        feed_publish (fleet, "written again");
+      feed_set_store_available (fleet, true);
+      feed_advance (fleet, RECOVERY_TIME);
+      g_test_message ("case %zu: %zu full reads", i, feed_count_full_reads (fleet) - before);
+      g_assert_cmpuint (feed_count_full_reads (fleet) - before, >, 0);
+      g_assert_cmpuint (feed_count_full_reads (fleet) - before, <=,
+                        FEED_ZONES * RELAYS_PER_ZONE);
+      feed_publish (fleet, "new");
+      feed_advance (fleet, FEED_CHANGE_DEADLINE);
+      check_documents (fleet);
+      feed_destroy_fleet (fleet);
+    }
+}
+
 /* What the operator and the instances have written last, and write again after a restore. */
 typedef struct
 {
@@ -501,7 +544,8 @@
   g_test_add_func ("/dist/restore/late-response", test_late_response);
   g_test_add_func ("/dist/restore/update-across-restore", test_update_across_restore);
   g_test_add_func ("/dist/restore/outstanding-read", test_outstanding_read);
-  g_test_add_func ("/dist/restore/request-across-restore", test_request_across_restore);
+  g_test_add_func ("/dist/restore/full-reads", test_full_reads);
   g_test_add_func ("/dist/restore/random", test_random);
+  g_test_add_func ("/dist/restore/request-across-restore", test_request_across_restore);
   return g_test_run ();
 }
--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -49,12 +49,17 @@
 /* Returns whether the source is available and the grace period is over. */
 bool fm_is_listing_settled (const fm_listing_t *listing);
 
-/* Returns the last reported change's sequence number, from 1; 0 for none. */
+/* Returns whether other nodes can use the listing: it is settled, or its source was restored
+ * and they wait for the removal of missing endpoints, too. */
+bool fm_is_listing_shareable (const fm_listing_t *listing);
+
+/* Returns the last change's sequence number, from 1; 0 for none. An endpoint that goes missing
+ * or is listed again has changed. */
 uint64_t fm_get_listing_sequence (const fm_listing_t *listing);
 
-/* Calls VISIT for each endpoint that changed after SEQUENCE, removed ones as FW_DEAD;
- * SEQUENCE 0 visits all listed ones. Returns false, without a visit, when the record of a
- * later removal has been discarded. */
+/* Calls VISIT for each endpoint that changed after SEQUENCE, removed and missing ones as
+ * FW_DEAD; SEQUENCE 0 visits all listed ones that are not missing. Returns false, without a
+ * visit, when the record of a later removal has been discarded. */
 bool fm_visit_listing_changes (const fm_listing_t *listing, uint64_t sequence,
                                fm_endpoint_fn_t visit, void *user);
 
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -32,6 +32,7 @@
   GQueue removed;              /* removed_t, oldest first */
   uint64_t discarded_sequence; /* of the last discarded removal record */
   bool source_unavailable;
+  bool source_restored;    /* since it last became unavailable */
   fb_time_t grace_ends_at; /* missing entries are removed from then on */
 };
 
@@ -77,6 +78,9 @@
 
   if (entry && is_same_endpoint (&entry->endpoint, endpoint))
     {
+      /* Visits may have left it out. */
+      if (entry->missing)
+        entry->sequence = ++listing->sequence;
       entry->seen = true;
       entry->missing = false;
       return;
@@ -121,6 +125,22 @@
          && fb_read_clock (listing->clock) >= listing->grace_ends_at;
 }
 
+bool
+fm_is_listing_shareable (const fm_listing_t *listing)
+{
+  return fm_is_listing_settled (listing)
+         || (!listing->source_unavailable && listing->source_restored);
+}
+
+/* Other nodes, which get the changes of this listing, wait for the removal themselves. */
+static void
+mark_missing (fm_listing_t *listing, listed_t *entry)
+{
+  if (!entry->missing)
+    entry->sequence = ++listing->sequence;
+  entry->missing = true;
+}
+
 void
 fm_remove_endpoint (fm_listing_t *listing, const fb_name_t *id)
 {
@@ -130,7 +150,7 @@
     return;
   if (!fm_is_listing_settled (listing))
     {
-      entry->missing = true;
+      mark_missing (listing, entry);
       return;
     }
   report_removal (listing, entry);
@@ -159,7 +179,8 @@
     {
       listed_t *entry = value;
 
-      entry->missing = entry->missing || !entry->seen;
+      if (!entry->seen)
+        mark_missing (listing, entry);
     }
   fm_tick_listing (listing);
 }
@@ -167,6 +188,8 @@
 void
 fm_mark_source_unavailable (fm_listing_t *listing)
 {
+  if (!listing->source_unavailable)
+    listing->source_restored = false;
   listing->source_unavailable = true;
 }
 
@@ -188,6 +211,7 @@
 void
 fm_mark_source_restored (fm_listing_t *listing)
 {
+  listing->source_restored = true;
   begin_grace (listing);
 }
 
@@ -245,8 +269,12 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const listed_t *entry = value;
+      fw_endpoint_t removed = entry->endpoint;
 
-      if (entry->sequence > sequence)
+      removed.member.state = FW_DEAD;
+      if (entry->sequence > sequence && entry->missing && sequence > 0)
+        visit (&removed, user);
+      else if (entry->sequence > sequence && !entry->missing)
         visit (&entry->endpoint, user);
     }
   return true;
--- a/packages/member/tests/test-listing.c
+++ b/packages/member/tests/test-listing.c
@@ -40,8 +40,8 @@
 }
 
 /* Runs one step: "+a" adds a, "~a" adds it as leaving, "-a" removes it, "(" and ")" begin and
- * end a full read, "!" and "?" mark the source unavailable and available, and a digit advances
- * the clock by that many half seconds. */
+ * end a full read, "!" and "?" mark the source unavailable and available, "^" marks it
+ * restored, and a digit advances the clock by that many half seconds. */
 static void
 run_step (fixture_t *fixture, const char *step)
 {
@@ -68,6 +68,9 @@
     case '?':
       fm_mark_source_available (fixture->listing);
       break;
+    case '^':
+      fm_mark_source_restored (fixture->listing);
+      break;
     default:
       fb_advance_clock (fixture->clock, (step[0] - '0') * FB_SECOND / 2);
       fm_tick_listing (fixture->listing);
@@ -122,10 +125,71 @@
     }
 }
 
+static void
+append_visited (const fw_endpoint_t *endpoint, void *user)
+{
+  g_string_append_printf (user, "%s=%s ", endpoint->member.id.data,
+                          fw_describe_state (endpoint->member.state));
+}
+
+/* Guards against another node that gets the changes of this listing and keeps an endpoint which
+ * is missing here, or does not list one again that is registered again. */
+static void
+test_shared_changes (void)
+{
+  static const struct
+  {
+    const char *steps; /* after "+a" and "+b" in a settled listing */
+    const char *changes;
+    const char *all; /* only one endpoint, as their order is not defined */
+    bool shareable;
+  } cases[] = {
+    { "-b", "b=dead ", "a=alive ", true },
+    { "^ -b", "b=dead ", "a=alive ", true },
+    { "^ ( +a )", "b=dead ", "a=alive ", true },
+    { "^ ( +a ) 5", "b=dead ", "a=alive ", true },
+    { "^ -a +a -b", "a=alive b=dead ", "a=alive ", true },
+    { "! -b", "b=dead ", "a=alive ", false },
+    { "! ^ -b", "b=dead ", "a=alive ", false },
+    { "! ^ ? -b", "b=dead ", "a=alive ", true },
+    { "^ ! ? -b", "b=dead ", "a=alive ", false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture
+          = { .clock = fb_create_manual_clock (100 * FB_SECOND), .changes = g_string_new ("") };
+      GString *changes = g_string_new ("");
+      GString *all = g_string_new ("");
+      char **steps = g_strsplit (cases[i].steps, " ", -1);
+      uint64_t sequence;
+
+      fixture.listing = fm_create_listing (fixture.clock, record_change, &fixture);
+      add_endpoint (&fixture, "a", FW_ALIVE);
+      add_endpoint (&fixture, "b", FW_ALIVE);
+      sequence = fm_get_listing_sequence (fixture.listing);
+      for (size_t step = 0; steps[step]; step++)
+        run_step (&fixture, steps[step]);
+      fm_visit_listing_changes (fixture.listing, sequence, append_visited, changes);
+      fm_visit_listing_changes (fixture.listing, 0, append_visited, all);
+      g_test_message ("%s", cases[i].steps);
+      g_assert_cmpstr (changes->str, ==, cases[i].changes);
+      g_assert_cmpstr (all->str, ==, cases[i].all);
+      g_assert_cmpint (fm_is_listing_shareable (fixture.listing), ==, cases[i].shareable);
+      fm_destroy_listing (fixture.listing);
+      fb_destroy_clock (fixture.clock);
+      g_strfreev (steps);
+      g_string_free (changes, TRUE);
+      g_string_free (all, TRUE);
+      g_string_free (fixture.changes, TRUE);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/member/listing/outages", test_outages);
+  g_test_add_func ("/member/listing/shared-changes", test_shared_changes);
   return g_test_run ();
 }
