Keep an instance leaving when a restored store lists it as ready

After a restore calls went again to instances that had been listed as leaving: the copy lists them as ready until they report again. Cause: an entry replaced what was known of the instance, whatever start it described. Leaving is now final for a start (the platform gives each its own time), while it is listed and when it is listed again after its removal; the platform's instances never return from draining. Entries without a start time are taken as before. Found by reading. platform-test-process-restore leaving fails before (new runs at the instance) and passes now, as do five cases of member/test-listing restored.

--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -34,6 +34,7 @@
 typedef struct
 {
   fw_member_state_t state;
+  uint64_t incarnation;
   uint64_t revision; /* of the last write */
 } listed_endpoint_t;
 
@@ -62,6 +63,8 @@
   size_t reads;
   size_t document_reads;
   size_t full_reads;
+  uint64_t incarnations[FEED_NODES_MAX]; /* of the instances' current starts */
+  bool has_left[FEED_NODES_MAX];         /* the current start was listed as leaving */
 };
 
 static fb_name_t
@@ -77,7 +80,7 @@
 make_endpoint (const fleet_t *fleet, size_t number)
 {
   return (fw_endpoint_t){ .member = { .id = make_name ("i-", number),
-                                      .incarnation = 1,
+                                      .incarnation = fleet->store.endpoints[number].incarnation,
                                       .state = fleet->store.endpoints[number].state,
                                       .address = make_name ("10.0.0.", number),
                                       .call_port = 80,
@@ -400,7 +403,14 @@
 void
 feed_set_endpoint (fleet_t *fleet, size_t node, fw_member_state_t state)
 {
-  fleet->store.endpoints[node] = (listed_endpoint_t){ state, ++fleet->store.revision };
+  if (state == FW_ALIVE && fleet->has_left[node])
+    {
+      fleet->incarnations[node]++;
+      fleet->has_left[node] = false;
+    }
+  fleet->has_left[node] = fleet->has_left[node] || state == FW_LEAVING;
+  fleet->store.endpoints[node]
+      = (listed_endpoint_t){ state, 1 + fleet->incarnations[node], ++fleet->store.revision };
 }
 
 void
@@ -463,3 +473,9 @@
 {
   return fleet->full_reads;
 }
+
+bool
+feed_is_current (const fleet_t *fleet, size_t node)
+{
+  return fleet->store.endpoints[node].incarnation == 1 + fleet->incarnations[node];
+}
--- a/packages/dist/tests/fixture-feed.h
+++ b/packages/dist/tests/fixture-feed.h
@@ -49,7 +49,8 @@
 /* From now on the instances do not update their unchanged endpoints once a second. */
 void feed_stop_endpoint_updates (fleet_t *fleet);
 
-/* Changes the endpoint of NODE in the store; FW_DEAD removes it. */
+/* Changes the endpoint of NODE in the store; FW_DEAD removes it. After FW_LEAVING, FW_ALIVE is
+ * a later start of the instance. */
 void feed_set_endpoint (fleet_t *fleet, size_t node, fw_member_state_t state);
 
 void feed_publish (fleet_t *fleet, const char *text);
@@ -60,6 +61,9 @@
 /* Returns the state of OTHER as known to NODE; FW_DEAD when unknown. */
 fw_member_state_t feed_get_state (const fleet_t *fleet, size_t node, size_t other);
 
+/* Returns whether the store describes the current start of NODE's instance. */
+bool feed_is_current (const fleet_t *fleet, size_t node);
+
 fw_member_state_t feed_get_endpoint_state (const fleet_t *fleet, size_t node);
 
 bool feed_has_newest_document (const fleet_t *fleet, size_t node);
--- a/packages/dist/tests/test-restore.c
+++ b/packages/dist/tests/test-restore.c
@@ -230,7 +230,8 @@
 write_again (writers_t *writers)
 {
   for (size_t i = 0; i < NODES; i++)
-    if (feed_get_endpoint_state (writers->fleet, i) != writers->states[i])
+    if (feed_get_endpoint_state (writers->fleet, i) != writers->states[i]
+        || !feed_is_current (writers->fleet, i))
       feed_set_endpoint (writers->fleet, i, writers->states[i]);
   feed_publish (writers->fleet, writers->text);
 }
--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -21,7 +21,8 @@
 /* Frees the listing; NULL is allowed. */
 void fm_destroy_listing (fm_listing_t *listing);
 
-/* Adds or updates one endpoint; ENDPOINT is copied. */
+/* Adds or updates one endpoint; ENDPOINT is copied. Leaving is final for an incarnation but 0:
+ * an endpoint that was listed as leaving stays so, and is listed so again after a removal. */
 void fm_add_endpoint (fm_listing_t *listing, const fw_endpoint_t *endpoint);
 
 /* Removes the endpoint ID, whose description was deleted or no longer describes an
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -18,8 +18,9 @@
 
 typedef struct
 {
-  fw_endpoint_t endpoint;
+  fw_endpoint_t endpoint; /* its state is FW_DEAD */
   uint64_t sequence;
+  bool was_leaving;
 } removed_t;
 
 struct fm_listing
@@ -71,11 +72,40 @@
          && fb_equal_name (&left->service, &right->service);
 }
 
-void
-fm_add_endpoint (fm_listing_t *listing, const fw_endpoint_t *endpoint)
+/* Returns the last removal of the start of an instance that ENDPOINT describes, or NULL. */
+static const removed_t *
+find_removal (const fm_listing_t *listing, const fw_endpoint_t *endpoint)
 {
-  listed_t *entry = g_hash_table_lookup (listing->entries, &endpoint->member.id);
+  for (const GList *link = listing->removed.tail; link; link = link->prev)
+    {
+      const removed_t *removed = link->data;
+
+      if (removed->endpoint.member.incarnation == endpoint->member.incarnation
+          && fb_equal_name (&removed->endpoint.member.id, &endpoint->member.id))
+        return removed;
+    }
+  return NULL;
+}
+
+/* Returns whether the start of an instance that ENDPOINT describes was listed as leaving, as
+ * ENTRY or, if that is NULL, before it was removed. */
+static bool
+was_leaving (const fm_listing_t *listing, const listed_t *entry, const fw_endpoint_t *endpoint)
+{
+  const removed_t *removed;
 
+  if (endpoint->member.incarnation == 0)
+    return false;
+  if (entry)
+    return entry->endpoint.member.state == FW_LEAVING
+           && entry->endpoint.member.incarnation == endpoint->member.incarnation;
+  removed = find_removal (listing, endpoint);
+  return removed && removed->was_leaving;
+}
+
+static void
+update_endpoint (fm_listing_t *listing, listed_t *entry, const fw_endpoint_t *endpoint)
+{
   if (entry && is_same_endpoint (&entry->endpoint, endpoint))
     {
       /* Visits may have left it out. */
@@ -98,6 +128,18 @@
   listing->changed (&entry->endpoint, listing->user);
 }
 
+void
+fm_add_endpoint (fm_listing_t *listing, const fw_endpoint_t *endpoint)
+{
+  listed_t *entry = g_hash_table_lookup (listing->entries, &endpoint->member.id);
+  fw_endpoint_t listed = *endpoint;
+
+  /* A source that was restored lists it as it was before. */
+  if (was_leaving (listing, entry, endpoint))
+    listed.member.state = FW_LEAVING;
+  update_endpoint (listing, entry, &listed);
+}
+
 /* Records and reports the removal of ENTRY; the caller removes it from the table. */
 static void
 report_removal (fm_listing_t *listing, const listed_t *entry)
@@ -105,6 +147,7 @@
   removed_t *removed = g_new0 (removed_t, 1);
 
   removed->endpoint = entry->endpoint;
+  removed->was_leaving = entry->endpoint.member.state == FW_LEAVING;
   removed->endpoint.member.state = FW_DEAD;
   removed->sequence = ++listing->sequence;
   g_queue_push_tail (&listing->removed, removed);
--- a/packages/member/tests/test-listing.c
+++ b/packages/member/tests/test-listing.c
@@ -19,10 +19,13 @@
                           fw_describe_state (endpoint->member.state));
 }
 
+/* NAME is a letter, the id, and the incarnation, 0 if left out. */
 static void
-add_endpoint (fixture_t *fixture, const char *id, fw_member_state_t state)
+add_endpoint (fixture_t *fixture, const char *name, fw_member_state_t state)
 {
+  char id[2] = { name[0] };
   fw_endpoint_t endpoint = { .member = { .id = fb_make_name (id),
+                                         .incarnation = g_ascii_strtoull (name + 1, NULL, 10),
                                          .state = state,
                                          .address = fb_make_name ("10.0.0.1"),
                                          .service = fb_make_name ("shop") },
@@ -185,11 +188,56 @@
     }
 }
 
+/* Guards against an instance that leaves and gets calls again because a restored source lists
+ * it as it was before. */
+static void
+test_restored (void)
+{
+  static const struct
+  {
+    const char *steps;
+    const char *changes;
+    size_t count; /* of visited endpoints */
+  } cases[] = {
+    /* Leaving is final for an incarnation, listed again or not. */
+    { "+a1 ~a1 ^ ( +a1 )", "a=alive a=leaving ", 1 },
+    { "+a1 ~a1 +a1", "a=alive a=leaving ", 1 },
+    { "+a1 ~a1 ^ ( +a2 )", "a=alive a=leaving a=alive ", 1 },
+    { "+a1 ~a1 -a ^ +a1", "a=alive a=leaving a=dead a=leaving ", 1 },
+    { "+a ~a +a", "a=alive a=leaving a=alive ", 1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture
+          = { .clock = fb_create_manual_clock (100 * FB_SECOND), .changes = g_string_new ("") };
+      GString *all = g_string_new ("");
+      char **steps = g_strsplit (cases[i].steps, " ", -1);
+      size_t count = 0;
+
+      fixture.listing = fm_create_listing (fixture.clock, record_change, &fixture);
+      for (size_t step = 0; steps[step]; step++)
+        run_step (&fixture, steps[step]);
+      fm_visit_listing_changes (fixture.listing, 0, append_visited, all);
+      for (const char *next = all->str; (next = strchr (next, '=')); next++)
+        count++;
+      g_test_message ("%s", cases[i].steps);
+      g_assert_cmpstr (fixture.changes->str, ==, cases[i].changes);
+      g_assert_cmpuint (count, ==, cases[i].count);
+      fm_destroy_listing (fixture.listing);
+      fb_destroy_clock (fixture.clock);
+      g_strfreev (steps);
+      g_string_free (all, TRUE);
+      g_string_free (fixture.changes, TRUE);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/member/listing/outages", test_outages);
   g_test_add_func ("/member/listing/shared-changes", test_shared_changes);
+  g_test_add_func ("/member/listing/restored", test_restored);
   return g_test_run ();
 }
