Leave out removed instances that a restored store lists again until they write

After a restore calls went again to instances whose entries had been removed: the copy lists them until they expire, three heartbeats later. Cause: an entry in a full read counted whatever was known of the instance. A start of an instance that was removed before the restore is now reported only when it is written outside a full read, or when its entry has not expired after 5 s.

--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -10,6 +10,10 @@
 /* Time for which removals are delayed after the source is available again or was restored. */
 #define FM_RELIST_GRACE (2 * FB_SECOND)
 
+/* Time after a restore of the source in which the entry of an instance that has gone expires:
+ * three heartbeats, and a margin. */
+#define FM_EXPIRY_TIME (5 * FB_SECOND)
+
 /* An endpoint was listed or changed; FW_DEAD when no longer listed. */
 typedef void (*fm_endpoint_fn_t) (const fw_endpoint_t *endpoint, void *user);
 
@@ -38,7 +42,8 @@
 void fm_mark_source_available (fm_listing_t *listing);
 
 /* Records that the source was restored from a copy: endpoints registered since the copy are
- * missing until they are registered again. */
+ * missing until they are registered again, and removed ones that it lists are left out until
+ * they are written again or have not expired in time. */
 void fm_mark_source_restored (fm_listing_t *listing);
 
 /* Removes missing endpoints once the listing is settled; call about every 100 ms. */
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -14,6 +14,8 @@
   uint64_t sequence; /* of its last change */
   bool seen;         /* in the current full read */
   bool missing;      /* removed from the list, not yet reported */
+  bool expiring;     /* listed by a restored source after its removal; not reported yet, but
+                        visited: other nodes go by what they know of it */
 } listed_t;
 
 typedef struct
@@ -33,8 +35,11 @@
   GQueue removed;              /* removed_t, oldest first */
   uint64_t discarded_sequence; /* of the last discarded removal record */
   bool source_unavailable;
-  bool source_restored;    /* since it last became unavailable */
-  fb_time_t grace_ends_at; /* missing entries are removed from then on */
+  bool source_restored; /* since it last became unavailable */
+  bool in_full_read;
+  uint64_t restored_sequence; /* of the last change before the last restore */
+  fb_time_t expiry_ends_at; /* entries of a restored source that is still listed are current */
+  fb_time_t grace_ends_at;  /* missing entries are removed from then on */
 };
 
 fm_listing_t *
@@ -103,29 +108,66 @@
   return removed && removed->was_leaving;
 }
 
+/* Returns whether ENDPOINT, not listed so far, comes from the copy that the source was restored
+ * from: its instance had gone, and has not written since. */
+static bool
+is_from_copy (const fm_listing_t *listing, const fw_endpoint_t *endpoint)
+{
+  const removed_t *removed;
+
+  if (!listing->in_full_read || endpoint->member.incarnation == 0
+      || fb_read_clock (listing->clock) >= listing->expiry_ends_at)
+    return false;
+  removed = find_removal (listing, endpoint);
+  return removed && removed->sequence <= listing->restored_sequence;
+}
+
+static listed_t *
+create_entry (fm_listing_t *listing, const fw_endpoint_t *endpoint)
+{
+  listed_t *entry = g_new0 (listed_t, 1);
+
+  entry->endpoint = *endpoint;
+  entry->sequence = ++listing->sequence;
+  g_hash_table_insert (listing->entries, &entry->endpoint.member.id, entry);
+  return entry;
+}
+
+static void
+report_change (fm_listing_t *listing, listed_t *entry)
+{
+  entry->sequence = ++listing->sequence;
+  entry->expiring = false;
+  listing->changed (&entry->endpoint, listing->user);
+}
+
+/* Returns whether ENDPOINT changes nothing that is reported of ENTRY. */
+static bool
+is_known (const fm_listing_t *listing, const listed_t *entry, const fw_endpoint_t *endpoint)
+{
+  return is_same_endpoint (&entry->endpoint, endpoint)
+         && (!entry->expiring || listing->in_full_read);
+}
+
 static void
 update_endpoint (fm_listing_t *listing, listed_t *entry, const fw_endpoint_t *endpoint)
 {
-  if (entry && is_same_endpoint (&entry->endpoint, endpoint))
-    {
-      /* Visits may have left it out. */
-      if (entry->missing)
-        entry->sequence = ++listing->sequence;
-      entry->seen = true;
-      entry->missing = false;
-      return;
-    }
-  if (!entry)
+  bool is_new = !entry;
+
+  if (is_new)
     {
-      entry = g_new0 (listed_t, 1);
-      entry->endpoint = *endpoint;
-      g_hash_table_insert (listing->entries, &entry->endpoint.member.id, entry);
+      entry = create_entry (listing, endpoint);
+      entry->expiring = is_from_copy (listing, endpoint);
     }
-  entry->endpoint = *endpoint;
-  entry->sequence = ++listing->sequence;
+  /* Visits may have left it out. */
+  if (entry->missing)
+    entry->sequence = ++listing->sequence;
   entry->seen = true;
   entry->missing = false;
-  listing->changed (&entry->endpoint, listing->user);
+  if (is_new ? entry->expiring : is_known (listing, entry, endpoint))
+    return;
+  entry->endpoint = *endpoint;
+  report_change (listing, entry);
 }
 
 void
@@ -140,7 +182,8 @@
   update_endpoint (listing, entry, &listed);
 }
 
-/* Records and reports the removal of ENTRY; the caller removes it from the table. */
+/* Records the removal of ENTRY, and reports it if ENTRY was reported; the caller removes it
+ * from the table. */
 static void
 report_removal (fm_listing_t *listing, const listed_t *entry)
 {
@@ -158,7 +201,8 @@
       listing->discarded_sequence = oldest->sequence;
       g_free (oldest);
     }
-  listing->changed (&removed->endpoint, listing->user);
+  if (!entry->expiring)
+    listing->changed (&removed->endpoint, listing->user);
 }
 
 bool
@@ -191,7 +235,7 @@
 
   if (!entry)
     return;
-  if (!fm_is_listing_settled (listing))
+  if (!entry->expiring && !fm_is_listing_settled (listing))
     {
       mark_missing (listing, entry);
       return;
@@ -206,6 +250,7 @@
   GHashTableIter iter;
   gpointer value;
 
+  listing->in_full_read = true;
   g_hash_table_iter_init (&iter, listing->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     ((listed_t *)value)->seen = false;
@@ -217,12 +262,18 @@
   GHashTableIter iter;
   gpointer value;
 
+  listing->in_full_read = false;
   g_hash_table_iter_init (&iter, listing->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       listed_t *entry = value;
 
-      if (!entry->seen)
+      if (!entry->seen && entry->expiring)
+        {
+          report_removal (listing, entry);
+          g_hash_table_iter_remove (&iter);
+        }
+      else if (!entry->seen)
         mark_missing (listing, entry);
     }
   fm_tick_listing (listing);
@@ -254,18 +305,31 @@
 void
 fm_mark_source_restored (fm_listing_t *listing)
 {
+  listing->restored_sequence = listing->sequence;
+  listing->expiry_ends_at = fb_read_clock (listing->clock) + FM_EXPIRY_TIME;
   listing->source_restored = true;
   begin_grace (listing);
 }
 
-void
-fm_tick_listing (fm_listing_t *listing)
+/* An instance whose entry has not expired by now is alive. */
+static void
+report_unexpired (fm_listing_t *listing)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, listing->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((listed_t *)value)->expiring)
+      report_change (listing, value);
+}
+
+static void
+remove_missing (fm_listing_t *listing)
 {
   GHashTableIter iter;
   gpointer value;
 
-  if (!fm_is_listing_settled (listing))
-    return;
   g_hash_table_iter_init (&iter, listing->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
@@ -278,6 +342,15 @@
     }
 }
 
+void
+fm_tick_listing (fm_listing_t *listing)
+{
+  if (fm_is_listing_settled (listing))
+    remove_missing (listing);
+  if (!listing->source_unavailable && fb_read_clock (listing->clock) >= listing->expiry_ends_at)
+    report_unexpired (listing);
+}
+
 size_t
 fm_count_endpoints (const fm_listing_t *listing)
 {
--- a/packages/member/tests/test-listing.c
+++ b/packages/member/tests/test-listing.c
@@ -188,8 +188,8 @@
     }
 }
 
-/* Guards against an instance that leaves and gets calls again because a restored source lists
- * it as it was before. */
+/* Guards against an instance that leaves, or has gone, and gets calls again because a restored
+ * source lists it as it was before. */
 static void
 test_restored (void)
 {
@@ -197,7 +197,7 @@
   {
     const char *steps;
     const char *changes;
-    size_t count; /* of visited endpoints */
+    size_t count; /* of endpoints that other nodes get */
   } cases[] = {
     /* Leaving is final for an incarnation, listed again or not. */
     { "+a1 ~a1 ^ ( +a1 )", "a=alive a=leaving ", 1 },
@@ -205,6 +205,20 @@
     { "+a1 ~a1 ^ ( +a2 )", "a=alive a=leaving a=alive ", 1 },
     { "+a1 ~a1 -a ^ +a1", "a=alive a=leaving a=dead a=leaving ", 1 },
     { "+a ~a +a", "a=alive a=leaving a=alive ", 1 },
+    /* An instance that had gone is listed again only by a write, or when its entry does not
+       expire. */
+    { "+a1 -a ^ ( +a1 )", "a=alive a=dead ", 1 },
+    { "+a1 -a ^ ( +a1 ) 9", "a=alive a=dead ", 1 },
+    { "+a1 -a ^ ( +a1 ) 9 1", "a=alive a=dead a=alive ", 1 },
+    { "+a1 -a ^ ( +a1 ) 9 -a 9", "a=alive a=dead ", 0 },
+    { "+a1 -a ^ ( +a1 ) +a1", "a=alive a=dead a=alive ", 1 },
+    { "+a1 -a ^ ( +a1 ) 2 ~a1", "a=alive a=dead a=leaving ", 1 },
+    { "+a1 -a ^ ( +a2 )", "a=alive a=dead a=alive ", 1 },
+    { "+a1 -a ^ ( +a1 ) ( +a1 )", "a=alive a=dead ", 1 },
+    { "+a1 -a ^ ( +a1 ) ( ) 9 9", "a=alive a=dead ", 0 },
+    { "+a1 -a ( +a1 )", "a=alive a=dead a=alive ", 1 },
+    { "+a1 -a ^ 9 1 ( +a1 )", "a=alive a=dead a=alive ", 1 },
+    { "+a1 ^ -a ( +a1 )", "a=alive ", 1 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
