Match responses of backend servers to requests by id on the product's own interface

A backend server that wrote an earlier response once more on a kept connection, just before the next one, had it delivered as the answer to the next call: 120 of 240 calls got the body of another call (reported as an earlier refusal; any response does it). Cause: the product's own interface did not check which request a response belongs to, as the platform's does by the id that instances return. Every request to a backend server now carries its id, a response with another one is dropped, and a connection is reused only after a response with the id: without it an earlier response cannot be told from the next. Evidence: six nodes as in make demo, a server that repeats its last response, GET /prices one by one, 240 calls with and 240 without the id returned: 120 and 120 wrong bodies before, 0 and 0 after. http/test-stale earlier-answer fails before (no answer without the id on a kept connection) and passes now, with refusals too. On the adapter the reported case was not reproduced: requests that may run once use a new connection, and no id goes to one instance twice. A server that does not return the id costs a connection for each call.

--- a/packages/http/include/foxtailrun/http/client.h
+++ b/packages/http/include/foxtailrun/http/client.h
@@ -25,7 +25,8 @@
   fb_bytes_t body;
   fb_str_t host; /* value of the host header; if empty, the server's address and port */
   /* Header that the server repeats; a response with another value belongs to another
-   * request and is dropped. Not checked if the name is empty. */
+   * request and is dropped, and a connection is reused only after a response with it. Not
+   * checked if the name is empty. */
   fh_header_t echoed_header;
   bool new_connection; /* do not reuse an idle connection; if the server closes it as the
                           request is sent, it is unknown whether the request was run */
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -224,6 +224,16 @@
   start_timer (connection, connection->idle_timeout_ms);
 }
 
+/* Returns whether the server repeats the header of EXCHANGE in RESPONSE. If not, the next
+ * response on the connection could not be told from an earlier one. */
+static bool
+has_echo (const fh_exchange_t *exchange, const fh_response_t *response)
+{
+  fb_str_t name = exchange->echoed_header.name;
+
+  return name.len == 0 || fh_find_header (response->headers, response->header_count, name).data;
+}
+
 /* Returns whether RESPONSE belongs to EXCHANGE. Without the echoed header, only the first
  * response on a connection is accepted. */
 static bool
@@ -250,7 +260,7 @@
   fh_view_response (connection->reader, &response);
   connection->idle_timeout_ms = parse_idle_timeout (&response);
   reusable = reusable && connection->pending_writes == 0 && !connection->out_of_sync
-             && fh_should_keep_alive (connection->reader);
+             && has_echo (exchange, &response) && fh_should_keep_alive (connection->reader);
   /* The response views the reader's memory: reset only after the callback. */
   connection->exchange = NULL;
   exchange->connection = NULL;
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -23,7 +23,8 @@
   fb_str_t leaving;    /* from backend servers: "1" while the server is about to stop */
   bool allows_close_delimited; /* backend servers may end a body that has no length by closing
                                   the connection */
-  bool echoes_request_id;      /* backend servers return the request id in their responses */
+  bool echoes_request_id;      /* backend servers return the request id in their responses; the
+                                  connections of one that does not are not reused */
   bool resolves_paths; /* backend servers resolve dot segments and escapes; a path with any of
                           these could reach another route than the one that it matched */
 } fn_dialect_t;
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -204,7 +204,7 @@
   fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
   const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
   const fb_name_t *instance = &backend->local.instance;
-  fh_header_t headers[FH_HEADERS_MAX + 2];
+  fh_header_t headers[FH_HEADERS_MAX + 3];
   fh_client_request_t outgoing
       = { .method = backend_call->call.method,
           .host = backend_call->call.host,
@@ -225,8 +225,12 @@
   if (dialect->instance.len > 0 && instance->len > 0)
     headers[count++] = (fh_header_t){ dialect->instance, fb_get_name (instance) };
   if (dialect->echoes_request_id)
-    outgoing.echoed_header
-        = (fh_header_t){ dialect->request_id, backend_call->call.request_id };
+    {
+      outgoing.echoed_header
+          = (fh_header_t){ dialect->request_id, backend_call->call.request_id };
+      if (!fh_find_header (headers, count, dialect->request_id).data)
+        headers[count++] = outgoing.echoed_header;
+    }
   outgoing.header_count = count;
   backend_call->instance = *instance;
   backend_call->instance_incarnation = backend->local.incarnation;
--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -72,6 +72,7 @@
 respond_text (backend_t *backend, fh_request_t *request, uint32_t status, const char *text)
 {
   fb_str_t request_id = find_header (request, FB_LITERAL ("x-attempt-id"));
+  fb_str_t own_request_id = find_header (request, FB_LITERAL ("foxtailrun-request-id"));
   fb_str_t caller = find_header (request, FB_LITERAL ("x-caller-service"));
   fh_header_t headers[HEADERS_MAX] = {
     { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain") },
@@ -83,8 +84,11 @@
   if (request_id.data)
     respond_as_instance (backend, request, status, headers, 4, text);
   else
-    fh_respond (request, status, headers, 1,
-                (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+    {
+      headers[1] = (fh_header_t){ FB_LITERAL ("foxtailrun-request-id"), own_request_id };
+      fh_respond (request, status, headers, own_request_id.data ? 2 : 1,
+                  (fb_bytes_t){ (const uint8_t *)text, strlen (text) });
+    }
 }
 
 /* Answers a request without running it. */
