Refuse calls that a stopping node may not live to answer

In a planned stop a request taken late in the grace period was passed on and cut at its end with no answer; it may not be repeated, so its caller cannot know whether it ran (LOST). Cause: for 3 s a stopping node accepted every call; nothing compared the time that it may take with the time left until the node ends. The class: work accepted without the time to finish it. Remains: calls accepted before the drain with a longer deadline than the grace are still cut.

--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -325,12 +325,19 @@
     fk_pause_timer (backend->tick_timer);
 }
 
+static fb_time_t
+get_deadline (const fw_call_t *call, fb_time_t now)
+{
+  return now + (fb_time_t)MIN (call->remaining_us, REMAINING_TIME_MAX_US) * FB_MICROSECOND;
+}
+
 /* Returns why CALL is refused, or NULL if it is accepted. */
 static const char *
 find_refusal_reason (fn_backend_t *backend, const fw_call_t *call)
 {
   fn_distribution_t *distribution = fk_find_service (backend->kernel, FN_DISTRIBUTION);
   const fc_settings_t *settings = fn_get_settings (backend->kernel);
+  fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
   fc_snapshot_t *snapshot;
 
   if (!fn_is_ready (distribution))
@@ -343,10 +350,12 @@
   if (fn_get_adapter (backend->kernel)->source_lists_endpoints
       && (backend->local.instance.len == 0 || fn_is_backend_leaving (backend)))
     return "backend server is leaving or gone";
-  if (fb_read_clock (fk_get_clock (backend->kernel)) < backend->refuse_until)
+  if (now < backend->refuse_until)
     return "backend server takes no connections";
   if (backend->closed || (backend->draining && call->ticket.len == 0))
     return "draining";
+  if (!fn_can_finish_by (backend->kernel, get_deadline (call, now)))
+    return FN_STOPS_BEFORE_DEADLINE;
   return NULL;
 }
 
@@ -377,8 +386,7 @@
                 == FB_OK);
   now = fb_read_clock (fk_get_clock (backend->kernel));
   backend_call->arrived_at = now;
-  backend_call->deadline
-      = now + (fb_time_t)MIN (call->remaining_us, REMAINING_TIME_MAX_US) * FB_MICROSECOND;
+  backend_call->deadline = get_deadline (call, now);
   backend_call->target_time
       = now + (fb_time_t)MIN (call->target_left_us, REMAINING_TIME_MAX_US) * FB_MICROSECOND;
   return backend_call;
--- a/packages/node/source/node-drain.c
+++ b/packages/node/source/node-drain.c
@@ -5,6 +5,9 @@
 
 #define DRAIN_CHECK_INTERVAL (20 * FB_MILLISECOND)
 
+/* Time before the end of a drain for the last answers to reach their callers. */
+#define LAST_ANSWER_TIME (100 * FB_MILLISECOND)
+
 typedef struct
 {
   fk_kernel_t *kernel;
@@ -101,3 +104,13 @@
 {
   return ((drain_t *)fk_find_service (kernel, FN_DRAIN))->started_at != 0;
 }
+
+bool
+fn_can_finish_by (fk_kernel_t *kernel, fb_time_t deadline)
+{
+  const drain_t *drain = fk_find_service (kernel, FN_DRAIN);
+
+  return drain->started_at == 0
+         || deadline + LAST_ANSWER_TIME
+                <= drain->started_at + fn_get_settings (kernel)->drain_timeout;
+}
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -382,6 +382,20 @@
   return route && route->repeatable;
 }
 
+/* Returns why CALL is refused on arrival, or NULL. */
+static const char *
+find_call_refusal (const fn_entry_call_t *call)
+{
+  fk_kernel_t *kernel = call->entry->kernel;
+
+  if (fb_read_clock (fk_get_clock (kernel)) >= call->deadline)
+    return "deadline passed behind other requests";
+  /* Nobody would answer it. */
+  if (!fn_can_finish_by (kernel, call->deadline))
+    return FN_STOPS_BEFORE_DEADLINE;
+  return NULL;
+}
+
 static void
 handle_request (fh_request_t *request, void *user)
 {
@@ -396,6 +410,7 @@
   uint32_t service_index;
   fb_str_t service;
   fb_str_t customer;
+  const char *reason;
   char request_id[REQUEST_ID_MAX + 1];
   fn_entry_call_t *call;
 
@@ -440,12 +455,13 @@
   fh_set_idle_timeout (entry->server,
                        (fb_time_t)fc_get_idle_timeout_ms (snapshot) * FB_MILLISECOND);
   call = create_call (entry, request, snapshot, route, service_index, request_id);
-  if (fb_read_clock (fk_get_clock (entry->kernel)) >= call->deadline)
+  reason = find_call_refusal (call);
+  if (reason)
     {
       bool has_ticket = call->ticket.len > 0; /* only its issuer knows whether the call ran */
 
       fn_finish_with_outcome (call, has_ticket ? FW_UNKNOWN : FW_NOT_RUN,
-                              has_ticket ? 504 : 503, "deadline passed behind other requests");
+                              has_ticket ? 504 : 503, reason);
       return;
     }
   fh_set_cancelled_handler (request, cancel_call, call);
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -212,4 +212,11 @@
 /* Returns whether a drain has begun. */
 bool fn_is_draining (fk_kernel_t *kernel);
 
+/* Reason for which a call is refused that the function below excludes. */
+#define FN_STOPS_BEFORE_DEADLINE "node stops before the call's deadline"
+
+/* Returns whether a call that may take until DEADLINE can still be answered: no drain ends
+ * before. */
+bool fn_can_finish_by (fk_kernel_t *kernel, fb_time_t deadline);
+
 #endif
