--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -351,8 +351,9 @@
     }
 }
 
-void
-fd_record_restore (fd_feed_t *feed, fb_position_t store_position)
+/* Nothing is known of the changes of an era that begins. */
+static void
+record_restore (fd_feed_t *feed, fb_position_t store_position)
 {
   if (feed->synced)
     {
@@ -383,7 +384,7 @@
 void
 fd_begin_era (fd_feed_t *feed, fb_position_t store_position)
 {
-  fd_record_restore (feed, store_position);
+  record_restore (feed, store_position);
   if (feed->read_outstanding)
     feed->rereading = true;
   else
@@ -410,7 +411,7 @@
   uint64_t era = result->position.era;
 
   if (era > feed->position.era && is_first_page (feed))
-    fd_record_restore (feed, result->position);
+    record_restore (feed, result->position);
   else if (era > feed->position.era)
     {
       fd_begin_era (feed, result->position);
--- a/packages/dist/source/feed-document.c
+++ b/packages/dist/source/feed-document.c
@@ -29,7 +29,7 @@
     return;
   fb_add_counter (feed->ignored_documents, 1);
   FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
-          "document ignored: not above the newest one held", FB_NUMBER ("era", position.era),
+          "document ignored: not newer than the one held", FB_NUMBER ("era", position.era),
           FB_NUMBER ("position", position.revision),
           FB_NUMBER ("held_era", feed->documents[0].position.era),
           FB_NUMBER ("held_position", feed->documents[0].position.revision),
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -452,7 +452,7 @@
     {
       fd_pending_request_t *pending = g_ptr_array_index (feed->pending_requests, i - 1);
 
-      /* Otherwise its followers would read everything, too. */
+      /* A node that is told that no state is available would read everything, too. */
       if (is_rereading || (up_to_date && !can_respond (feed, pending, now)))
         continue;
       if (up_to_date)
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -19,8 +19,7 @@
   uint64_t number; /* version that it carries; 0 when it was refused */
   fb_digest_t digest;
   GBytes *text;
-  GBytes
-      *delta; /* from this document to the newest, of the newest in full; NULL until needed */
+  GBytes *delta; /* to the newest document, that one in full; NULL until needed */
 } fd_document_t;
 
 typedef struct
@@ -105,9 +104,7 @@
 bool fd_is_newer_document (fb_position_t position, uint64_t number,
                            fb_position_t other_position, uint64_t other_number);
 
-/* Adds TEXT, copied, as the newest document; returns false unless it is newer than the one
- * stored.
- */
+/* Adds TEXT, copied, as the newest document; returns false if it is not newer than that. */
 bool fd_add_document (fd_feed_t *feed, fb_position_t position, uint64_t number,
                       fb_bytes_t text);
 
@@ -125,10 +122,8 @@
 /* dist-feed.c */
 
 /* Records that the store was restored from a copy and now has STORE_POSITION, of a higher era
- * than the known position: nothing is known of its changes. */
-void fd_record_restore (fd_feed_t *feed, fb_position_t store_position);
-
-/* Does the same, and has everything read again unless an update of a relay comes first. */
+ * than the known position; has everything read again unless an update of a relay comes first.
+ */
 void fd_begin_era (fd_feed_t *feed, fb_position_t store_position);
 
 /* feed-relay.c */
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -38,8 +38,8 @@
   bool source_restored; /* since it last became unavailable */
   bool in_full_read;
   uint64_t restored_sequence; /* of the last change before the last restore */
-  fb_time_t expiry_ends_at; /* entries of a restored source that is still listed are current */
-  fb_time_t grace_ends_at;  /* missing entries are removed from then on */
+  fb_time_t expiry_ends_at;   /* what a restored source still lists then is alive */
+  fb_time_t grace_ends_at;    /* missing entries are removed from then on */
 };
 
 fm_listing_t *
