--- a/packages/dist/source/dist-source.c
+++ b/packages/dist/source/dist-source.c
@@ -135,11 +135,9 @@
 
   switch (status)
     {
+    /* When nothing is published, the version in force stays. */
     case FB_OK:
-      source->position = position;
-      return true;
     case FB_NOT_FOUND:
-      /* When nothing is published, the version in force stays. */
       source->position = position;
       return true;
     case FB_TIMEOUT:
