Log and measure how old the news of a leaving endpoint is

"endpoint changed" logged the age of the known state.

age_ms is now the time since the endpoint was last known in its previous state, an upper bound of the age of the news; endpoint_leaving_age_us is its histogram for endpoints that stop serving. A withheld removal is logged and counted, and the line on the return of the store says within which time the return was noticed.

member/test-listing change-age holds the age of direct and withheld removals.

--- a/packages/dist/include/foxtailrun/dist/feed.h
+++ b/packages/dist/include/foxtailrun/dist/feed.h
@@ -53,7 +53,7 @@
   /* Sends RESPONSE, borrowed, to REQUESTER of fd_handle_request. */
   void (*send_response) (void *requester, const fw_feed_message_t *response, void *user);
   /* An endpoint was listed, changed or removed (FW_DEAD). */
-  fm_endpoint_fn_t endpoint_changed;
+  fm_changed_fn_t endpoint_changed;
   /* A newer document may be available, see fd_get_document. */
   void (*document_changed) (void *user);
   void *user;
--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -37,6 +37,7 @@
   feed->read_failures = fb_find_counter (counters, "source_failures", "");
   feed->full_reads = fb_find_counter (counters, "source_full_reads", "");
   feed->restores = fb_find_counter (counters, "source_restores", "");
+  feed->withheld_removals = fb_find_counter (counters, "source_withheld_removals", "");
   feed->ignored_documents = fb_find_counter (counters, "source_ignored_documents", "");
   feed->ignored_updates = fb_find_counter (counters, "feed_news", "way=\"ignored\"");
   feed->updates_received = fb_find_counter (counters, "feed_news", "way=\"taken\"");
@@ -198,11 +199,32 @@
     fm_add_endpoint (feed->listing, endpoint);
 }
 
+void
+fd_set_known_at (fd_feed_t *feed, fb_time_t time)
+{
+  feed->known_at = time;
+  fm_set_known_time (feed->listing, time);
+}
+
+void
+fd_remove_listed (fd_feed_t *feed, const fb_name_t *id)
+{
+  bool was_missing = fm_is_missing (feed->listing, id);
+
+  fm_remove_endpoint (feed->listing, id);
+  if (was_missing || !fm_is_missing (feed->listing, id))
+    return;
+  fb_add_counter (feed->withheld_removals, 1);
+  FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "removal withheld after an outage",
+          FB_TEXT ("instance", id->data), FB_NUMBER ("position", feed->position.revision),
+          FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
+}
+
 void
 fd_remove_endpoint (fd_feed_t *feed, fb_position_t position, const fb_name_t *id)
 {
   if (is_usable (feed, position))
-    fm_remove_endpoint (feed->listing, id);
+    fd_remove_listed (feed, id);
 }
 
 void
@@ -238,7 +260,7 @@
   feed->position = fb_get_later_position (feed->position, position);
   feed->document_known_position
       = fb_get_later_position (feed->document_known_position, position);
-  feed->known_at = MAX (feed->known_at, feed->read_started_at);
+  fd_set_known_at (feed, MAX (feed->known_at, feed->read_started_at));
   feed->read_completed_at = get_time (feed);
   schedule_next_read (feed, feed->documents_read > 1
                                 && !fd_is_following (feed, feed->read_completed_at));
@@ -248,7 +270,7 @@
 finish_endpoints (fd_feed_t *feed, fb_position_t position)
 {
   feed->position = fb_get_later_position (feed->position, position);
-  feed->known_at = MAX (feed->known_at, feed->document_read_started_at);
+  fd_set_known_at (feed, MAX (feed->known_at, feed->document_read_started_at));
   feed->read_completed_at = get_time (feed);
   schedule_next_read (feed, feed->document_read_found_new);
 }
@@ -284,7 +306,7 @@
   feed->rereading = false;
   feed->position = feed->first_page_position;
   feed->document_known_position = feed->first_page_position;
-  feed->known_at = feed->read_started_at;
+  fd_set_known_at (feed, feed->read_started_at);
   feed->read_completed_at = get_time (feed);
   feed->read_kind = FD_READ_CHANGES;
 }
@@ -310,6 +332,9 @@
             FB_TEXT ("error", result->error ? result->error : ""),
             FB_NUMBER ("position", feed->position.revision),
             FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
+  if (feed->consecutive_failures == 0)
+    feed->outage_started_at = feed->read_started_at;
+  feed->failed_read_started_at = feed->read_started_at;
   feed->consecutive_failures++;
   feed->rereading = false;
   fb_add_counter (feed->read_failures, 1);
@@ -324,9 +349,15 @@
 static void
 record_success (fd_feed_t *feed)
 {
+  fb_time_t now = get_time (feed);
+
   if (feed->consecutive_failures > 0)
-    FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "store can be read again",
-            FB_NUMBER ("failures", feed->consecutive_failures));
+    FB_LOG (
+        feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "store can be read again",
+        FB_NUMBER ("failures", feed->consecutive_failures),
+        FB_NUMBER ("outage_ms", (now - feed->outage_started_at) / FB_MILLISECOND),
+        FB_NUMBER ("noticed_within_ms", (now - feed->failed_read_started_at) / FB_MILLISECOND),
+        FB_NUMBER ("read_ms", (now - feed->read_started_at) / FB_MILLISECOND));
   feed->consecutive_failures = 0;
   fm_mark_source_available (feed->listing);
 }
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -253,7 +253,7 @@
       const fw_endpoint_t *endpoint = &update->endpoints[i];
 
       if (endpoint->member.state == FW_DEAD)
-        fm_remove_endpoint (feed->listing, &endpoint->member.id);
+        fd_remove_listed (feed, &endpoint->member.id);
       else
         fm_add_endpoint (feed->listing, endpoint);
     }
@@ -323,7 +323,7 @@
   feed->relay_feed_id = update->feed_id;
   feed->relay_sequence = update->sequence;
   feed->relay_known_at = get_known_at (feed, update, now);
-  feed->known_at = MAX (feed->known_at, feed->relay_known_at);
+  fd_set_known_at (feed, MAX (feed->known_at, feed->relay_known_at));
   update_document (feed, update);
   fb_add_counter (feed->updates_received, 1);
   feed->hooks.document_changed (feed->hooks.user);
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -58,6 +58,8 @@
   fb_time_t document_read_started_at; /* of the last FD_READ_DOCUMENT */
   fb_time_t known_at;                 /* everything up to this time is known */
   uint32_t consecutive_failures;      /* of reads */
+  fb_time_t outage_started_at;        /* start of the first of them */
+  fb_time_t failed_read_started_at;   /* start of the last of them */
   char *page_key;    /* last key of the previous page, in a full read of several pages */
   uint64_t read_era; /* era of POSITION at the start of that read */
   fb_position_t first_page_position;     /* of the full read */
@@ -89,6 +91,7 @@
   fb_counter_t *read_failures;
   fb_counter_t *full_reads;
   fb_counter_t *restores;
+  fb_counter_t *withheld_removals;
   fb_counter_t *ignored_documents;
   fb_counter_t *ignored_updates;
   fb_counter_t *updates_received;
@@ -121,6 +124,12 @@
 
 /* dist-feed.c */
 
+/* Records that all changes up to TIME are known. */
+void fd_set_known_at (fd_feed_t *feed, fb_time_t time);
+
+/* Removes endpoint ID from the listing, or withholds that. */
+void fd_remove_listed (fd_feed_t *feed, const fb_name_t *id);
+
 /* Records that the store was restored from a copy and now has STORE_POSITION, of a higher era
  * than the known position; has everything read again unless an update of a relay comes first.
  */
--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -156,7 +156,7 @@
 }
 
 static void
-record_endpoint (const fw_endpoint_t *endpoint, void *user)
+record_endpoint (const fw_endpoint_t *endpoint, fb_time_t previous_at, void *user)
 {
   node_t *node = user;
   size_t number = (size_t)g_ascii_strtoull (endpoint->member.id.data + 2, NULL, 10);
--- a/packages/dist/tests/fixture-recorder.c
+++ b/packages/dist/tests/fixture-recorder.c
@@ -30,7 +30,7 @@
 }
 
 static void
-record_endpoint (const fw_endpoint_t *endpoint, void *user)
+record_endpoint (const fw_endpoint_t *endpoint, fb_time_t previous_at, void *user)
 {
   ((recorder_t *)user)->state = endpoint->member.state;
 }
--- a/packages/dist/tests/test-feed.c
+++ b/packages/dist/tests/test-feed.c
@@ -151,7 +151,7 @@
 }
 
 static void
-record_state (const fw_endpoint_t *endpoint, void *user)
+record_state (const fw_endpoint_t *endpoint, fb_time_t previous_at, void *user)
 {
   *(fw_member_state_t *)user = endpoint->member.state;
 }
--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -14,17 +14,24 @@
  * three heartbeats, and a margin. */
 #define FM_EXPIRY_TIME (5 * FB_SECOND)
 
-/* An endpoint was listed or changed; FW_DEAD when no longer listed. */
+/* An endpoint was listed or changed; FW_DEAD when no longer listed. What was known of it before
+ * held at PREVIOUS_AT, so that the change is not older. */
+typedef void (*fm_changed_fn_t) (const fw_endpoint_t *endpoint, fb_time_t previous_at,
+                                 void *user);
+
 typedef void (*fm_endpoint_fn_t) (const fw_endpoint_t *endpoint, void *user);
 
 typedef struct fm_listing fm_listing_t;
 
 /* Creates an empty listing; CLOCK is borrowed. */
-fm_listing_t *fm_create_listing (const fb_clock_t *clock, fm_endpoint_fn_t changed, void *user);
+fm_listing_t *fm_create_listing (const fb_clock_t *clock, fm_changed_fn_t changed, void *user);
 
 /* Frees the listing; NULL is allowed. */
 void fm_destroy_listing (fm_listing_t *listing);
 
+/* Records that all changes up to TIME are known. */
+void fm_set_known_time (fm_listing_t *listing, fb_time_t time);
+
 /* Adds or updates one endpoint; ENDPOINT is copied. Leaving is final for an incarnation but 0:
  * an endpoint that was listed as leaving stays so, and is listed so again after a removal. */
 void fm_add_endpoint (fm_listing_t *listing, const fw_endpoint_t *endpoint);
@@ -49,6 +56,9 @@
 /* Removes missing endpoints once the listing is settled; call about every 100 ms. */
 void fm_tick_listing (fm_listing_t *listing);
 
+/* Returns whether the removal of endpoint ID is withheld. */
+bool fm_is_missing (const fm_listing_t *listing, const fb_name_t *id);
+
 /* Returns the number of endpoints, including missing ones not yet removed. */
 size_t fm_count_endpoints (const fm_listing_t *listing);
 
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -11,11 +11,12 @@
 typedef struct
 {
   fw_endpoint_t endpoint;
-  uint64_t sequence; /* of its last change */
-  bool seen;         /* in the current full read */
-  bool missing;      /* removed from the list, not yet reported */
-  bool expiring;     /* listed by a restored source after its removal; not reported yet, but
-                        visited: other nodes go by what they know of it */
+  uint64_t sequence;       /* of its last change */
+  bool seen;               /* in the current full read */
+  bool missing;            /* removed from the list, not yet reported */
+  fb_time_t missing_since; /* MISSING: when it was last known to be listed */
+  bool expiring; /* listed by a restored source after its removal; not reported yet, but
+                    visited: other nodes go by what they know of it */
 } listed_t;
 
 typedef struct
@@ -28,10 +29,11 @@
 struct fm_listing
 {
   const fb_clock_t *clock;
-  fm_endpoint_fn_t changed;
+  fm_changed_fn_t changed;
   void *user;
   GHashTable *entries;         /* listed_t by id */
   uint64_t sequence;           /* of the last change */
+  fb_time_t known_at;          /* all changes up to then are known */
   GQueue removed;              /* removed_t, oldest first */
   uint64_t discarded_sequence; /* of the last discarded removal record */
   bool source_unavailable;
@@ -43,7 +45,7 @@
 };
 
 fm_listing_t *
-fm_create_listing (const fb_clock_t *clock, fm_endpoint_fn_t changed, void *user)
+fm_create_listing (const fb_clock_t *clock, fm_changed_fn_t changed, void *user)
 {
   fm_listing_t *listing = g_new0 (fm_listing_t, 1);
 
@@ -64,6 +66,12 @@
   g_free (listing);
 }
 
+void
+fm_set_known_time (fm_listing_t *listing, fb_time_t time)
+{
+  listing->known_at = time;
+}
+
 static bool
 is_same_endpoint (const fw_endpoint_t *a, const fw_endpoint_t *b)
 {
@@ -138,7 +146,7 @@
 {
   entry->sequence = ++listing->sequence;
   entry->expiring = false;
-  listing->changed (&entry->endpoint, listing->user);
+  listing->changed (&entry->endpoint, listing->known_at, listing->user);
 }
 
 /* Returns whether ENDPOINT changes nothing that is reported of ENTRY. */
@@ -202,7 +210,8 @@
       g_free (oldest);
     }
   if (!entry->expiring)
-    listing->changed (&removed->endpoint, listing->user);
+    listing->changed (&removed->endpoint,
+                      entry->missing ? entry->missing_since : listing->known_at, listing->user);
 }
 
 bool
@@ -223,9 +232,11 @@
 static void
 mark_missing (fm_listing_t *listing, listed_t *entry)
 {
-  if (!entry->missing)
-    entry->sequence = ++listing->sequence;
+  if (entry->missing)
+    return;
+  entry->sequence = ++listing->sequence;
   entry->missing = true;
+  entry->missing_since = listing->known_at;
 }
 
 void
@@ -351,6 +362,14 @@
     report_unexpired (listing);
 }
 
+bool
+fm_is_missing (const fm_listing_t *listing, const fb_name_t *id)
+{
+  const listed_t *entry = g_hash_table_lookup (listing->entries, id);
+
+  return entry && entry->missing;
+}
+
 size_t
 fm_count_endpoints (const fm_listing_t *listing)
 {
--- a/packages/member/tests/test-listing.c
+++ b/packages/member/tests/test-listing.c
@@ -11,7 +11,7 @@
 } fixture_t;
 
 static void
-record_change (const fw_endpoint_t *endpoint, void *user)
+record_change (const fw_endpoint_t *endpoint, fb_time_t previous_at, void *user)
 {
   fixture_t *fixture = user;
 
@@ -128,6 +128,51 @@
     }
 }
 
+static void
+record_previous_time (const fw_endpoint_t *endpoint, fb_time_t previous_at, void *user)
+{
+  *(fb_time_t *)user = previous_at;
+}
+
+/* Guards against news of a removal that counts as fresh because only the known state is: the
+ * removal was withheld. */
+static void
+test_change_age (void)
+{
+  static const struct
+  {
+    bool outage;
+    fb_time_t previous_s;
+  } cases[] = { { false, 105 }, { true, 100 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_time_t previous_at = 0;
+      fb_name_t id = fb_make_name ("a");
+      fixture_t fixture = { .clock = fb_create_manual_clock (100 * FB_SECOND) };
+
+      fixture.listing = fm_create_listing (fixture.clock, record_previous_time, &previous_at);
+      fm_set_known_time (fixture.listing, 100 * FB_SECOND);
+      run_step (&fixture, "+a");
+      if (cases[i].outage)
+        {
+          run_step (&fixture, "!");
+          run_step (&fixture, "?");
+          run_step (&fixture, "-a");
+          g_assert_true (fm_is_missing (fixture.listing, &id));
+        }
+      fm_set_known_time (fixture.listing, 105 * FB_SECOND);
+      if (cases[i].outage)
+        run_step (&fixture, "4");
+      else
+        run_step (&fixture, "-a");
+      g_assert_cmpint (previous_at, ==, cases[i].previous_s * FB_SECOND);
+      g_assert_cmpuint (fm_count_endpoints (fixture.listing), ==, 0);
+      fm_destroy_listing (fixture.listing);
+      fb_destroy_clock (fixture.clock);
+    }
+}
+
 static void
 append_visited (const fw_endpoint_t *endpoint, void *user)
 {
@@ -251,6 +296,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/member/listing/outages", test_outages);
+  g_test_add_func ("/member/listing/change-age", test_change_age);
   g_test_add_func ("/member/listing/shared-changes", test_shared_changes);
   g_test_add_func ("/member/listing/restored", test_restored);
   return g_test_run ();
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -1,6 +1,7 @@
 /* Feed service, for platforms that list endpoints and configuration in a store: does the reads
  * and requests that the feed schedules, and passes on endpoints and documents. */
 #include "node-services.h"
+#include <foxtailrun/base/histogram.h>
 #include <foxtailrun/base/invariant.h>
 #include <foxtailrun/dist/feed.h>
 #include <foxtailrun/http/client.h>
@@ -34,6 +35,7 @@
   fb_name_t local_backend_id; /* endpoint of the backend server on this node's host */
   uint64_t local_backend_incarnation;
   fb_counter_t *malformed;
+  fb_histogram_t *leaving_ages; /* of the news that an endpoint leaves or was removed */
 };
 
 static void run_feed (void *user);
@@ -113,18 +115,31 @@
   fn_set_local_backend (feed->kernel, &local);
 }
 
+/* Returns whether MEMBER no longer takes calls and did so far. */
+static bool
+stops_serving (fn_feed_t *feed, const fw_member_t *member)
+{
+  const fw_member_t *known
+      = fn_find_endpoint (fk_find_service (feed->kernel, FN_DIRECTORY), &member->id);
+
+  return member->state != FW_ALIVE && known && known->state == FW_ALIVE;
+}
+
 static void
-handle_endpoint_change (const fw_endpoint_t *endpoint, void *user)
+handle_endpoint_change (const fw_endpoint_t *endpoint, fb_time_t previous_at, void *user)
 {
   fn_feed_t *feed = user;
   const fw_member_t *member = &endpoint->member;
+  fb_time_t age = fb_read_clock (fk_get_clock (feed->kernel)) - previous_at;
 
   FB_LOG (fk_get_log (feed->kernel), FB_LOG_INFO, FN_SOURCE, "endpoint changed",
           FB_TEXT ("instance", member->id.data),
           FB_TEXT ("state", fw_describe_state (member->state)),
           FB_TEXT ("address", member->address.data), FB_TEXT ("zone", member->zone.data),
           FB_NUMBER ("position", fd_get_position (feed->feed).revision),
-          FB_NUMBER ("age_ms", fd_get_age (feed->feed) / FB_MILLISECOND));
+          FB_NUMBER ("age_ms", age / FB_MILLISECOND));
+  if (stops_serving (feed, member))
+    fb_observe_time (feed->leaving_ages, age);
   if (fb_equal_name (&member->address, &fn_get_settings (feed->kernel)->address))
     update_local_backend (feed, endpoint);
   fn_update_endpoint (feed->kernel, member);
@@ -270,6 +285,7 @@
   fn_feed_t *feed = data;
 
   fd_destroy_feed (feed->feed);
+  fb_destroy_histogram (feed->leaving_ages);
   g_free (feed);
 }
 
@@ -291,6 +307,8 @@
   feed->store = store;
   feed->store_user = user;
   feed->malformed = fb_find_counter (fk_get_counters (kernel), "malformed_news", "");
+  feed->leaving_ages
+      = fb_create_histogram (fk_get_counters (kernel), "endpoint_leaving_age_us", "");
   feed->feed = fd_create_feed (&options, randombytes_random (), fk_get_clock (kernel),
                                fk_get_counters (kernel), fk_get_log (kernel), &hooks);
   fk_register_service (kernel, FN_SOURCE, &vtable, feed);
