--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -7,6 +7,9 @@
 #define READ_DURATION (10 * FB_MILLISECOND)
 #define MESSAGE_DELAY (5 * FB_MILLISECOND)
 
+/* Limit of a read that gets no response. */
+#define READ_TIMEOUT (2500 * FB_MILLISECOND)
+
 #define REQUEST_TIMEOUT (FEED_POLL_INTERVAL * 3 / 2)
 
 /* Period in which each instance updates its endpoint in the store, in steps. */
@@ -23,7 +26,8 @@
   bool read_outstanding;
   fd_read_t read;
   fb_time_t read_end_at;
-  size_t relay; /* FEED_NODES_MAX before the first request */
+  bool read_lost; /* it gets no response */
+  size_t relay;   /* FEED_NODES_MAX before the first request */
   bool request_outstanding;
   fb_time_t request_sent_at;
   fb_time_t response_at;
@@ -59,6 +63,7 @@
   store_t copy;
   uint64_t era;
   bool store_available;
+  bool store_silent;
   bool updates_stopped;
   uint64_t steps;
   size_t reads;
@@ -91,6 +96,14 @@
                           .slots = 9 };
 }
 
+/* The outstanding read of NODE, sent at SENT_AT, gets no response. */
+static void
+lose_read (node_t *node, fb_time_t sent_at)
+{
+  node->read_lost = true;
+  node->read_end_at = sent_at + READ_TIMEOUT;
+}
+
 static void
 start_read (const fd_read_t *read, void *user)
 {
@@ -99,7 +112,10 @@
   g_assert_false (node->read_outstanding);
   node->read_outstanding = true;
   node->read = *read;
+  node->read_lost = false;
   node->read_end_at = fb_read_clock (node->fleet->clock) + READ_DURATION;
+  if (node->fleet->store_silent)
+    lose_read (node, fb_read_clock (node->fleet->clock));
   node->fleet->reads++;
   node->fleet->document_reads += read->kind == FD_READ_DOCUMENT;
   node->fleet->full_reads += read->kind == FD_READ_ALL;
@@ -215,7 +231,7 @@
   const fd_read_t *read = &node->read;
 
   node->read_outstanding = false;
-  if (!fleet->store_available || node->fault == FEED_STORE_UNREACHABLE)
+  if (!fleet->store_available || node->read_lost || node->fault == FEED_STORE_UNREACHABLE)
     result.kind = FD_RESULT_FAILED;
   else if (read->kind == FD_READ_DOCUMENT)
     deliver_document (node);
@@ -259,6 +275,17 @@
     }
 }
 
+/* Returns whether the store holds NODE's read of changes back until there is one. */
+static bool
+is_read_waiting (const node_t *node, fb_time_t now)
+{
+  const fleet_t *fleet = node->fleet;
+
+  return !node->read_lost && fleet->store_available && node->read.kind == FD_READ_CHANGES
+         && fleet->store.revision == node->read.after_revision
+         && now < node->read_end_at + node->read.wait_ms * FB_MILLISECOND;
+}
+
 static void
 step_node (node_t *node)
 {
@@ -266,7 +293,7 @@
 
   if (node->fault == FEED_UNRESPONSIVE || node->fault == FEED_REFUSING)
     return;
-  if (node->read_outstanding && now >= node->read_end_at)
+  if (node->read_outstanding && now >= node->read_end_at && !is_read_waiting (node, now))
     {
       end_read (node);
       node->run_at = 0;
@@ -381,6 +408,17 @@
   fleet->store_available = available;
 }
 
+void
+feed_set_store_silent (fleet_t *fleet, bool silent)
+{
+  fb_time_t now = fb_read_clock (fleet->clock);
+
+  fleet->store_silent = silent;
+  for (size_t i = 0; i < fleet->count && silent; i++)
+    if (fleet->nodes[i].read_outstanding)
+      lose_read (&fleet->nodes[i], now);
+}
+
 void
 feed_compact_store (fleet_t *fleet)
 {
--- a/packages/dist/tests/fixture-feed.h
+++ b/packages/dist/tests/fixture-feed.h
@@ -36,6 +36,10 @@
 /* Sets whether the store serves reads or refuses them all. */
 void feed_set_store_available (fleet_t *fleet, bool available);
 
+/* Sets whether the store accepts reads and never responds. A read that was sent to a silent
+ * store gets no response later either. */
+void feed_set_store_silent (fleet_t *fleet, bool silent);
+
 /* Compacts the changes of the store up to now: reads of changes after an earlier position get
  * FD_RESULT_COMPACTED. */
 void feed_compact_store (fleet_t *fleet);
