Notice the return of the store soon after an outage

Callers saw requests reach a backend server 2,064 ms after the store had accepted that it leaves (bound 2,000 ms), 5 s after an outage of the store.

Cause: a node withholds removals for 2 s after an outage, since endpoints that expired meanwhile are registered again in that time. It counts from its own first response. A read sent while the store did not respond was out for 2.5 s, another back-off followed, and a read that then found the store back could wait 2 s for a change. The class: a period that belongs to the store is timed from when a node happens to look.

Reads now carry their own time limit. A read after a failure does not wait for a change and is given up without data after 1.5 s, and the back-off counts from the start of the failed read.

Ruled out: a late relay (the state was 208 ms old at the report) and calls that waited at the node (the request was sent on at once).

--- a/packages/dist/include/foxtailrun/dist/feed.h
+++ b/packages/dist/include/foxtailrun/dist/feed.h
@@ -22,6 +22,7 @@
   fd_read_kind_t kind;
   uint64_t after_revision; /* revision after which changes are read */
   uint32_t wait_ms;        /* how long the store waits for a change */
+  uint32_t timeout_ms;     /* limit of each wait for data of the response */
   const char *after_key;   /* last key of the previous page; NULL for the first page */
 } fd_read_t;
 
--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -7,6 +7,15 @@
  * both must fit the limit for a configuration change. */
 #define CHANGE_WAIT_MS 2000
 
+/* Limits of the wait for a response, with and without the wait for a change. The store may
+ * return while a read to which it will not respond is out, and the grace period after an outage
+ * starts only with the next one. */
+#define READ_TIMEOUT_MS 2500
+#define RESPONSE_TIMEOUT_MS 1500
+
+/* After a failed read: the response shows at once that the store is back. */
+#define FAILED_CHANGE_WAIT_MS 1
+
 /* On a node with followers: each response tells them that they missed nothing. */
 #define RELAY_CHANGE_WAIT_MS 200
 
@@ -16,7 +25,8 @@
 #define RELAY_READ_AGE_INTERVALS 0.6
 #define FOLLOWER_READ_AGE_INTERVALS 1.25
 
-/* Back-off after a failed read: random below a bound that doubles with each failure. */
+/* Time from the start of a failed read to the next one, if the failure does not take longer:
+ * random below a bound that doubles with each failure. */
 #define BACKOFF_MIN_MS 100
 #define BACKOFF_MAX_MS 1000
 #define BACKOFF_DOUBLINGS 4
@@ -121,6 +131,14 @@
   fm_begin_full_read (feed->listing);
 }
 
+static uint32_t
+get_change_wait_ms (const fd_feed_t *feed, fb_time_t now)
+{
+  if (feed->consecutive_failures > 0)
+    return FAILED_CHANGE_WAIT_MS;
+  return fd_has_followers (feed, now) ? RELAY_CHANGE_WAIT_MS : CHANGE_WAIT_MS;
+}
+
 static void
 start_read (fd_feed_t *feed, fb_time_t now)
 {
@@ -134,7 +152,7 @@
     case FD_READ_CHANGES:
       read.after_revision
           = fb_get_earlier_position (feed->position, feed->document_known_position).revision;
-      read.wait_ms = fd_has_followers (feed, now) ? RELAY_CHANGE_WAIT_MS : CHANGE_WAIT_MS;
+      read.wait_ms = get_change_wait_ms (feed, now);
       break;
     case FD_READ_ENDPOINTS:
       read.after_revision = feed->position.revision;
@@ -148,6 +166,7 @@
         begin_full_read (feed);
       break;
     }
+  read.timeout_ms = MIN (read.wait_ms + RESPONSE_TIMEOUT_MS, READ_TIMEOUT_MS);
   feed->read_outstanding = true;
   feed->read_started_at = now;
   feed->documents_read = 0;
@@ -323,6 +342,8 @@
 record_failure (fd_feed_t *feed, const fd_read_result_t *result)
 {
   uint32_t bound = BACKOFF_MAX_MS;
+  fb_time_t now = get_time (feed);
+  fb_time_t backoff;
 
   if (feed->consecutive_failures < BACKOFF_DOUBLINGS)
     bound = MIN (bound, (uint32_t)BACKOFF_MIN_MS << feed->consecutive_failures);
@@ -339,9 +360,10 @@
   feed->rereading = false;
   fb_add_counter (feed->read_failures, 1);
   fm_mark_source_unavailable (feed->listing);
-  feed->next_read_at = get_time (feed)
-                       + g_rand_int_range (feed->random, BACKOFF_MIN_MS / 2, (gint32)bound + 1)
-                             * FB_MILLISECOND;
+  backoff
+      = g_rand_int_range (feed->random, BACKOFF_MIN_MS / 2, (gint32)bound + 1) * FB_MILLISECOND;
+  feed->next_read_at
+      = MAX (feed->read_started_at + backoff, now + BACKOFF_MIN_MS / 2 * FB_MILLISECOND);
   if (feed->read_kind == FD_READ_ALL)
     g_clear_pointer (&feed->page_key, g_free);
 }
--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -7,9 +7,6 @@
 #define READ_DURATION (10 * FB_MILLISECOND)
 #define MESSAGE_DELAY (5 * FB_MILLISECOND)
 
-/* Limit of a read that gets no response. */
-#define READ_TIMEOUT (2500 * FB_MILLISECOND)
-
 #define REQUEST_TIMEOUT (FEED_POLL_INTERVAL * 3 / 2)
 
 /* Period in which each instance updates its endpoint in the store, in steps. */
@@ -96,12 +93,12 @@
                           .slots = 9 };
 }
 
-/* The outstanding read of NODE, sent at SENT_AT, gets no response. */
+/* The outstanding read of NODE gets no response from now on. */
 static void
-lose_read (node_t *node, fb_time_t sent_at)
+lose_read (node_t *node, fb_time_t now)
 {
   node->read_lost = true;
-  node->read_end_at = sent_at + READ_TIMEOUT;
+  node->read_end_at = now + node->read.timeout_ms * FB_MILLISECOND;
 }
 
 static void
--- a/packages/http/include/foxtailrun/http/client.h
+++ b/packages/http/include/foxtailrun/http/client.h
@@ -28,9 +28,10 @@
    * request and is dropped, and a connection is reused only after a response with it. Not
    * checked if the name is empty. */
   fh_header_t echoed_header;
-  bool new_connection; /* do not reuse an idle connection; if the server closes it as the
+  fb_time_t io_timeout; /* limit in ns of each wait for data; 0 for the client's */
+  bool new_connection;  /* do not reuse an idle connection; if the server closes it as the
                           request is sent, it is unknown whether the request was run */
-  bool repeatable;     /* resend if the server closes a reused connection without a response */
+  bool repeatable;      /* resend if the server closes a reused connection without a response */
   bool allows_close_delimited; /* accept a body without a length as complete when the server
                                   closes the connection without a reset */
 } fh_client_request_t;
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -68,6 +68,7 @@
   GString *request_text;
   fh_header_t echoed_header; /* views of echoed_header_text */
   char *echoed_header_text;
+  uint64_t io_timeout_ms;
   bool is_head;
   bool repeatable;
   bool allows_close_delimited;
@@ -357,7 +358,7 @@
     close_connection (connection);
   else
     {
-      start_timer (connection, connection->client->io_timeout_ms);
+      start_timer (connection, connection->exchange->io_timeout_ms);
       parse_bytes (connection, (fb_bytes_t){ (const uint8_t *)buffer->base, (size_t)length });
     }
 }
@@ -387,7 +388,7 @@
   buffer = uv_buf_init (write->bytes->str, (unsigned)write->bytes->len);
   exchange->sent = true;
   connection->pending_writes++;
-  start_timer (connection, connection->client->io_timeout_ms);
+  start_timer (connection, exchange->io_timeout_ms);
   if (uv_write (&write->write, (uv_stream_t *)&connection->stream, &buffer, 1, complete_write)
       != 0)
     complete_write (&write->write, UV_EIO);
@@ -571,6 +572,9 @@
   exchange->done = done;
   exchange->user = user;
   exchange->request_text = format_request (client, request);
+  exchange->io_timeout_ms = request->io_timeout > 0
+                                ? (uint64_t)(request->io_timeout / FB_MILLISECOND)
+                                : client->io_timeout_ms;
   exchange->is_head = fb_equal_str (request->method, FB_LITERAL ("HEAD"));
   exchange->repeatable = request->repeatable;
   exchange->allows_close_delimited = request->allows_close_delimited;
