Tell a backend server that has ended from a connection that broke

A call whose connection ends without a response was logged the same whether the backend server had ended, the connection was reset or the response cut off, and nothing named the calls that ran beside it.

The node beside a backend server now checks after such a call whether it still listens. If not, it logs and counts a crash with an id, and logs each call that was running. A planned end is none. No decision changes.

--- a/packages/http/include/foxtailrun/http/client.h
+++ b/packages/http/include/foxtailrun/http/client.h
@@ -73,6 +73,9 @@
 fh_exchange_t *fh_send_request (fh_client_t *client, const fh_client_request_t *request,
                                 fh_done_fn_t done, void *user);
 
+/* Returns whether the request may have been sent. */
+bool fh_is_sent (const fh_exchange_t *exchange);
+
 /* Closes EXCHANGE's connection and frees EXCHANGE without its callback. Returns whether the
  * request may have been sent. */
 bool fh_cancel_exchange (fh_exchange_t *exchange);
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -595,6 +595,12 @@
   return exchange;
 }
 
+bool
+fh_is_sent (const fh_exchange_t *exchange)
+{
+  return exchange->sent;
+}
+
 bool
 fh_cancel_exchange (fh_exchange_t *exchange)
 {
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -192,8 +192,21 @@
       record_connect_failure (backend_call->backend);
     }
   else
-    answer.outcome
-        = backend_call->has_ticket || backend_call->call.at_most_once ? FW_UNKNOWN : FW_FAILED;
+    {
+      fn_lose_call (backend_call, response->error);
+      return;
+    }
+  finish_running (backend_call, &answer);
+}
+
+void
+fn_answer_lost_call (fn_backend_call_t *backend_call)
+{
+  bool may_have_run = backend_call->has_ticket || backend_call->call.at_most_once;
+  fw_call_t answer = { .outcome = may_have_run ? FW_UNKNOWN : FW_FAILED,
+                       .status = 502,
+                       .reason = fb_wrap_text (backend_call->lost_reason) };
+
   finish_running (backend_call, &answer);
 }
 
@@ -444,6 +457,7 @@
         fh_cancel_exchange (backend_call->exchange);
       backend_call->exchange = NULL;
     }
+  fh_cancel_probe (g_steal_pointer (&backend->probe));
   fk_destroy_timer (backend->tick_timer);
   fh_destroy_client (backend->client);
   backend->client = NULL;
@@ -491,6 +505,7 @@
       = fb_find_counter (counters, "backend_calls", "end=\"replayed\"");
   backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
   backend->leaving_responses = fb_find_counter (counters, "backend_leaving_responses", "");
+  backend->crashes = fb_find_counter (counters, "backend_crashes", "");
   backend->rate_limit_gauge = fb_find_counter (counters, "backend_rate_limit_millis", "");
   backend->invalid_rate_limits = fb_find_counter (counters, "backend_invalid_rate_limits", "");
   backend->wait_times = fb_create_histogram (counters, "backend_wait_us", "");
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -8,12 +8,14 @@
 #include <foxtailrun/call/once.h>
 #include <foxtailrun/call/rate-limit.h>
 #include <foxtailrun/http/client.h>
+#include <foxtailrun/http/probe.h>
 #include <glib.h>
 
 typedef enum
 {
   FN_CALL_WAITING,
   FN_CALL_RUNNING,
+  FN_CALL_LOST,  /* its connection ended without a response; not yet known why */
   FN_CALL_JOINED /* waits for the answer to an earlier call with the same ticket */
 } fn_call_state_t;
 
@@ -35,6 +37,8 @@
   fb_name_t instance;            /* that the call was sent to */
   uint64_t instance_incarnation; /* of INSTANCE */
   fh_exchange_t *exchange;
+  const char *lost_reason; /* why there is no response; static */
+  uint64_t crash_id;       /* crash of the backend server that it was running in; 0 for none */
   fn_answered_fn_t answered; /* NULL once cancelled */
   void *user;
 } fn_backend_call_t;
@@ -56,11 +60,13 @@
   fb_time_t refuse_until; /* calls are refused until then, after a failed connection */
   bool draining;          /* calls without a ticket are refused */
   bool closed;            /* all calls are refused */
+  fh_probe_t *probe;      /* of the backend server, after a lost call; NULL when none */
   fb_counter_t *started;
   fb_counter_t *refused;
   fb_counter_t *recorded_answers_sent;
   fb_counter_t *unknown;
   fb_counter_t *leaving_responses;
+  fb_counter_t *crashes;
   fb_counter_t *rate_limit_gauge; /* calls in 1,000 s; 0 without a limit */
   fb_counter_t *invalid_rate_limits;
   fb_histogram_t *wait_times;    /* in the queue, of calls that were started */
@@ -108,6 +114,13 @@
 void fn_handle_backend_report (const fn_backend_call_t *backend_call,
                                const fh_response_t *response);
 
+/* Ends a running call whose connection ended without a response for REASON, static: answers it
+ * once it is known whether the backend server has ended. */
+void fn_lose_call (fn_backend_call_t *backend_call, const char *reason);
+
+/* Answers a lost call, and frees it. */
+void fn_answer_lost_call (fn_backend_call_t *backend_call);
+
 /* Answers a call that needs a ticket with a new ticket. */
 void fn_send_ticket (fn_backend_call_t *backend_call);
 
