--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -2,7 +2,8 @@
  *
  * Usage: standin-backend ADDRESS PORT NAME SLOTS SERVICE_MS
  * The answer echoes the request: "name=NAME path=PATH body=BODY runs=N", N counting the runs of
- * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503. With
+ * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503,
+ * crash=MS ends the process after that time in service. With
  * SLOTS requests in service, a further one gets 503 and counts as an overrun. GET /standin/runs
  * returns one line "PATH COUNT" for each path run, GET /standin/overruns the number of
  * overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to requests
@@ -17,6 +18,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 typedef struct
 {
@@ -198,6 +200,25 @@
             : backend->service_time;
 }
 
+static void
+crash (void *user)
+{
+  _exit (1);
+}
+
+/* Ends the process in the service of a request for PATH, if it says so. */
+static void
+schedule_crash (backend_t *backend, const char *path)
+{
+  const char *at = strstr (path, "crash=");
+
+  if (at)
+    fk_create_timeout (backend->kernel,
+                       (fb_time_t)g_ascii_strtoull (at + strlen ("crash="), NULL, 10)
+                           * FB_MILLISECOND,
+                       crash, backend);
+}
+
 static void
 start_job (backend_t *backend, fh_request_t *request, char *path)
 {
@@ -211,6 +232,7 @@
   job->body = g_strndup ((const char *)body.data, body.len);
   job->run_count = count_run (backend, path);
   fh_set_cancelled_handler (request, detach_request, job);
+  schedule_crash (backend, path);
   job->timer
       = fk_create_timeout (backend->kernel, read_service_time (backend, path), finish_job, job);
 }
