--- a/fuzz/fuzz-call.c
+++ b/fuzz/fuzz-call.c
@@ -29,6 +29,8 @@
   FUZZ_CHECK (fb_equal_str (a->instance, b->instance));
   FUZZ_CHECK (a->incarnation == b->incarnation);
   FUZZ_CHECK (a->rate_limit_milli == b->rate_limit_milli);
+  FUZZ_CHECK (a->crash_id == b->crash_id);
+  FUZZ_CHECK (a->quarantine_us == b->quarantine_us);
   FUZZ_CHECK (a->header_count == b->header_count);
   for (size_t i = 0; i < a->header_count; i++)
     {
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -69,6 +69,9 @@
                                 leaves nor names a limit */
   uint64_t incarnation;      /* of INSTANCE */
   uint64_t rate_limit_milli; /* calls that INSTANCE takes in 1,000 s; 0 if it names no limit */
+  uint64_t crash_id;         /* CALL: crash that the last attempt was running in; ANSWER: crash
+                                that the call was running in; 0 for none */
+  uint64_t quarantine_us;    /* ANSWER: time for which the request is not run; 0 for none */
   size_t header_count;
   fw_header_t headers[FW_HEADERS_MAX];
   fb_bytes_t body;
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -8,9 +8,19 @@
 #define CALL_FORMAT 5
 #define CALL_FIELDS 30
 
+/* With the crash and the quarantine; only messages that have one of them, as earlier builds
+ * refuse them during a rolling replacement. */
+#define CALL_FIELDS_WITH_CRASH (CALL_FIELDS + 2)
+
 /* Longest path, header name or value, ticket or other free text in bytes. */
 #define TEXT_MAX (16 * 1024)
 
+static bool
+has_crash (const fw_call_t *message)
+{
+  return message->crash_id > 0 || message->quarantine_us > 0;
+}
+
 uint8_t *
 fw_encode_call (const fw_call_t *message, size_t *length)
 {
@@ -20,7 +30,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, CALL_FIELDS);
+  msgpack_pack_array (&packer, has_crash (message) ? CALL_FIELDS_WITH_CRASH : CALL_FIELDS);
   msgpack_pack_uint64 (&packer, CALL_FORMAT);
   msgpack_pack_uint64 (&packer, (uint64_t)message->kind);
   msgpack_pack_uint64 (&packer, message->id);
@@ -56,12 +66,28 @@
       fw_pack_str (&packer, message->headers[i].name);
       fw_pack_str (&packer, message->headers[i].value);
     }
+  if (has_crash (message))
+    {
+      msgpack_pack_uint64 (&packer, message->crash_id);
+      msgpack_pack_uint64 (&packer, message->quarantine_us);
+    }
   copy = g_memdup2 (buffer.data, buffer.size);
   *length = buffer.size;
   msgpack_sbuffer_destroy (&buffer);
   return copy;
 }
 
+/* Reads the fields after the headers, if any. */
+static bool
+read_crash (fw_reader_t *reader, fw_call_t *message)
+{
+  if (reader->count == CALL_FIELDS)
+    return true;
+  message->crash_id = fw_read_u64 (reader, UINT64_MAX);
+  message->quarantine_us = fw_read_u64 (reader, INT64_MAX / 1000);
+  return has_crash (message);
+}
+
 static bool
 read_call (const msgpack_object *object, fw_call_t *message)
 {
@@ -99,7 +125,8 @@
   message->incarnation = fw_read_u64 (&reader, UINT64_MAX);
   message->rate_limit_milli = fw_read_u64 (&reader, UINT64_MAX);
   headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
-  if (!fw_finish_reader (&reader) || message->kind < FW_CALL || headers.count % 2 != 0)
+  if (!read_crash (&reader, message) || !fw_finish_reader (&reader) || message->kind < FW_CALL
+      || headers.count % 2 != 0)
     return false;
   message->header_count = headers.count / 2;
   for (size_t i = 0; i < message->header_count; i++)
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -1,6 +1,7 @@
 /* Round trips and malformed input of the message codecs. */
 #include <foxtailrun/wire/call.h>
 #include <foxtailrun/wire/control.h>
+#include <foxtailrun/wire/crash.h>
 #include <foxtailrun/wire/datagram.h>
 #include <foxtailrun/wire/feed.h>
 #include <glib.h>
@@ -169,6 +170,85 @@
   g_free (bytes);
 }
 
+/* Guards against a crash or quarantine that changes in transit, and calls without one that an
+ * earlier build would refuse. */
+static void
+test_call_crash (void)
+{
+  static const struct
+  {
+    uint64_t crash_id;
+    uint64_t quarantine_us;
+    size_t fields;
+  } cases[] = { { 0, 0, 30 }, { 7, 0, 32 }, { 0, 60000000, 32 }, { UINT64_MAX, 1, 32 } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_call_t sent = make_call ();
+      fw_call_t decoded;
+      size_t length;
+      uint8_t *bytes;
+
+      sent.crash_id = cases[i].crash_id;
+      sent.quarantine_us = cases[i].quarantine_us;
+      bytes = fw_encode_call (&sent, &length);
+      /* An array of more than 15 elements begins with its count in 16 bits. */
+      g_assert_cmpuint (bytes[2], ==, cases[i].fields);
+      g_assert_cmpint (
+          fw_decode_call ((fb_bytes_t){ bytes, length }, (fb_bytes_t){ NULL, 0 }, &decoded), ==,
+          FB_OK);
+      g_assert_cmpuint (decoded.crash_id, ==, sent.crash_id);
+      g_assert_cmpuint (decoded.quarantine_us, ==, sent.quarantine_us);
+      g_free (bytes);
+    }
+}
+
+static fw_crash_report_t
+make_crash_report (fw_suspect_t suspects[2])
+{
+  suspects[0] = (fw_suspect_t){ .key = { { 1 } },
+                                .failed_trials = 2,
+                                .age_us = 5000,
+                                .crash_count = 2,
+                                .crashes = { UINT64_MAX, 3 },
+                                .cleared = { true, false } };
+  suspects[1] = (fw_suspect_t){ .key = { { 2 } }, .crash_count = 1, .crashes = { 4 } };
+  return (fw_crash_report_t){
+    .sender = fb_make_name ("10.0.0.1"), .start_id = 9, .suspect_count = 2, .suspects = suspects
+  };
+}
+
+/* Guards against crash reports that change in transit. */
+static void
+test_crash_round_trip (void)
+{
+  fw_suspect_t suspects[2];
+  fw_crash_report_t sent = make_crash_report (suspects);
+  fw_crash_report_t decoded;
+  size_t length;
+  uint8_t *bytes = fw_encode_crash_report (&sent, &length);
+
+  g_assert_cmpint (fw_decode_crash_report ((fb_bytes_t){ bytes, length }, &decoded), ==, FB_OK);
+  g_assert_cmpstr (decoded.sender.data, ==, "10.0.0.1");
+  g_assert_cmpuint (decoded.start_id, ==, 9);
+  g_assert_cmpuint (decoded.suspect_count, ==, 2);
+  for (size_t i = 0; i < 2; i++)
+    {
+      const fw_suspect_t *suspect = &decoded.suspects[i];
+
+      g_assert_cmpint (fb_compare_digests (&suspect->key, &suspects[i].key), ==, 0);
+      g_assert_cmpuint (suspect->failed_trials, ==, suspects[i].failed_trials);
+      g_assert_cmpuint (suspect->age_us, ==, suspects[i].age_us);
+      g_assert_cmpuint (suspect->crash_count, ==, suspects[i].crash_count);
+      g_assert_cmpmem (suspect->crashes, sizeof suspect->crashes, suspects[i].crashes,
+                       sizeof suspects[i].crashes);
+      g_assert_cmpmem (suspect->cleared, sizeof suspect->cleared, suspects[i].cleared,
+                       sizeof suspects[i].cleared);
+    }
+  fw_clear_crash_report (&decoded);
+  g_free (bytes);
+}
+
 static fw_feed_message_t
 make_feed (fw_endpoint_t endpoints[2])
 {
@@ -267,6 +347,7 @@
   fw_control_t control;
   fw_call_t call;
   fw_feed_message_t feed;
+  fw_crash_report_t report;
   fb_status_t status;
 
   if (codec == 0)
@@ -280,6 +361,13 @@
         fw_clear_feed (&feed);
       return status;
     }
+  if (codec == 4)
+    {
+      status = fw_decode_crash_report (bytes, &report);
+      if (status == FB_OK)
+        fw_clear_crash_report (&report);
+      return status;
+    }
   status = fw_decode_control (bytes, &control);
   if (status == FB_OK)
     fw_clear_control (&control);
@@ -295,6 +383,8 @@
   fw_call_t call = make_call ();
   fw_endpoint_t endpoints[2];
   fw_feed_message_t feed = make_feed (endpoints);
+  fw_suspect_t suspects[2];
+  fw_crash_report_t report = make_crash_report (suspects);
   uint8_t *buffer;
   size_t packed_count;
 
@@ -304,6 +394,8 @@
     return fw_encode_call (&call, length);
   if (codec == 3)
     return fw_encode_feed (&feed, length);
+  if (codec == 4)
+    return fw_encode_crash_report (&report, length);
   buffer = g_malloc (FW_DATAGRAM_MAX);
   g_assert_cmpint (fw_encode_datagram (&datagram, buffer, length, &packed_count), ==, FB_OK);
   return buffer;
@@ -316,7 +408,7 @@
 {
   GRand *random = g_rand_new_with_seed (1);
 
-  for (int codec = 0; codec < 4; codec++)
+  for (int codec = 0; codec < 5; codec++)
     {
       size_t length;
       uint8_t *encoded = encode_any (codec, &length);
@@ -405,6 +497,8 @@
   g_test_add_func ("/wire/datagram-round-trip", test_datagram_round_trip);
   g_test_add_func ("/wire/control-round-trip", test_control_round_trip);
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
+  g_test_add_func ("/wire/call-crash", test_call_crash);
+  g_test_add_func ("/wire/crash-round-trip", test_crash_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
   g_test_add_func ("/wire/feed-known-position", test_feed_known_position);
   g_test_add_func ("/wire/malformed", test_malformed);
