Quarantine requests under which backend servers end

Nothing was remembered of a request under which a backend server ended; each copy, and each retry of an entry node, went to the next instance. Ruled out: retries alone (copies come from callers at all nodes), and another reason for the ends (the one request is in every crash that the logs now name).

The node beside an instance records which requests were running when it ended, tells the nodes beside the service's other instances at once, and refuses what is quarantined; entry nodes cache refusals. Suspects run one at a time. Broken connections and planned ends are no crashes.

--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -178,6 +178,8 @@
     }
   else if (response->result == FH_ANSWERED)
     {
+      if (response->status < 500)
+        fn_note_completion (backend_call);
       answer.outcome = FW_ANSWERED;
       answer.status = response->status;
       answer.body = response->body;
@@ -205,7 +207,8 @@
   bool may_have_run = backend_call->has_ticket || backend_call->call.at_most_once;
   fw_call_t answer = { .outcome = may_have_run ? FW_UNKNOWN : FW_FAILED,
                        .status = 502,
-                       .reason = fb_wrap_text (backend_call->lost_reason) };
+                       .reason = fb_wrap_text (backend_call->lost_reason),
+                       .crash_id = backend_call->crash_id };
 
   finish_running (backend_call, &answer);
 }
@@ -304,6 +307,18 @@
                           rank_options, count);
 }
 
+void
+fn_abort_running_call (fn_backend_call_t *backend_call, uint32_t status, const char *reason)
+{
+  fw_call_t answer = { .outcome = backend_call->call.at_most_once ? FW_UNKNOWN : FW_FAILED,
+                       .status = status,
+                       .reason = fb_wrap_text (reason),
+                       .crash_id = backend_call->crash_id };
+
+  fh_cancel_exchange (backend_call->exchange);
+  finish_running (backend_call, &answer);
+}
+
 /* Cancels running calls past their deadline, except those with a ticket, whose answer is
  * recorded. */
 static void
@@ -326,12 +341,8 @@
     }
   for (guint i = 0; i < expired->len; i++)
     {
-      fn_backend_call_t *backend_call = g_ptr_array_index (expired, i);
-      fw_call_t answer = { .outcome = backend_call->call.at_most_once ? FW_UNKNOWN : FW_FAILED,
-                           .status = 504,
-                           .reason = FB_LITERAL ("deadline passed at the backend server") };
-      fh_cancel_exchange (backend_call->exchange);
-      finish_running (backend_call, &answer);
+      fn_abort_running_call (g_ptr_array_index (expired, i), 504,
+                             "deadline passed at the backend server");
     }
   g_ptr_array_free (expired, TRUE);
   if (g_hash_table_size (backend->calls) == 0)
@@ -506,6 +517,7 @@
   backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
   backend->leaving_responses = fb_find_counter (counters, "backend_leaving_responses", "");
   backend->crashes = fb_find_counter (counters, "backend_crashes", "");
+  backend->quarantined = fb_find_counter (counters, "backend_quarantined_calls", "");
   backend->rate_limit_gauge = fb_find_counter (counters, "backend_rate_limit_millis", "");
   backend->invalid_rate_limits = fb_find_counter (counters, "backend_invalid_rate_limits", "");
   backend->wait_times = fb_create_histogram (counters, "backend_wait_us", "");
@@ -560,7 +572,7 @@
     fn_refuse_backend_call (backend_call, 503, refusal_reason);
   else if (is_ticket_request)
     fn_send_ticket (backend_call);
-  else
+  else if (!fn_refuse_quarantined (backend_call))
     enqueue_call (backend_call);
   return g_hash_table_contains (backend->calls, &handle) ? handle : 0;
 }
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_NODE_BACKEND_H
 
 #include "node-services.h"
+#include <foxtailrun/base/digest.h>
 #include <foxtailrun/base/histogram.h>
 #include <foxtailrun/call/admission.h>
 #include <foxtailrun/call/once.h>
@@ -39,6 +40,9 @@
   fh_exchange_t *exchange;
   const char *lost_reason; /* why there is no response; static */
   uint64_t crash_id;       /* crash of the backend server that it was running in; 0 for none */
+  fb_digest_t key;         /* of the request, once needed */
+  bool has_key;
+  bool is_suspect;           /* no other suspect may run at the same time */
   fn_answered_fn_t answered; /* NULL once cancelled */
   void *user;
 } fn_backend_call_t;
@@ -67,6 +71,7 @@
   fb_counter_t *unknown;
   fb_counter_t *leaving_responses;
   fb_counter_t *crashes;
+  fb_counter_t *quarantined;      /* calls refused since their request is quarantined */
   fb_counter_t *rate_limit_gauge; /* calls in 1,000 s; 0 without a limit */
   fb_counter_t *invalid_rate_limits;
   fb_histogram_t *wait_times;    /* in the queue, of calls that were started */
@@ -118,6 +123,17 @@
  * once it is known whether the backend server has ended. */
 void fn_lose_call (fn_backend_call_t *backend_call, const char *reason);
 
+/* Refuses BACKEND_CALL if its request is quarantined, or a suspect beside another one. Returns
+ * whether it did. */
+bool fn_refuse_quarantined (fn_backend_call_t *backend_call);
+
+/* Records that BACKEND_CALL has run to its end. */
+void fn_note_completion (fn_backend_call_t *backend_call);
+
+/* Cancels a running call and answers it with STATUS and REASON. */
+void fn_abort_running_call (fn_backend_call_t *backend_call, uint32_t status,
+                            const char *reason);
+
 /* Answers a lost call, and frees it. */
 void fn_answer_lost_call (fn_backend_call_t *backend_call);
 
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -129,6 +129,11 @@
       fn_handle_feed_request (calls->kernel, request);
       return;
     }
+  if (fb_equal_str (fh_get_path (request), FB_LITERAL (FN_CRASH_PATH)))
+    {
+      fn_handle_crash_report (calls->kernel, request);
+      return;
+    }
   if (fb_equal_str (fh_get_path (request), FB_LITERAL (ALIVE_PATH)))
     {
       fh_respond (request, 200, NULL, 0, (fb_bytes_t){ NULL, 0 });
--- a/packages/node/source/node-directory.c
+++ b/packages/node/source/node-directory.c
@@ -106,6 +106,17 @@
   return g_hash_table_size (directory->endpoints);
 }
 
+void
+fn_visit_endpoints (const fn_directory_t *directory, fn_member_changed_fn_t visit, void *user)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, directory->endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    visit (value, user);
+}
+
 void
 fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user)
 {
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -76,7 +76,8 @@
   bool retry_elsewhere = answer->outcome == FW_NOT_RUN && answer->retry_elsewhere;
   fw_outcome_t outcome = is_server_failure (answer) ? FW_FAILED : answer->outcome;
 
-  if (outcome == FW_ANSWERED || answer->status == 428 || answer->status == 422)
+  if (outcome == FW_ANSWERED || answer->status == 428 || answer->status == 422
+      || answer->quarantine_us > 0)
     return false;
   if (call->attempt_count >= FN_ATTEMPTS_MAX || read_time (call->entry) >= call->deadline)
     return false;
@@ -113,6 +114,21 @@
                        answer->incarnation);
 }
 
+/* Records what ANSWER reports of the request: the crash that it was running in, for the next
+ * attempt to tell, and its quarantine. */
+static void
+read_request_report (fn_entry_call_t *call, const fw_call_t *answer)
+{
+  fb_digest_t key;
+
+  call->crash_id = answer->crash_id;
+  if (answer->quarantine_us == 0)
+    return;
+  key = fn_get_request_key (call);
+  fn_hold_request (fk_find_service (call->entry->kernel, FN_QUARANTINE), &key,
+                   (fb_time_t)answer->quarantine_us * FB_MICROSECOND);
+}
+
 static void
 end_attempt (fn_entry_call_t *call, const fw_call_t *answer)
 {
@@ -121,6 +137,7 @@
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
   read_instance_report (entry, instance, answer);
+  read_request_report (call, answer);
   fr_report_times (entry->picker, instance, call->route->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
@@ -216,6 +233,7 @@
     .earlier_attempt_arrived = call->reached_backend || call->parent_is_retry,
     .ticket = call->ticket,
     .request_id = fb_wrap_text (call->request_id),
+    .crash_id = call->crash_id,
     .body = fh_get_body (call->request),
   };
   if (message->ticket.len == 0 && !route->repeatable && route->ticket)
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -46,6 +46,7 @@
   fb_histogram_t *durations[5]; /* by outcome, from arrival to answer */
   fb_counter_t *retries;
   fb_counter_t *throttled;
+  fb_counter_t *quarantined; /* requests refused on arrival */
   fb_counter_t *unmatched_answers;
 };
 
@@ -71,6 +72,7 @@
   uint32_t retry_elsewhere_count; /* of those, refused by a single node */
   bool may_have_run;              /* an attempt ended with another outcome than FW_NOT_RUN */
   bool reached_backend;           /* an attempt reached a backend server or possibly did */
+  uint64_t crash_id;              /* crash that the last attempt was running in; 0 for none */
   bool parent_is_retry;           /* sent by a backend server that runs a repeated call */
   fb_name_t tried_instances[FN_ATTEMPTS_MAX];
   uint64_t attempt_id; /* open attempt, 0 when none */
@@ -79,6 +81,9 @@
   bool is_local;
 } fn_entry_call_t;
 
+/* Returns the key of CALL's request, the same at all nodes. */
+fb_digest_t fn_get_request_key (const fn_entry_call_t *call);
+
 /* Starts the next attempt of CALL; if none is possible, answers and frees CALL. */
 void fn_start_attempt (fn_entry_call_t *call);
 
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -2,6 +2,7 @@
 #ifndef FOXTAILRUN_NODE_SERVICES_H
 #define FOXTAILRUN_NODE_SERVICES_H
 
+#include <foxtailrun/call/quarantine.h>
 #include <foxtailrun/config/settings.h>
 #include <foxtailrun/config/snapshot.h>
 #include <foxtailrun/dist/node.h>
@@ -25,6 +26,7 @@
 /* Limit of log lines per outcome in 10 s; a line costs about as much CPU time as processing
  * the head of a call. */
 #define FN_CALL_LOG_LINES_MAX 100
+#define FN_QUARANTINE "quarantine"
 #define FN_BURN "burn"
 #define FN_ADMIN "admin"
 #define FN_DRAIN "drain"
@@ -74,6 +76,10 @@
 /* Returns the number of endpoints. */
 size_t fn_count_endpoints (const fn_directory_t *directory);
 
+/* Calls VISIT with USER for each endpoint. */
+void fn_visit_endpoints (const fn_directory_t *directory, fn_member_changed_fn_t visit,
+                         void *user);
+
 /* Calls CHANGED with USER on each change of an endpoint; register before services start. */
 void fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user);
 
@@ -115,6 +121,50 @@
 /* Handles a feed request of another node; REQUEST is answered now or later. */
 void fn_handle_feed_request (fk_kernel_t *kernel, fh_request_t *request);
 
+/* quarantine: requests under which backend servers ended, shared with the nodes beside the
+ * other instances of the service. */
+typedef struct fn_quarantine fn_quarantine_t;
+
+void fn_register_quarantine (fk_kernel_t *kernel);
+
+/* Reason for which a call of a quarantined request is refused. */
+#define FN_QUARANTINED_REASON "request is quarantined: backend servers ended under it"
+
+/* Path of crash reports from other nodes, on the call port. */
+#define FN_CRASH_PATH "/crashes"
+
+/* Handles a crash report of another node, and answers REQUEST. */
+void fn_handle_crash_report (fk_kernel_t *kernel, fh_request_t *request);
+
+/* Returns whether any request is a suspect or quarantined, so that keys need to be computed. */
+bool fn_has_suspects (fn_quarantine_t *quarantine);
+
+/* Returns the state of request KEY for a caller at this node; QUARANTINED sets LEFT to the
+ * remaining time in ns. */
+fr_request_state_t fn_check_request (fn_quarantine_t *quarantine, const fb_digest_t *key,
+                                     fb_time_t *left);
+
+/* Returns whether this node lets the trial of request KEY through. */
+bool fn_owns_trial (fn_quarantine_t *quarantine, const fb_digest_t *key);
+
+/* Records that the requests KEYS were running in crash ID of the local backend server, and
+ * tells the other nodes of its service. */
+void fn_report_crash (fn_quarantine_t *quarantine, const fb_digest_t *keys, size_t count,
+                      uint64_t id);
+
+/* Records that request KEY was running in crash ID of another backend server. */
+void fn_note_crash (fn_quarantine_t *quarantine, const fb_digest_t *key, uint64_t id);
+
+/* Records that request KEY has run to its end, and tells the other nodes if it was a suspect.
+ */
+void fn_report_completion (fn_quarantine_t *quarantine, const fb_digest_t *key);
+
+/* Records that the node beside an instance quarantines request KEY for TIME in ns. */
+void fn_hold_request (fn_quarantine_t *quarantine, const fb_digest_t *key, fb_time_t time);
+
+/* Ends the calls that the quarantine no longer allows: it has changed. */
+void fn_apply_quarantine (fk_kernel_t *kernel);
+
 /* backend: admits calls to the local backend server and runs them there. */
 typedef struct fn_backend fn_backend_t;
 
--- a/packages/node/source/node.c
+++ b/packages/node/source/node.c
@@ -56,6 +56,7 @@
   fn_register_directory (kernel);
   adapter->register_source (kernel, adapter->user);
   fn_register_distribution (kernel);
+  fn_register_quarantine (kernel);
   fn_register_backend (kernel);
   fn_register_calls (kernel);
   fn_register_burn (kernel);
