Keep a sound instance when another writer lists one at its address

An entry of another writer at the address of a sound instance took that instance out of service, and after it was removed or spoilt the instance got no calls until its next start (12 of 12 calls got 503 where it was the last one).

Cause: the node took the latest entry at its address and forgot the others. It now keeps all of its service and goes by the likeliest, which a response 421 of the instance disproves.

--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -9,6 +9,7 @@
 #define FC_SERVICES_MAX 1000
 #define FC_ROUTES_MAX 8000
 #define FC_RANKS_MAX 16
+#define FC_SLOTS_MAX 10000 /* of an instance */
 #define FC_CUSTOMERS_MAX 4000
 #define FC_OBJECTIVES_MAX 4000
 
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -32,7 +32,7 @@
     "guaranteed fraction of slot time; the sum over all ranks is at most 1" },
 
   { "service", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the service" },
-  { "service", "slots", FC_TYPE_INTEGER, "calls", NULL, 1, 10000, NULL,
+  { "service", "slots", FC_TYPE_INTEGER, "calls", NULL, 1, FC_SLOTS_MAX, NULL,
     "maximum number of concurrent calls of an instance" },
   { "service", "connections", FC_TYPE_INTEGER, "connections", NULL, 1, 100000, NULL,
     "maximum number of concurrent connections of an instance" },
--- a/packages/node/source/node-backend-report.c
+++ b/packages/node/source/node-backend-report.c
@@ -139,8 +139,14 @@
 {
   const fn_dialect_t *dialect = fn_get_adapter (backend_call->backend->kernel)->dialect;
 
-  if (response->status == MISDIRECTED_STATUS || !is_current_instance (backend_call))
+  if (!is_current_instance (backend_call))
     return;
+  if (response->status == MISDIRECTED_STATUS)
+    {
+      fn_reject_local_backend (backend_call->backend->kernel, &backend_call->instance,
+                               backend_call->instance_incarnation);
+      return;
+    }
   if (fb_equal_str (find_header (response, dialect->leaving), FB_LITERAL ("1")))
     handle_leaving (backend_call);
   if (dialect->rate_limit.len > 0)
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -1,6 +1,7 @@
 /* Feed service, for platforms that list endpoints and configuration in a store: does the reads
  * and requests that the feed schedules, and passes on endpoints and documents. */
 #include "node-services.h"
+#include <foxtailrun/base/digest.h>
 #include <foxtailrun/base/histogram.h>
 #include <foxtailrun/base/invariant.h>
 #include <foxtailrun/dist/feed.h>
@@ -18,6 +19,15 @@
 /* Holds all endpoints of a fleet of the target size, at about 150 bytes each. */
 #define FEED_MESSAGE_BYTES_MAX (2 * 1024 * 1024)
 
+/* An endpoint at this node's address. There may be several: another writer may list one, or an
+ * instance replaces one that is still listed. */
+typedef struct
+{
+  fw_endpoint_t endpoint;
+  uint64_t rejection; /* number of the last time that the backend server denied to be this
+                         incarnation; 0 for never */
+} local_endpoint_t;
+
 struct fn_feed
 {
   fn_source_t base;
@@ -32,8 +42,8 @@
   bool is_awaiting_document; /* the distribution waits for another than that of
                                 DOCUMENT_POSITION */
   fb_position_t document_position;
-  fb_name_t local_backend_id; /* endpoint of the backend server on this node's host */
-  uint64_t local_backend_incarnation;
+  GHashTable *local_endpoints; /* local_endpoint_t by id: those listed at this node's address */
+  uint64_t last_rejection;
   fb_counter_t *malformed;
   fb_histogram_t *leaving_ages; /* of the news that an endpoint leaves or was removed */
 };
@@ -93,26 +103,81 @@
   schedule_run (feed, 0);
 }
 
-/* Updates the description of the local backend server from ENDPOINT. Of two endpoints at its
- * address the later incarnation counts. */
+/* Returns whether A describes the local backend server rather than B: it was not denied, or
+ * longer ago; it takes calls, so that the server can deny to be it; it started later. */
+static bool
+is_likelier (const local_endpoint_t *a, const local_endpoint_t *b)
+{
+  if (a->rejection != b->rejection)
+    return a->rejection < b->rejection;
+  if (a->endpoint.member.state != b->endpoint.member.state)
+    return a->endpoint.member.state == FW_ALIVE;
+  return a->endpoint.member.incarnation > b->endpoint.member.incarnation;
+}
+
+/* Passes on the description of the local backend server. */
 static void
-update_local_backend (fn_feed_t *feed, const fw_endpoint_t *endpoint)
+update_local_backend (fn_feed_t *feed)
 {
-  const fw_member_t *member = &endpoint->member;
-  bool is_local_backend = fb_equal_name (&member->id, &feed->local_backend_id);
+  const fc_settings_t *settings = fn_get_settings (feed->kernel);
+  const local_endpoint_t *best = NULL;
   fn_local_backend_t local = { 0 };
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, feed->local_endpoints);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const local_endpoint_t *candidate = value;
 
-  if (member->state == FW_DEAD && !is_local_backend)
+      if (fb_equal_name (&candidate->endpoint.member.service, &settings->service)
+          && (!best || is_likelier (candidate, best)))
+        best = candidate;
+    }
+  if (best)
+    local = (fn_local_backend_t){ best->endpoint.member.id, best->endpoint.member.incarnation,
+                                  best->endpoint.slots,
+                                  best->endpoint.member.state == FW_LEAVING };
+  fn_set_local_backend (feed->kernel, &local);
+}
+
+/* Keeps the endpoints at this node's address; returns whether ENDPOINT is or was one. */
+static bool
+record_local_endpoint (fn_feed_t *feed, const fw_endpoint_t *endpoint)
+{
+  const fw_member_t *member = &endpoint->member;
+  local_endpoint_t *known = g_hash_table_lookup (feed->local_endpoints, &member->id);
+  local_endpoint_t *local;
+
+  if (member->state == FW_DEAD
+      || !fb_equal_name (&member->address, &fn_get_settings (feed->kernel)->address))
+    return g_hash_table_remove (feed->local_endpoints, &member->id);
+  local = g_new0 (local_endpoint_t, 1);
+  local->endpoint = *endpoint;
+  if (known && known->endpoint.member.incarnation == member->incarnation)
+    local->rejection = known->rejection;
+  g_hash_table_replace (feed->local_endpoints, &local->endpoint.member.id, local);
+  return true;
+}
+
+void
+fn_reject_local_backend (fk_kernel_t *kernel, const fb_name_t *instance, uint64_t incarnation)
+{
+  fn_feed_t *feed = fk_find_service (kernel, FN_SOURCE);
+  local_endpoint_t *local;
+
+  if (!fn_get_adapter (kernel)->source_lists_endpoints)
     return;
-  if (!is_local_backend && feed->local_backend_id.len > 0
-      && member->incarnation < feed->local_backend_incarnation)
+  local = g_hash_table_lookup (feed->local_endpoints, instance);
+  if (!local || local->endpoint.member.incarnation != incarnation)
     return;
-  if (member->state != FW_DEAD)
-    local = (fn_local_backend_t){ member->id, member->incarnation, endpoint->slots,
-                                  member->state == FW_LEAVING };
-  feed->local_backend_id = local.instance;
-  feed->local_backend_incarnation = member->incarnation;
-  fn_set_local_backend (feed->kernel, &local);
+  FB_LOG (fk_get_log (kernel), FB_LOG_WARNING, FN_SOURCE,
+          "backend server is not the instance that the source lists",
+          FB_TEXT ("instance", instance->data), FB_NUMBER ("incarnation", incarnation),
+          FB_NUMBER ("listed_here", g_hash_table_size (feed->local_endpoints)));
+  local->rejection = ++feed->last_rejection;
+  if (g_hash_table_size (feed->local_endpoints) > 1)
+    update_local_backend (feed);
 }
 
 /* Returns whether MEMBER no longer takes calls and did so far. */
@@ -140,8 +205,8 @@
           FB_NUMBER ("age_ms", age / FB_MILLISECOND));
   if (stops_serving (feed, member))
     fb_observe_time (feed->leaving_ages, age);
-  if (fb_equal_name (&member->address, &fn_get_settings (feed->kernel)->address))
-    update_local_backend (feed, endpoint);
+  if (record_local_endpoint (feed, endpoint))
+    update_local_backend (feed);
   fn_update_endpoint (feed->kernel, member);
 }
 
@@ -285,6 +350,7 @@
   fn_feed_t *feed = data;
 
   fd_destroy_feed (feed->feed);
+  g_hash_table_destroy (feed->local_endpoints);
   fb_destroy_histogram (feed->leaving_ages);
   g_free (feed);
 }
@@ -304,6 +370,8 @@
 
   feed->base.read = read_document;
   feed->kernel = kernel;
+  feed->local_endpoints
+      = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, g_free);
   feed->store = store;
   feed->store_user = user;
   feed->malformed = fb_find_counter (fk_get_counters (kernel), "malformed_news", "");
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -165,6 +165,11 @@
 /* Ends the calls that the quarantine no longer allows: it has changed. */
 void fn_apply_quarantine (fk_kernel_t *kernel);
 
+/* Records that the backend server beside this node denies to be INCARNATION of INSTANCE. If the
+ * source lists another endpoint at this node's address, that one describes it from now on. */
+void fn_reject_local_backend (fk_kernel_t *kernel, const fb_name_t *instance,
+                              uint64_t incarnation);
+
 /* backend: admits calls to the local backend server and runs them there. */
 typedef struct fn_backend fn_backend_t;
 
