Pass on news of crashes, so that the end of the sender loses none

A node told the others only what it had seen itself. A model of the reports (three nodes, two crashes, one complete run, one node that starts again) finds the gap: the sender starts again after some nodes have its report and before all have; those know the crash for good, the others never do.

A node now passes on what is news to it; repetition changes nothing, so it ends by itself.

--- a/packages/call/include/foxtailrun/call/quarantine.h
+++ b/packages/call/include/foxtailrun/call/quarantine.h
@@ -67,14 +67,14 @@
 void fr_hold_request (fr_quarantine_t *quarantine, const fb_digest_t *key, fb_time_t time);
 
 /* Merges what another node knows. Merging twice, or in another order, gives the same. Returns
- * whether it was news. */
+ * whether it was news, which counts as a change. */
 bool fr_merge_suspect (fr_quarantine_t *quarantine, const fw_suspect_t *suspect);
 
-/* Returns the number of the last change that was made here, not merged. */
+/* Returns the number of the last change. */
 uint64_t fr_get_quarantine_sequence (const fr_quarantine_t *quarantine);
 
-/* Writes at most FW_SUSPECTS_MAX records that changed here after SEQUENCE into SUSPECTS, with 0
- * also those merged from others; returns their number. */
+/* Writes at most FW_SUSPECTS_MAX records that changed after SEQUENCE into SUSPECTS; returns
+ * their number. */
 size_t fr_collect_suspects (fr_quarantine_t *quarantine, uint64_t sequence,
                             fw_suspect_t suspects[FW_SUSPECTS_MAX]);
 
--- a/packages/call/source/quarantine.c
+++ b/packages/call/source/quarantine.c
@@ -26,7 +26,7 @@
   fw_suspect_t suspect;    /* its age is not used */
   fb_time_t last_crash_at; /* or when it was cleared */
   fb_time_t held_until;    /* by another node's word */
-  uint64_t sequence;       /* of its last change here; 0 when merged only */
+  uint64_t sequence;       /* of its last change */
 } record_t;
 
 struct fr_quarantine
@@ -384,6 +384,7 @@
     is_news |= merge_crash (&record->suspect, suspect->crashes[i], suspect->cleared[i]);
   if (!is_news && suspect->failed_trials <= record->suspect.failed_trials)
     return false;
+  record->sequence = ++quarantine->sequence;
   if (count_crashes (record) == 0)
     clear_record (record, now);
   else
@@ -417,7 +418,7 @@
     {
       const record_t *record = value;
 
-      if (record->suspect.crash_count == 0 || (sequence > 0 && record->sequence <= sequence))
+      if (record->suspect.crash_count == 0 || record->sequence <= sequence)
         continue;
       suspects[count] = record->suspect;
       suspects[count++].age_us = (uint64_t)((now - record->last_crash_at) / FB_MICROSECOND);
--- a/packages/call/tests/test-quarantine.c
+++ b/packages/call/tests/test-quarantine.c
@@ -171,6 +171,33 @@
     }
 }
 
+/* Guards against a crash that only the sender of its report tells, which may end meanwhile, and
+ * against news passed on for ever. */
+static void
+test_passing_on (void)
+{
+  fb_clock_t *clock = fb_create_manual_clock (1000 * FB_SECOND);
+  fb_counters_t *counters = fb_create_counters ();
+  fr_quarantine_t *sender = fr_create_quarantine (clock, counters);
+  fr_quarantine_t *receiver = fr_create_quarantine (clock, counters);
+  fw_suspect_t *suspects = g_new (fw_suspect_t, FW_SUSPECTS_MAX);
+  fb_digest_t key = make_key ('a');
+  uint64_t sequence = fr_get_quarantine_sequence (receiver);
+
+  fr_add_crash (sender, &key, 1);
+  g_assert_cmpuint (fr_collect_suspects (sender, 0, suspects), ==, 1);
+  g_assert_true (fr_merge_suspect (receiver, &suspects[0]));
+  g_assert_cmpuint (fr_collect_suspects (receiver, sequence, suspects), ==, 1);
+  sequence = fr_get_quarantine_sequence (sender);
+  g_assert_false (fr_merge_suspect (sender, &suspects[0]));
+  g_assert_cmpuint (fr_collect_suspects (sender, sequence, suspects), ==, 0);
+  g_free (suspects);
+  fr_destroy_quarantine (receiver);
+  fr_destroy_quarantine (sender);
+  fb_destroy_counters (counters);
+  fb_destroy_clock (clock);
+}
+
 #define NODES 4
 #define REQUESTS 3
 
@@ -250,6 +277,7 @@
   g_test_add_func ("/call/quarantine/keys", test_keys);
   g_test_add_func ("/call/quarantine/bounds", test_bounds);
   g_test_add_func ("/call/quarantine/trial-owner", test_trial_owner);
+  g_test_add_func ("/call/quarantine/passing-on", test_passing_on);
   g_test_add_func ("/call/quarantine/random", test_random);
   return g_test_run ();
 }
--- a/packages/node/source/node-quarantine.c
+++ b/packages/node/source/node-quarantine.c
@@ -1,6 +1,7 @@
 /* Quarantine service: tells the nodes beside the instances of a service which requests were
- * running when an instance ended. Each node sends what it has seen itself to all others of its
- * service, and to one that has started everything it knows. */
+ * running when an instance ended. Each node sends what is news to it to all others of its
+ * service, as the one it comes from may end before its own reports get through, and everything
+ * it knows to one that has started. */
 #include "node-services.h"
 #include <foxtailrun/base/digest.h>
 #include <foxtailrun/http/client.h>
@@ -265,8 +266,10 @@
       is_news = true;
       record_change (quarantine, &suspect->key, before, fb_get_name (&report->sender));
     }
-  if (is_news)
-    fn_apply_quarantine (quarantine->kernel);
+  if (!is_news)
+    return;
+  send_reports (quarantine);
+  fn_apply_quarantine (quarantine->kernel);
 }
 
 /* A process that has started knows nothing. */
