--- a/packages/call/tests/test-quarantine.c
+++ b/packages/call/tests/test-quarantine.c
@@ -160,9 +160,9 @@
       g_snprintf (text, sizeof text, "10.0.0.%zu", i);
       names[i] = fb_make_name (text);
     }
-  for (char request = 'a'; request <= 'z'; request++)
+  for (int request = 'a'; request <= 'z'; request++)
     {
-      fb_digest_t key = make_key (request);
+      fb_digest_t key = make_key ((char)request);
       size_t owners = 0;
 
       for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -114,21 +114,6 @@
                        answer->incarnation);
 }
 
-/* Records what ANSWER reports of the request: the crash that it was running in, for the next
- * attempt to tell, and its quarantine. */
-static void
-read_request_report (fn_entry_call_t *call, const fw_call_t *answer)
-{
-  fb_digest_t key;
-
-  call->crash_id = answer->crash_id;
-  if (answer->quarantine_us == 0)
-    return;
-  key = fn_get_request_key (call);
-  fn_hold_request (fk_find_service (call->entry->kernel, FN_QUARANTINE), &key,
-                   (fb_time_t)answer->quarantine_us * FB_MICROSECOND);
-}
-
 static void
 end_attempt (fn_entry_call_t *call, const fw_call_t *answer)
 {
@@ -137,7 +122,7 @@
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
   read_instance_report (entry, instance, answer);
-  read_request_report (call, answer);
+  fn_read_request_report (call, answer);
   fr_report_times (entry->picker, instance, call->route->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -11,10 +11,6 @@
 /* Longer timeouts are reduced to this. */
 #define CALLER_TIMEOUT_MAX_MS 3600000
 
-/* Time after which a refused caller should retry: about two typical calls, to let slots free
- * up. */
-#define RETRY_AFTER_S "0.1"
-
 static const fb_str_t default_customer = { "default", 7 };
 
 static fb_str_t
@@ -26,19 +22,6 @@
   return fh_find_header (headers, count, name);
 }
 
-/* Longest value of the header, with the final NUL byte. */
-#define RETRY_AFTER_LEN 24
-
-/* A quarantined request is not run before the end of its quarantine. */
-static void
-format_retry_after (const fw_call_t *answer, char text[RETRY_AFTER_LEN])
-{
-  if (answer->quarantine_us > 0)
-    snprintf (text, RETRY_AFTER_LEN, "%" PRIu64, answer->quarantine_us / 1000000 + 1);
-  else
-    g_strlcpy (text, RETRY_AFTER_S, RETRY_AFTER_LEN);
-}
-
 static void
 respond (fn_entry_t *entry, fh_request_t *request, const fw_call_t *answer,
          const char *request_id)
@@ -48,7 +31,7 @@
   size_t count = 0;
   GString *text = NULL;
   fb_bytes_t body = answer->body;
-  char retry_after[RETRY_AFTER_LEN];
+  char retry_after[FN_RETRY_AFTER_LEN];
 
   for (size_t i = 0; i < answer->header_count; i++)
     headers[count++] = (fh_header_t){ answer->headers[i].name, answer->headers[i].value };
@@ -59,7 +42,7 @@
     headers[count++] = (fh_header_t){ dialect->request_id, fb_wrap_text (request_id) };
   if (answer->outcome == FW_NOT_RUN && answer->status == 503)
     {
-      format_retry_after (answer, retry_after);
+      fn_format_retry_after (answer, retry_after);
       headers[count++]
           = (fh_header_t){ FB_LITERAL ("retry-after"), fb_wrap_text (retry_after) };
     }
@@ -414,42 +397,6 @@
   return NULL;
 }
 
-fb_digest_t
-fn_get_request_key (const fn_entry_call_t *call)
-{
-  fk_kernel_t *kernel = call->entry->kernel;
-  fr_request_parts_t parts = { .method = fh_get_method (call->request),
-                               .host = fh_get_host (call->request),
-                               .path = fh_get_path (call->request),
-                               .body = fh_get_body (call->request) };
-
-  if (fn_get_adapter (kernel)->dialect->caller.len > 0)
-    parts.caller = fb_get_name (&fn_get_settings (kernel)->service);
-  return fr_get_request_key (&parts);
-}
-
-/* Ends CALL if its request is quarantined; returns whether it did. */
-static bool
-refuse_quarantined (fn_entry_call_t *call)
-{
-  fn_quarantine_t *quarantine = fk_find_service (call->entry->kernel, FN_QUARANTINE);
-  fw_call_t answer
-      = { .outcome = FW_NOT_RUN, .status = 503, .reason = FB_LITERAL (FN_QUARANTINED_REASON) };
-  fb_digest_t key;
-  fb_time_t left;
-
-  /* Only the issuer of a ticket knows whether the call ran. */
-  if (call->ticket.len > 0 || !fn_has_suspects (quarantine))
-    return false;
-  key = fn_get_request_key (call);
-  if (fn_check_request (quarantine, &key, &left) != FR_REQUEST_QUARANTINED)
-    return false;
-  answer.quarantine_us = (uint64_t)MAX (left / FB_MICROSECOND, 1);
-  fb_add_counter (call->entry->quarantined, 1);
-  fn_finish_entry_call (call, &answer);
-  return true;
-}
-
 static void
 handle_request (fh_request_t *request, void *user)
 {
@@ -518,7 +465,7 @@
                               has_ticket ? 504 : 503, reason);
       return;
     }
-  if (refuse_quarantined (call))
+  if (fn_refuse_quarantined_call (call))
     return;
   fh_set_cancelled_handler (request, cancel_call, call);
   call->parent_is_retry = fn_is_parent_retry (fk_find_service (entry->kernel, FN_BACKEND),
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -81,8 +81,19 @@
   bool is_local;
 } fn_entry_call_t;
 
-/* Returns the key of CALL's request, the same at all nodes. */
-fb_digest_t fn_get_request_key (const fn_entry_call_t *call);
+/* Refuses CALL if its request is quarantined; returns whether it did, and freed CALL. */
+bool fn_refuse_quarantined_call (fn_entry_call_t *call);
+
+/* Records what ANSWER reports of the request: the crash that it was running in, for the next
+ * attempt to tell, and its quarantine. */
+void fn_read_request_report (fn_entry_call_t *call, const fw_call_t *answer);
+
+/* Longest value of Retry-After, with the final NUL byte. */
+#define FN_RETRY_AFTER_LEN 24
+
+/* Writes the time in s after which a caller that gets ANSWER should retry: the rest of the
+ * request's quarantine, or a short time. */
+void fn_format_retry_after (const fw_call_t *answer, char text[FN_RETRY_AFTER_LEN]);
 
 /* Starts the next attempt of CALL; if none is possible, answers and frees CALL. */
 void fn_start_attempt (fn_entry_call_t *call);
