Quarantine: leave calls with a ticket in place, count no crash while draining

A suspect with a ticket was refused for a retry elsewhere, although only the node that issued the ticket may run it; it now runs beside other suspects. A backend server that ends while its node drains has ended as planned. platform/test-process-crash passes.

--- a/packages/node/source/node-backend-crash.c
+++ b/packages/node/source/node-backend-crash.c
@@ -115,7 +115,7 @@
 
   backend->probe = NULL;
   /* A planned end is no crash. */
-  if (listening == FH_NOT_LISTENING && !fn_is_backend_leaving (backend))
+  if (listening == FH_NOT_LISTENING && !fn_is_backend_leaving (backend) && !backend->draining)
     record_crash (backend, lost);
   for (guint i = 0; i < lost->len; i++)
     {
@@ -199,7 +199,8 @@
       refuse_for (backend_call, left);
       return true;
     }
-  if (has_other_suspect (backend_call))
+  /* A call with a ticket cannot run elsewhere. */
+  if (!backend_call->has_ticket && has_other_suspect (backend_call))
     {
       fn_refuse_for_retry_elsewhere (backend_call, 503,
                                      "another request under suspicion is running");
