Greet three peers at the start instead of all

Each starting node sent an empty crash report to every other node of its service: n^2 messages when a fleet starts, for a fleet of 295 hosts several megabytes between zones (worked out, not measured). Three are enough for a node that starts beside others: each sends all it knows. One that does not respond is replaced by another. platform/test-process-crash, with a node that starts again during a quarantine, passes twice.

--- a/packages/node/source/node-quarantine.c
+++ b/packages/node/source/node-quarantine.c
@@ -1,7 +1,7 @@
 /* Quarantine service: tells the nodes beside the instances of a service which requests were
  * running when an instance ended. Each node sends what is news to it to all others of its
- * service, as the one it comes from may end before its own reports get through, and everything
- * it knows to one that has started. */
+ * service, as the one it comes from may end before its own reports get through. A node that
+ * starts greets a few others, which send it everything they know. */
 #include "node-services.h"
 #include <foxtailrun/base/digest.h>
 #include <foxtailrun/http/client.h>
@@ -14,6 +14,10 @@
 
 #define REPORT_TIMEOUT (500 * FB_MILLISECOND)
 
+/* Peers that a starting node greets: any of them knows all there is, unless it has just started
+ * too. A greeting of every peer would cost n^2 messages when a fleet starts. */
+#define GREETINGS 3
+
 /* Instances of the service among which the owner of a trial is chosen. */
 #define OWNERS_MAX 256
 
@@ -27,19 +31,20 @@
   fb_name_t instance;
   fb_name_t address; /* of the node */
   fh_client_t *client;
-  uint64_t start_id; /* of its process; 0 before its first report */
-  bool is_current;   /* its process has got all up to SEQUENCE */
-  uint64_t sequence;
+  uint64_t start_id;      /* of its process; 0 before its first report */
+  uint64_t sequence;      /* up to which its process knows this node's changes */
   uint64_t sent_sequence; /* of the report in flight */
   bool in_flight;
-  bool failed; /* its last report got no response */
+  bool greeted; /* it knows that this process has started, or is being told */
+  bool failed;  /* its last report got no response */
 } peer_t;
 
 struct fn_quarantine
 {
   fk_kernel_t *kernel;
   fr_quarantine_t *requests;
-  GHashTable *peers; /* peer_t by id of the instance; two instances may have one address */
+  GHashTable *peers;  /* peer_t by id of the instance; two instances may have one address */
+  uint32_t greetings; /* sent, without those that failed */
   fk_timer_t *resend_timer;
   fb_counter_t *reports_sent;
   fb_counter_t *report_failures;
@@ -69,11 +74,13 @@
   peer->failed = response->result != FH_ANSWERED || response->status != 200;
   if (!peer->failed)
     {
-      peer->is_current = true;
       peer->sequence = peer->sent_sequence;
       send_reports (quarantine);
       return;
     }
+  if (peer->greeted)
+    quarantine->greetings--;
+  peer->greeted = false;
   fb_add_counter (quarantine->report_failures, 1);
   if (!quarantine->resend_timer)
     quarantine->resend_timer
@@ -103,20 +110,30 @@
   g_free (bytes);
 }
 
-/* Sends PEER what it does not know. The first report to a process goes out even when it is
- * empty: the peer then knows that this process has started. */
+/* Returns whether PEER is to be told that this process has started, and counts it then. */
+static bool
+begin_greeting (peer_t *peer)
+{
+  fn_quarantine_t *quarantine = peer->quarantine;
+
+  if (peer->greeted || peer->failed || quarantine->greetings >= GREETINGS)
+    return false;
+  quarantine->greetings++;
+  peer->greeted = true;
+  return true;
+}
+
+/* Sends PEER what it does not know; a greeting goes out even when that is nothing. */
 static void
 update_peer (peer_t *peer, fw_suspect_t *suspects)
 {
   fr_quarantine_t *requests = peer->quarantine->requests;
   size_t count;
 
-  if (peer->in_flight
-      || (peer->is_current && peer->sequence == fr_get_quarantine_sequence (requests)))
+  if (peer->in_flight)
     return;
-  count = fr_collect_suspects (requests, peer->is_current ? peer->sequence : 0, suspects);
-  /* A peer that does not respond reports when it starts. */
-  if (count > 0 || !peer->failed)
+  count = fr_collect_suspects (requests, peer->sequence, suspects);
+  if (begin_greeting (peer) || count > 0)
     send_report (peer, suspects, count);
 }
 
@@ -288,9 +305,8 @@
           || peer->start_id == report->start_id)
         continue;
       peer->start_id = report->start_id;
+      peer->sequence = 0;
       peer->failed = false;
-      if (fr_has_suspects (quarantine->requests))
-        peer->is_current = false;
     }
   send_reports (quarantine);
 }
@@ -350,6 +366,8 @@
 
   if (peer && is_peer && fb_equal_name (&peer->address, &endpoint->address))
     return;
+  if (peer && peer->in_flight && peer->greeted)
+    quarantine->greetings--;
   if (peer)
     g_hash_table_remove (quarantine->peers, &endpoint->id);
   if (is_peer)
