--- a/packages/call/source/quarantine.c
+++ b/packages/call/source/quarantine.c
@@ -115,8 +115,9 @@
   return count;
 }
 
+/* Returns whether RECORD has enough crashes for a quarantine, which may have ended since. */
 static bool
-is_condemned (const record_t *record)
+is_tripped (const record_t *record)
 {
   return count_crashes (record) >= FR_QUARANTINE_CRASHES;
 }
@@ -138,7 +139,7 @@
     expiry = 0;
   else if (count_crashes (record) == 0)
     expiry = record->last_crash_at + CLEARED_TIME;
-  else if (is_condemned (record))
+  else if (is_tripped (record))
     expiry = get_quarantine_end (record) + TRIAL_TIME;
   return MAX (expiry, record->held_until);
 }
@@ -227,13 +228,13 @@
 
   if (!record)
     return FR_REQUEST_FREE;
-  end = MAX (is_condemned (record) ? get_quarantine_end (record) : 0, record->held_until);
+  end = MAX (is_tripped (record) ? get_quarantine_end (record) : 0, record->held_until);
   if (now < end)
     {
       *left = end - now;
       return FR_REQUEST_QUARANTINED;
     }
-  if (is_condemned (record))
+  if (is_tripped (record))
     return FR_REQUEST_TRIAL;
   return count_crashes (record) > 0 ? FR_REQUEST_SUSPECT : FR_REQUEST_FREE;
 }
@@ -297,7 +298,7 @@
 
   if (find_crash (&record->suspect, id) < record->suspect.crash_count)
     return false;
-  if (is_condemned (record) && now >= get_quarantine_end (record))
+  if (is_tripped (record) && now >= get_quarantine_end (record))
     record->suspect.failed_trials++;
   append_crash (&record->suspect, id, false);
   record->last_crash_at = now;
--- a/packages/call/tests/test-quarantine.c
+++ b/packages/call/tests/test-quarantine.c
@@ -127,11 +127,11 @@
   fb_counters_t *counters = fb_create_counters ();
   fr_quarantine_t *quarantine = fr_create_quarantine (clock, counters);
   fw_suspect_t *suspects = g_new (fw_suspect_t, FW_SUSPECTS_MAX);
-  fb_digest_t deadly = make_key ('a');
+  fb_digest_t quarantined = make_key ('a');
   fb_time_t left;
 
   for (uint64_t id = 1; id <= FR_QUARANTINE_CRASHES; id++)
-    fr_add_crash (quarantine, &deadly, id);
+    fr_add_crash (quarantine, &quarantined, id);
   for (uint32_t i = 0; i < 3 * FW_SUSPECTS_MAX; i++)
     {
       fb_digest_t key = fb_compute_digest ((fb_bytes_t){ (const uint8_t *)&i, sizeof i });
@@ -140,7 +140,8 @@
       fb_advance_clock (clock, FB_MILLISECOND);
     }
   g_assert_cmpuint (fr_collect_suspects (quarantine, 0, suspects), ==, FW_SUSPECTS_MAX);
-  g_assert_cmpint (fr_check_request (quarantine, &deadly, &left), ==, FR_REQUEST_QUARANTINED);
+  g_assert_cmpint (fr_check_request (quarantine, &quarantined, &left), ==,
+                   FR_REQUEST_QUARANTINED);
   g_free (suspects);
   fr_destroy_quarantine (quarantine);
   fb_destroy_counters (counters);
