Pass on no response that does not name its request, or is not signed

Cause: the HTTP client took a first response without the echoed id for the response to its request, and the node beside the instance took any complete response for the instance's answer. The entry node added the missing id.

Fix: a response answers the request that its id names. Without an id, or with several, the exchange ends at once as unanswered. Beside the instance a success needs one signature and no content coding, and a status that callers take for "not run" needs the instance's proof of that. Which headers these are is the adapter's matter. On the product's own interface a server counts as one that repeats the id once it has done so.

Related paths looked at: kept connections that stay open (the response was dropped and the call ended at its deadline), bodies without a length, duplicate ids, transfer codings besides chunked, status codes out of range, 1xx and 101, other HTTP versions, 421 without proof, reports of leaving and of rate limits in such responses (ignored now), the quarantine (such a response clears no suspect), answers between nodes (one HTTP exchange each, no bytes of instances).

--- a/packages/http/include/foxtailrun/http/client.h
+++ b/packages/http/include/foxtailrun/http/client.h
@@ -25,9 +25,11 @@
   fb_bytes_t body;
   fb_str_t host; /* value of the host header; if empty, the server's address and port */
   /* Header that the server repeats; a response with another value belongs to another
-   * request and is dropped, and a connection is reused only after a response with it. Not
-   * checked if the name is empty. */
+   * request and is dropped, and a connection is reused only after a response with it. A
+   * response without it ends the exchange with FH_NO_ANSWER, except for the first one on a
+   * connection to a server that has never repeated it. Not checked if the name is empty. */
   fh_header_t echoed_header;
+  bool requires_echo;   /* accept no response without the echoed header */
   fb_time_t io_timeout; /* limit in ns of each wait for data; 0 for the client's */
   bool new_connection;  /* do not reuse an idle connection; if the server closes it as the
                           request is sent, it is unknown whether the request was run */
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -21,6 +21,10 @@
  * bodies without end reach the limit of each response at about the same time. */
 #define BUFFERED_BODIES_MAX 2
 
+/* Responses without the echoed header in a row after which a server that has repeated it is
+ * taken for one that does not: it may have been replaced by another version. */
+#define UNIDENTIFIED_RESPONSES_MAX 8
+
 /* Close when sent bytes stay unacknowledged for this long. */
 #define USER_TIMEOUT_MS 3000
 
@@ -37,6 +41,8 @@
   uint64_t io_timeout_ms;
   uint64_t connect_timeout_ms;
   size_t buffered_bytes;   /* of incomplete responses */
+  bool server_echoes;      /* the server has repeated the echoed header */
+  unsigned unidentified;   /* responses without the echoed header since */
   GQueue idle_connections; /* connection_t, most recently used first */
   GQueue exchanges;        /* fh_exchange_t in progress */
 };
@@ -70,6 +76,7 @@
   char *echoed_header_text;
   uint64_t io_timeout_ms;
   bool is_head;
+  bool requires_echo;
   bool repeatable;
   bool allows_close_delimited;
   bool sent;
@@ -225,6 +232,14 @@
   start_timer (connection, connection->idle_timeout_ms);
 }
 
+/* Which request a response answers, by the echoed header. */
+typedef enum
+{
+  ANSWERS_REQUEST,       /* that of the exchange */
+  ANSWERS_OTHER_REQUEST, /* another one, such as an earlier one of the connection */
+  ANSWERS_NO_REQUEST     /* it names none, or several */
+} response_target_t;
+
 /* Returns whether the server repeats the header of EXCHANGE in RESPONSE. If not, the next
  * response on the connection could not be told from an earlier one. */
 static bool
@@ -235,21 +250,59 @@
   return name.len == 0 || fh_find_header (response->headers, response->header_count, name).data;
 }
 
-/* Returns whether RESPONSE belongs to EXCHANGE. Without the echoed header, only the first
- * response on a connection is accepted. */
+/* Returns whether a response without the echoed header may answer EXCHANGE: the first one on a
+ * connection to a server that is not known to repeat the header. */
 static bool
-is_matching_response (const fh_exchange_t *exchange, const fh_response_t *response)
+accepts_missing_echo (const fh_exchange_t *exchange)
+{
+  return !exchange->requires_echo && !exchange->client->server_echoes
+         && !exchange->connection->reused && !exchange->connection->out_of_sync;
+}
+
+static response_target_t
+find_response_target (const fh_exchange_t *exchange, const fh_response_t *response)
 {
-  const connection_t *connection = exchange->connection;
-  fb_str_t value;
+  const fh_header_t *echo = &exchange->echoed_header;
+  size_t own = 0;
+  size_t others = 0;
+
+  if (echo->name.len == 0)
+    return ANSWERS_REQUEST;
+  if (!has_echo (exchange, response))
+    return accepts_missing_echo (exchange) ? ANSWERS_REQUEST : ANSWERS_NO_REQUEST;
+  for (size_t i = 0; i < response->header_count; i++)
+    {
+      const fh_header_t *header = &response->headers[i];
+
+      if (!fb_equal_str (header->name, echo->name))
+        continue;
+      if (header->value.len == 0)
+        return ANSWERS_NO_REQUEST;
+      if (fb_equal_str (header->value, echo->value))
+        own++;
+      else
+        others++;
+    }
+  if (own > 0 && others > 0)
+    return ANSWERS_NO_REQUEST;
+  return own > 0 ? ANSWERS_REQUEST : ANSWERS_OTHER_REQUEST;
+}
+
+/* Records whether the server repeats the header of EXCHANGE. */
+static void
+record_echo (const fh_exchange_t *exchange, const fh_response_t *response)
+{
+  fh_client_t *client = exchange->client;
 
   if (exchange->echoed_header.name.len == 0)
-    return true;
-  value = fh_find_header (response->headers, response->header_count,
-                          exchange->echoed_header.name);
-  if (!value.data)
-    return !connection->reused && !connection->out_of_sync;
-  return fb_equal_str (value, exchange->echoed_header.value);
+    return;
+  if (has_echo (exchange, response))
+    {
+      client->server_echoes = true;
+      client->unidentified = 0;
+    }
+  else if (client->server_echoes && ++client->unidentified >= UNIDENTIFIED_RESPONSES_MAX)
+    client->server_echoes = false;
 }
 
 static void
@@ -272,6 +325,15 @@
     close_connection (connection);
 }
 
+/* The bytes may stand in place of the response, which then never comes: waiting would last
+ * until the deadline. */
+static void
+fail_unidentified (connection_t *connection)
+{
+  connection->reused = false;
+  fail_connection (connection, FH_NO_ANSWER, "response does not name its request");
+}
+
 /* Fails CONNECTION if the client holds too many bytes with it. */
 static void
 check_buffered_bytes (connection_t *connection)
@@ -310,10 +372,17 @@
         return;
       bytes = (fb_bytes_t){ bytes.data + consumed, bytes.len - consumed };
       fh_view_response (connection->reader, &response);
-      if (is_matching_response (connection->exchange, &response))
+      record_echo (connection->exchange, &response);
+      switch (find_response_target (connection->exchange, &response))
         {
+        case ANSWERS_REQUEST:
           complete_response (connection, bytes.len == 0);
           return;
+        case ANSWERS_NO_REQUEST:
+          fail_unidentified (connection);
+          return;
+        case ANSWERS_OTHER_REQUEST:
+          break;
         }
       connection->out_of_sync = true;
       fh_reset_reader (connection->reader, connection->exchange->is_head);
@@ -324,11 +393,17 @@
 handle_stream_end (connection_t *connection, ssize_t error)
 {
   fh_exchange_t *exchange = connection->exchange;
+  fh_response_t response = { 0 };
 
   if (exchange && error == UV_EOF && exchange->allows_close_delimited
       && fh_parse_end (connection->reader) == FH_READ_COMPLETE)
     {
-      complete_response (connection, false);
+      fh_view_response (connection->reader, &response);
+      record_echo (exchange, &response);
+      if (find_response_target (exchange, &response) == ANSWERS_NO_REQUEST)
+        fail_unidentified (connection);
+      else
+        complete_response (connection, false);
       return;
     }
   fail_connection (connection,
@@ -576,6 +651,7 @@
                                 ? (uint64_t)(request->io_timeout / FB_MILLISECOND)
                                 : client->io_timeout_ms;
   exchange->is_head = fb_equal_str (request->method, FB_LITERAL ("HEAD"));
+  exchange->requires_echo = request->requires_echo;
   exchange->repeatable = request->repeatable;
   exchange->allows_close_delimited = request->allows_close_delimited;
   if (echo->name.len > 0)
--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -1,6 +1,7 @@
 #include "http-response.h"
 #include <glib.h>
 #include <http_parser.h>
+#include <string.h>
 
 /* Maximum bytes of header names and values of a response. */
 #define HEADER_BYTES_MAX (64 * 1024)
@@ -12,6 +13,14 @@
  * without end. */
 #define INTERIM_RESPONSES_MAX 16
 
+/* Range of status codes (RFC 9110, section 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
+#define STATUS_SWITCHING_PROTOCOLS 101
+
+/* Result of the callback for a complete head with which http_parser fails. */
+#define REJECT_HEAD (-1)
+
 /* Offsets of a header's name and value in the header text. */
 typedef struct
 {
@@ -117,11 +126,44 @@
          && parser->status_code != 204 && parser->status_code != 304;
 }
 
+/* Returns whether a transfer coding besides chunked is named; its body cannot be decoded. */
+static bool
+has_unknown_coding (const fh_reader_t *reader)
+{
+  for (size_t i = 0; i < reader->header_count; i++)
+    {
+      const header_range_t *range = &reader->header_ranges[i];
+      const char *text = reader->header_text->str;
+      fb_str_t name = { text + range->name_offset, range->name_len };
+      fb_str_t value = { text + range->value_offset, range->value_len };
+
+      if (fb_equal_str (name, FB_LITERAL ("transfer-encoding"))
+          && (value.len != strlen ("chunked")
+              || g_ascii_strncasecmp (value.data, "chunked", value.len) != 0))
+        return true;
+    }
+  return false;
+}
+
+/* Returns whether the status line and framing are those of an HTTP/1 response. http_parser
+ * accepts any version and any three digits; an upgrade is never requested. */
+static bool
+is_valid_head (const fh_reader_t *reader)
+{
+  const http_parser *parser = &reader->parser;
+
+  return parser->http_major == 1 && parser->status_code >= STATUS_MIN
+         && parser->status_code <= STATUS_MAX
+         && parser->status_code != STATUS_SWITCHING_PROTOCOLS && !has_unknown_coding (reader);
+}
+
 static int
 complete_headers (http_parser *parser)
 {
   fh_reader_t *reader = parser->data;
 
+  if (!is_valid_head (reader))
+    return REJECT_HEAD;
   if (is_informational (parser))
     return 0;
   reader->headers_complete = true;
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -21,10 +21,15 @@
   fb_str_t rate_limit; /* from overloaded backend servers: requests per second that they take
                           from all hosts together, a decimal number */
   fb_str_t leaving;    /* from backend servers: "1" while the server is about to stop */
+  fb_str_t signature;  /* from backend servers: a 2xx response without it is not theirs */
   bool allows_close_delimited; /* backend servers may end a body that has no length by closing
                                   the connection */
   bool echoes_request_id;      /* backend servers return the request id in their responses; the
                                   connections of one that does not are not reused */
+  bool requires_request_id; /* a response without the request id is not the backend server's */
+  bool plain_bodies;        /* callers accept no content coding */
+  bool refuses_by_status; /* callers take 408, 421, 429 and 503 as proof that a request was not
+                             run */
   bool resolves_paths; /* backend servers resolve dot segments and escapes; a path with any of
                           these could reach another route than the one that it matched */
 } fn_dialect_t;
--- a/packages/node/source/node-backend-report.c
+++ b/packages/node/source/node-backend-report.c
@@ -2,9 +2,6 @@
  * its calls when it leaves. */
 #include "node-backend.h"
 
-/* Status of a backend server that is not the expected instance; it speaks for another one. */
-#define MISDIRECTED_STATUS 421
-
 static fb_str_t
 find_header (const fh_response_t *response, fb_str_t name)
 {
@@ -141,7 +138,7 @@
 
   if (!is_current_instance (backend_call))
     return;
-  if (response->status == MISDIRECTED_STATUS)
+  if (response->status == FN_MISDIRECTED_STATUS)
     {
       fn_reject_local_backend (backend_call->backend->kernel, &backend_call->instance,
                                backend_call->instance_incarnation);
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -131,27 +131,6 @@
   fn_answer_backend_call (backend_call, answer);
 }
 
-static void
-set_answer_headers (fw_call_t *answer, const fh_response_t *response)
-{
-  for (size_t i = 0; i < response->header_count; i++)
-    {
-      if (!fh_is_hop_header (response->headers[i].name))
-        answer->headers[answer->header_count++]
-            = (fw_header_t){ response->headers[i].name, response->headers[i].value };
-    }
-}
-
-/* Returns whether the backend server reports the request as not run. */
-static bool
-reports_not_run (fn_backend_t *backend, const fh_response_t *response)
-{
-  const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
-
-  return dialect->not_run.len > 0
-         && fh_find_header (response->headers, response->header_count, dialect->not_run).data;
-}
-
 static void
 record_connect_failure (fn_backend_t *backend)
 {
@@ -166,37 +145,45 @@
 end_exchange (const fh_response_t *response, void *user)
 {
   fn_backend_call_t *backend_call = user;
+  fn_backend_t *backend = backend_call->backend;
+  const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
   fw_call_t answer = { .status = 502, .reason = fb_wrap_text (response->error) };
+  const char *error = response->result == FH_ANSWERED
+                          ? fn_find_response_error (dialect, response)
+                          : response->error;
 
-  if (response->result == FH_ANSWERED)
+  /* A misdirected request says which instance is not here, even without proof that it was not
+   * run. */
+  if (response->result == FH_ANSWERED && (!error || response->status == FN_MISDIRECTED_STATUS))
     fn_handle_backend_report (backend_call, response);
-  if (response->result == FH_ANSWERED && reports_not_run (backend_call->backend, response))
+  if (response->result == FH_NOT_SENT)
     {
       answer.outcome = FW_NOT_RUN;
       answer.status = 503;
-      answer.reason = FB_LITERAL ("refused by the backend server");
+      answer.retry_elsewhere = true;
+      record_connect_failure (backend);
     }
-  else if (response->result == FH_ANSWERED)
+  else if (error)
     {
-      if (response->status < 500)
-        fn_note_completion (backend_call);
-      answer.outcome = FW_ANSWERED;
-      answer.status = response->status;
-      answer.body = response->body;
-      answer.close_delimited = response->close_delimited;
-      set_answer_headers (&answer, response);
+      fb_add_counter (backend->unusable_responses, 1);
+      fn_lose_call (backend_call, error);
+      return;
     }
-  else if (response->result == FH_NOT_SENT)
+  else if (fn_reports_not_run (dialect, response))
     {
       answer.outcome = FW_NOT_RUN;
       answer.status = 503;
-      answer.retry_elsewhere = true;
-      record_connect_failure (backend_call->backend);
+      answer.reason = FB_LITERAL ("refused by the backend server");
     }
   else
     {
-      fn_lose_call (backend_call, response->error);
-      return;
+      if (response->status < 500)
+        fn_note_completion (backend_call);
+      answer.outcome = FW_ANSWERED;
+      answer.status = response->status;
+      answer.body = response->body;
+      answer.close_delimited = response->close_delimited;
+      fn_set_answer_headers (&answer, response);
     }
   finish_running (backend_call, &answer);
 }
@@ -244,6 +231,7 @@
     {
       outgoing.echoed_header
           = (fh_header_t){ dialect->request_id, backend_call->call.request_id };
+      outgoing.requires_echo = dialect->requires_request_id;
       if (!fh_find_header (headers, count, dialect->request_id).data)
         headers[count++] = outgoing.echoed_header;
     }
@@ -516,6 +504,7 @@
       = fb_find_counter (counters, "backend_calls", "end=\"replayed\"");
   backend->unknown = fb_find_counter (counters, "backend_calls", "end=\"unknown\"");
   backend->leaving_responses = fb_find_counter (counters, "backend_leaving_responses", "");
+  backend->unusable_responses = fb_find_counter (counters, "backend_unusable_responses", "");
   backend->crashes = fb_find_counter (counters, "backend_crashes", "");
   backend->quarantined = fb_find_counter (counters, "backend_quarantined_calls", "");
   backend->rate_limit_gauge = fb_find_counter (counters, "backend_rate_limit_millis", "");
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -12,6 +12,9 @@
 #include <foxtailrun/http/probe.h>
 #include <glib.h>
 
+/* Status of a backend server that is not the expected instance; it speaks for another one. */
+#define FN_MISDIRECTED_STATUS 421
+
 typedef enum
 {
   FN_CALL_WAITING,
@@ -70,6 +73,7 @@
   fb_counter_t *recorded_answers_sent;
   fb_counter_t *unknown;
   fb_counter_t *leaving_responses;
+  fb_counter_t *unusable_responses; /* ended calls without a response that can be passed on */
   fb_counter_t *crashes;
   fb_counter_t *quarantined;      /* calls refused since their request is quarantined */
   fb_counter_t *rate_limit_gauge; /* calls in 1,000 s; 0 without a limit */
@@ -115,6 +119,17 @@
 void fn_refuse_backend_call (fn_backend_call_t *backend_call, uint32_t status,
                              const char *reason);
 
+/* Returns whether the backend server reports in RESPONSE that it did not run the request. */
+bool fn_reports_not_run (const fn_dialect_t *dialect, const fh_response_t *response);
+
+/* Returns why a complete RESPONSE with the id of its request cannot be passed on, a static
+ * text, or NULL if it can. The request may have run. */
+const char *fn_find_response_error (const fn_dialect_t *dialect, const fh_response_t *response);
+
+/* Copies the headers of RESPONSE that are not of one connection only; their strings are
+ * borrowed. */
+void fn_set_answer_headers (fw_call_t *answer, const fh_response_t *response);
+
 /* Records what the backend server says about itself in RESPONSE to BACKEND_CALL. */
 void fn_handle_backend_report (const fn_backend_call_t *backend_call,
                                const fh_response_t *response);
--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -7,7 +7,11 @@
  * SLOTS requests in service, a further one gets 503 and counts as an overrun. GET /standin/runs
  * returns one line "PATH COUNT" for each path run, GET /standin/overruns the number of
  * overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to requests
- * with X-Attempt-Id; without a value it removes the header.
+ * with X-Attempt-Id; without a value it removes the header. GET /standin/spoil?KIND&N spoils
+ * one in N of the further responses to requests that were run, by KIND: "no-id", "other-id",
+ * "two-ids", "no-signature", "bare" (neither), "coding" (a content coding is named) or
+ * "refusal" (status 503 without X-Not-Executed). With "+close" after KIND such a response has
+ * no length and ends with its connection; "whole" spoils nothing else. N 0 ends it.
  *
  * A request with X-Attempt-Id is answered like the users' instances do: the response
  * repeats the id, carries a signature and returns the caller's service in X-Seen-Caller. The
@@ -30,6 +34,9 @@
   fb_time_t service_time;
   GHashTable *runs;    /* path to run count */
   GHashTable *headers; /* added to responses: value by name */
+  char *spoil_kind;
+  unsigned spoil_interval; /* 0: no response is spoilt */
+  unsigned spoil_count;    /* responses since the last one that was spoilt */
 } backend_t;
 
 typedef struct
@@ -93,6 +100,62 @@
     }
 }
 
+#define CLOSE_SUFFIX "+close"
+
+/* Answers a request that was run with a response that is not one of the protocol. */
+static void
+respond_spoilt (backend_t *backend, fh_request_t *request, const char *text)
+{
+  const char *kind = backend->spoil_kind;
+  bool is_own = !find_header (request, FB_LITERAL ("x-attempt-id")).data;
+  fb_str_t id_name
+      = is_own ? FB_LITERAL ("foxtailrun-request-id") : FB_LITERAL ("x-attempt-id");
+  bool bare = g_str_has_prefix (kind, "bare");
+  bool other_id = g_str_has_prefix (kind, "other-id");
+  uint32_t status = g_str_has_prefix (kind, "refusal") ? 503 : 200;
+  fb_bytes_t body = { (const uint8_t *)text, strlen (text) };
+  fh_header_t headers[HEADERS_MAX];
+  size_t count = 0;
+
+  if (!bare && !other_id && !g_str_has_prefix (kind, "no-id"))
+    headers[count++] = (fh_header_t){ id_name, find_header (request, id_name) };
+  if (other_id || g_str_has_prefix (kind, "two-ids"))
+    headers[count++] = (fh_header_t){ id_name, FB_LITERAL ("0123456789abcdef") };
+  if (!bare && !is_own && !g_str_has_prefix (kind, "no-signature"))
+    headers[count++]
+        = (fh_header_t){ FB_LITERAL ("x-response-signature"), FB_LITERAL ("standin") };
+  if (g_str_has_prefix (kind, "coding"))
+    headers[count++] = (fh_header_t){ FB_LITERAL ("content-encoding"), FB_LITERAL ("gzip") };
+  if (g_str_has_suffix (kind, CLOSE_SUFFIX))
+    fh_respond_close_delimited (request, status, headers, count, body);
+  else
+    fh_respond (request, status, headers, count, body);
+}
+
+/* Returns whether the next response is to be spoilt. */
+static bool
+is_spoilt (backend_t *backend)
+{
+  if (backend->spoil_interval == 0 || ++backend->spoil_count < backend->spoil_interval)
+    return false;
+  backend->spoil_count = 0;
+  return true;
+}
+
+/* Sets which responses are spoilt by TEXT, "KIND&N". */
+static void
+set_spoiling (backend_t *backend, const char *text)
+{
+  const char *interval = strchr (text, '&');
+
+  if (!interval)
+    return;
+  g_free (backend->spoil_kind);
+  backend->spoil_kind = g_strndup (text, (gsize)(interval - text));
+  backend->spoil_interval = (unsigned)strtoul (interval + 1, NULL, 10);
+  backend->spoil_count = 0;
+}
+
 /* Answers a request without running it. */
 static void
 refuse_request (backend_t *backend, fh_request_t *request, uint32_t status, const char *text)
@@ -148,7 +211,10 @@
     {
       text = g_strdup_printf ("name=%s path=%s body=%s runs=%" G_GUINT64_FORMAT "\n",
                               job->backend->name, job->path, job->body, job->run_count);
-      respond_text (job->backend, job->request, 200, text);
+      if (is_spoilt (job->backend))
+        respond_spoilt (job->backend, job->request, text);
+      else
+        respond_text (job->backend, job->request, 200, text);
       g_free (text);
     }
   fk_destroy_timer (job->timer);
@@ -238,6 +304,7 @@
 }
 
 #define HEADER_PATH "/standin/header?"
+#define SPOIL_PATH "/standin/spoil?"
 
 static void
 handle_request (fh_request_t *request, void *user)
@@ -258,6 +325,11 @@
       set_header (backend, path + strlen (HEADER_PATH));
       respond_text (backend, request, 200, "");
     }
+  else if (g_str_has_prefix (path, SPOIL_PATH))
+    {
+      set_spoiling (backend, path + strlen (SPOIL_PATH));
+      respond_text (backend, request, 200, "");
+    }
   else if (is_misdirected (backend, request))
     refuse_request (backend, request, 421, "another instance\n");
   else if (strstr (path, "shed=1"))
