Take one failed read of the store for a lost connection, not an outage

The nodes' connections to a sound store had gone silent before the removal.

Cause: each failed read counted as an outage of the store, after which removals are withheld for 2 s, and a further failed read began that time anew. Besides, a silent connection was noticed up to 3.3 s late: poll interval, 2 s of wait for a change, 0.5 s for the response.

Fix: two failed reads in a row are an outage. After a single one, removals are applied as soon as everything is known again, unless more than half of the endpoints have gone, which is what the grace period protects from. A read ends after 1.5 s, the one after a failure after 0.5 s, doubling.

Why it works: one failed read lasts 1.5 s, in which no entry expires after three heartbeats of 0.87 s or more. What a silence delays is known at most 0.8 + 1.5 s later, before the 3 s after which nodes are in touch; where a second silence meets the read after the first, 0.5 + 2 s.

Related paths looked at: followers, whose updates end a failure by the same rule; relays, which do not respond until the listing is settled; full reads of several pages; restores, whose grace period is their own; reads of the document alone, which confirm nothing about endpoints.

--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -5,13 +5,21 @@
 /* Wait of a read of changes; each read is charged for. A lost response or compacted history
  * hides a change for this long, and the full read after it takes up to 1 s on a slow link;
  * both must fit the limit for a configuration change. */
-#define CHANGE_WAIT_MS 2000
+#define CHANGE_WAIT_MS 1000
 
-/* Limits of the wait for a response, with and without the wait for a change. The store may
- * return while a read to which it will not respond is out, and the grace period after an outage
- * starts only with the next one. */
-#define READ_TIMEOUT_MS 2500
-#define RESPONSE_TIMEOUT_MS 1500
+/* Limit of the wait for a response, the wait for a change included. A connection that goes
+ * silent just before a read is noticed after a poll interval and this time; removals must be
+ * known again 3 s after that. */
+#define READ_TIMEOUT_MS 1500
+
+/* Limit for the first read after a failed one, doubled for each further one up to the limit
+ * above. When only the last connection was broken, the store responds at once on a new one. If
+ * that goes silent as well, the grace period that follows must end within the same 3 s. */
+#define RETRY_TIMEOUT_MS 500
+
+/* Failed reads in a row that are taken for an outage of the store. A single one is too short
+ * for endpoints to expire, and most often a connection that was lost. */
+#define OUTAGE_FAILURES 2
 
 /* After a failed read: the response shows at once that the store is back. */
 #define FAILED_CHANGE_WAIT_MS 1
@@ -139,6 +147,18 @@
   return fd_has_followers (feed, now) ? RELAY_CHANGE_WAIT_MS : CHANGE_WAIT_MS;
 }
 
+static uint32_t
+get_timeout_ms (const fd_feed_t *feed)
+{
+  uint32_t timeout_ms = RETRY_TIMEOUT_MS;
+
+  if (feed->consecutive_failures == 0)
+    return READ_TIMEOUT_MS;
+  for (uint32_t i = 1; i < feed->consecutive_failures && timeout_ms < READ_TIMEOUT_MS; i++)
+    timeout_ms *= 2;
+  return MIN (timeout_ms, READ_TIMEOUT_MS);
+}
+
 static void
 start_read (fd_feed_t *feed, fb_time_t now)
 {
@@ -166,7 +186,7 @@
         begin_full_read (feed);
       break;
     }
-  read.timeout_ms = MIN (read.wait_ms + RESPONSE_TIMEOUT_MS, READ_TIMEOUT_MS);
+  read.timeout_ms = get_timeout_ms (feed);
   feed->read_outstanding = true;
   feed->read_started_at = now;
   feed->documents_read = 0;
@@ -234,8 +254,9 @@
   if (was_missing || !fm_is_missing (feed->listing, id))
     return;
   fb_add_counter (feed->withheld_removals, 1);
-  FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "removal withheld after an outage",
-          FB_TEXT ("instance", id->data), FB_NUMBER ("position", feed->position.revision),
+  FB_LOG (feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE,
+          "removal withheld until the listing is settled", FB_TEXT ("instance", id->data),
+          FB_NUMBER ("position", feed->position.revision),
           FB_NUMBER ("age_ms", fd_get_age (feed) / FB_MILLISECOND));
 }
 
@@ -368,6 +389,13 @@
     g_clear_pointer (&feed->page_key, g_free);
 }
 
+void
+fd_mark_source_available (fd_feed_t *feed)
+{
+  fm_mark_source_available (feed->listing, feed->consecutive_failures >= OUTAGE_FAILURES);
+  feed->consecutive_failures = 0;
+}
+
 static void
 record_success (fd_feed_t *feed)
 {
@@ -377,11 +405,11 @@
     FB_LOG (
         feed->log, FB_LOG_INFO, FD_FEED_LOG_SERVICE, "store can be read again",
         FB_NUMBER ("failures", feed->consecutive_failures),
+        FB_NUMBER ("outage", feed->consecutive_failures >= OUTAGE_FAILURES),
         FB_NUMBER ("outage_ms", (now - feed->outage_started_at) / FB_MILLISECOND),
         FB_NUMBER ("noticed_within_ms", (now - feed->failed_read_started_at) / FB_MILLISECOND),
         FB_NUMBER ("read_ms", (now - feed->read_started_at) / FB_MILLISECOND));
-  feed->consecutive_failures = 0;
-  fm_mark_source_available (feed->listing);
+  fd_mark_source_available (feed);
 }
 
 static void
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -313,8 +313,7 @@
 static void
 apply_update (fd_feed_t *feed, const fw_feed_message_t *update, fb_time_t now)
 {
-  fm_mark_source_available (feed->listing);
-  feed->consecutive_failures = 0;
+  fd_mark_source_available (feed);
   feed->rereading = false;
   if (!feed->read_outstanding)
     feed->read_kind = FD_READ_CHANGES;
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -127,6 +127,9 @@
 /* Records that all changes up to TIME are known. */
 void fd_set_known_at (fd_feed_t *feed, fb_time_t time);
 
+/* Records that the store can be read, by this node or a relay. */
+void fd_mark_source_available (fd_feed_t *feed);
+
 /* Removes endpoint ID from the listing, or withholds that. */
 void fd_remove_listed (fd_feed_t *feed, const fb_name_t *id);
 
--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -9,9 +9,21 @@
 
 #define REQUEST_TIMEOUT (FEED_POLL_INTERVAL * 3 / 2)
 
+/* Time for which an unused connection stays open. */
+#define IDLE_TIMEOUT (4 * FB_SECOND)
+
 /* Period in which each instance updates its endpoint in the store, in steps. */
 #define ENDPOINT_WRITE_STEPS 200
 
+/* A kept connection to the store or a relay. */
+typedef struct
+{
+  bool open;
+  bool silent; /* what is sent on it is lost */
+  size_t relay;
+  fb_time_t used_at;
+} connection_t;
+
 typedef struct
 {
   fleet_t *fleet;
@@ -24,7 +36,10 @@
   fd_read_t read;
   fb_time_t read_end_at;
   bool read_lost; /* it gets no response */
-  size_t relay;   /* FEED_NODES_MAX before the first request */
+  fb_time_t read_started_at;
+  connection_t store_connection;
+  connection_t relay_connection;
+  size_t relay; /* FEED_NODES_MAX before the first request */
   bool request_outstanding;
   fb_time_t request_sent_at;
   fb_time_t response_at;
@@ -93,6 +108,18 @@
                           .slots = 9 };
 }
 
+/* Returns whether what is sent on CONNECTION to RELAY, or to the store, is lost. Opens it anew
+ * if it is not open to that. */
+static bool
+is_lost_on (connection_t *connection, size_t relay, fb_time_t now)
+{
+  if (!connection->open || connection->relay != relay
+      || now - connection->used_at > IDLE_TIMEOUT)
+    *connection = (connection_t){ .open = true, .relay = relay };
+  connection->used_at = now;
+  return connection->silent;
+}
+
 /* The outstanding read of NODE gets no response from now on. */
 static void
 lose_read (node_t *node, fb_time_t now)
@@ -110,9 +137,11 @@
   node->read_outstanding = true;
   node->read = *read;
   node->read_lost = false;
-  node->read_end_at = fb_read_clock (node->fleet->clock) + READ_DURATION;
-  if (node->fleet->store_silent)
-    lose_read (node, fb_read_clock (node->fleet->clock));
+  node->read_started_at = fb_read_clock (node->fleet->clock);
+  node->read_end_at = node->read_started_at + READ_DURATION;
+  if (is_lost_on (&node->store_connection, 0, node->read_started_at)
+      || node->fleet->store_silent)
+    lose_read (node, node->read_started_at);
   node->fleet->reads++;
   node->fleet->document_reads += read->kind == FD_READ_DOCUMENT;
   node->fleet->full_reads += read->kind == FD_READ_ALL;
@@ -149,6 +178,8 @@
   node->request_outstanding = true;
   node->request_sent_at = fb_read_clock (node->fleet->clock);
   node->relay = relay->number;
+  if (is_lost_on (&node->relay_connection, relay->number, node->request_sent_at))
+    return;
   if (relay->fault == FEED_REFUSING)
     node->request_sent_at -= REQUEST_TIMEOUT;
   else if (relay->fault != FEED_UNRESPONSIVE)
@@ -164,7 +195,8 @@
   node_t *node = requester;
   const node_t *relay = user;
 
-  if (node->request_outstanding && node->relay == relay->number && !node->response)
+  if (node->request_outstanding && node->relay == relay->number && !node->response
+      && !node->relay_connection.silent)
     set_response (node, message);
 }
 
@@ -228,6 +260,8 @@
   const fd_read_t *read = &node->read;
 
   node->read_outstanding = false;
+  node->store_connection.open = !node->read_lost;
+  node->store_connection.used_at = fb_read_clock (fleet->clock);
   if (!fleet->store_available || node->read_lost || node->fault == FEED_STORE_UNREACHABLE)
     result.kind = FD_RESULT_FAILED;
   else if (read->kind == FD_READ_DOCUMENT)
@@ -267,6 +301,7 @@
     }
   else
     {
+      node->relay_connection.open = false;
       fd_cancel_request (node->fleet->nodes[node->relay].feed, node);
       fd_fail_request (node->feed, "no response");
     }
@@ -416,6 +451,21 @@
       lose_read (&fleet->nodes[i], now);
 }
 
+void
+feed_silence_connections (fleet_t *fleet, bool with_relays)
+{
+  for (size_t i = 0; i < fleet->count; i++)
+    {
+      node_t *node = &fleet->nodes[i];
+
+      node->store_connection.silent = node->store_connection.open;
+      if (node->read_outstanding)
+        lose_read (node, node->read_started_at);
+      if (with_relays && node->relay_connection.open && !node->response)
+        node->relay_connection.silent = true;
+    }
+}
+
 void
 feed_compact_store (fleet_t *fleet)
 {
--- a/packages/dist/tests/fixture-feed.h
+++ b/packages/dist/tests/fixture-feed.h
@@ -40,6 +40,10 @@
  * store gets no response later either. */
 void feed_set_store_silent (fleet_t *fleet, bool silent);
 
+/* The connections that the nodes have open to the store go silent, WITH_RELAYS those between
+ * nodes too: what is sent on them from now on is lost, new ones work. */
+void feed_silence_connections (fleet_t *fleet, bool with_relays);
+
 /* Compacts the changes of the store up to now: reads of changes after an earlier position get
  * FD_RESULT_COMPACTED. */
 void feed_compact_store (fleet_t *fleet);
--- a/packages/member/include/foxtailrun/member/listing.h
+++ b/packages/member/include/foxtailrun/member/listing.h
@@ -1,6 +1,6 @@
 /* Endpoints listed by a platform. Removals wait while the list cannot be read and for a
- * grace period after that and after a restore of the source, since endpoints that expired or
- * were lost meanwhile are registered again. */
+ * grace period after an outage and after a restore of the source, since endpoints that expired
+ * or were lost meanwhile are registered again. */
 #ifndef FOXTAILRUN_MEMBER_LISTING_H
 #define FOXTAILRUN_MEMBER_LISTING_H
 
@@ -44,9 +44,14 @@
 void fm_begin_full_read (fm_listing_t *listing);
 void fm_end_full_read (fm_listing_t *listing);
 
-/* Record that the source cannot be read, or can be read again. */
+/* Records that the source cannot be read. */
 void fm_mark_source_unavailable (fm_listing_t *listing);
-void fm_mark_source_available (fm_listing_t *listing);
+
+/* Records that the source can be read again, AFTER_OUTAGE or after a failure too short for
+ * endpoints to expire, as when a connection to it is lost. The latter begins no grace period,
+ * unless more than half of the endpoints turn out to be missing at the next known time: then
+ * the source has lost them. */
+void fm_mark_source_available (fm_listing_t *listing, bool after_outage);
 
 /* Records that the source was restored from a copy: endpoints registered since the copy are
  * missing until they are registered again, and removed ones that it lists are left out until
--- a/packages/member/source/member-listing.c
+++ b/packages/member/source/member-listing.c
@@ -37,7 +37,9 @@
   GQueue removed;              /* removed_t, oldest first */
   uint64_t discarded_sequence; /* of the last discarded removal record */
   bool source_unavailable;
-  bool source_restored; /* since it last became unavailable */
+  bool source_restored;        /* since it last became unavailable */
+  bool is_unconfirmed;         /* after a short failure: nothing complete was read since */
+  uint64_t available_sequence; /* of the last change before the source became unavailable */
   bool in_full_read;
   uint64_t restored_sequence; /* of the last change before the last restore */
   fb_time_t expiry_ends_at;   /* what a restored source still lists then is alive */
@@ -66,12 +68,6 @@
   g_free (listing);
 }
 
-void
-fm_set_known_time (fm_listing_t *listing, fb_time_t time)
-{
-  listing->known_at = time;
-}
-
 static bool
 is_same_endpoint (const fw_endpoint_t *a, const fw_endpoint_t *b)
 {
@@ -217,7 +213,7 @@
 bool
 fm_is_listing_settled (const fm_listing_t *listing)
 {
-  return !listing->source_unavailable
+  return !listing->source_unavailable && !listing->is_unconfirmed
          && fb_read_clock (listing->clock) >= listing->grace_ends_at;
 }
 
@@ -294,7 +290,10 @@
 fm_mark_source_unavailable (fm_listing_t *listing)
 {
   if (!listing->source_unavailable)
-    listing->source_restored = false;
+    {
+      listing->source_restored = false;
+      listing->available_sequence = listing->sequence;
+    }
   listing->source_unavailable = true;
 }
 
@@ -305,12 +304,45 @@
 }
 
 void
-fm_mark_source_available (fm_listing_t *listing)
+fm_mark_source_available (fm_listing_t *listing, bool after_outage)
 {
   if (!listing->source_unavailable)
     return;
   listing->source_unavailable = false;
-  begin_grace (listing);
+  listing->is_unconfirmed = !after_outage;
+  if (after_outage)
+    begin_grace (listing);
+}
+
+/* Returns whether more than half of the endpoints have gone missing since the source became
+ * unavailable. */
+static bool
+has_lost_most (const fm_listing_t *listing)
+{
+  size_t missing = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, listing->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const listed_t *entry = value;
+
+      missing += entry->missing && entry->sequence > listing->available_sequence;
+    }
+  return 2 * missing > g_hash_table_size (listing->entries);
+}
+
+void
+fm_set_known_time (fm_listing_t *listing, fb_time_t time)
+{
+  listing->known_at = time;
+  if (listing->is_unconfirmed && !listing->source_unavailable)
+    {
+      listing->is_unconfirmed = false;
+      if (has_lost_most (listing))
+        begin_grace (listing);
+    }
 }
 
 void
--- a/packages/member/tests/test-listing.c
+++ b/packages/member/tests/test-listing.c
@@ -43,8 +43,9 @@
 }
 
 /* Runs one step: "+a" adds a, "~a" adds it as leaving, "-a" removes it, "(" and ")" begin and
- * end a full read, "!" and "?" mark the source unavailable and available, "^" marks it
- * restored, and a digit advances the clock by that many half seconds. */
+ * end a full read, "!" and "?" mark the source unavailable and available, "=" marks it
+ * available after a short failure, "." records that all is known, "^" marks it restored, and a
+ * digit advances the clock by that many half seconds. */
 static void
 run_step (fixture_t *fixture, const char *step)
 {
@@ -69,7 +70,14 @@
       fm_mark_source_unavailable (fixture->listing);
       break;
     case '?':
-      fm_mark_source_available (fixture->listing);
+      fm_mark_source_available (fixture->listing, true);
+      break;
+    case '=':
+      fm_mark_source_available (fixture->listing, false);
+      break;
+    case '.':
+      fm_set_known_time (fixture->listing, fb_read_clock (fixture->clock));
+      fm_tick_listing (fixture->listing);
       break;
     case '^':
       fm_mark_source_restored (fixture->listing);
@@ -107,6 +115,21 @@
     { "+a ! ? 4 -a", "a=alive a=dead ", 0 },
     { "+a ! ? -a 2 ! 9 ? 3", "a=alive ", 1 },
     { "+a ? -a", "a=alive a=dead ", 0 },
+    /* A short failure delays a removal until all is known, the loss of most endpoints longer.
+     */
+    { "+a +b ! -a = .", "a=alive b=alive a=dead ", 1 },
+    { "+a +b ! -a =", "a=alive b=alive ", 2 },
+    { "+a +b ! = -a .", "a=alive b=alive a=dead ", 1 },
+    { "+a +b ! = . -a", "a=alive b=alive a=dead ", 1 },
+    { "+a +b ! ( +b = ) .", "a=alive b=alive a=dead ", 1 },
+    { "+a +b ! -a = ! = .", "a=alive b=alive a=dead ", 1 },
+    { "+a ! -a = . 3 +a 9", "a=alive ", 1 },
+    { "+a +b +c ! -a -b = . 3 +a +b 9", "a=alive b=alive c=alive ", 3 },
+    { "+a +b ! ( = ) . 3 +b +a 9", "a=alive b=alive ", 2 },
+    { "+a ! -a = . 4", "a=alive a=dead ", 0 },
+    /* A short failure in the grace period neither ends nor renews it. */
+    { "+a +b ! 9 ? -a 2 ! = . 1 +a 9", "a=alive b=alive ", 2 },
+    { "+a +b ! 9 ? -a . 2 ! = . 2", "a=alive b=alive a=dead ", 1 },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -5,10 +5,11 @@
  * PUT /standin/item?KEY with a body writes an item, DELETE removes it. PUT /standin/mode with a
  * body sets how read calls are answered: "good" normally, "busy" with 503, "many" with 429,
  * "silent" not at all, "lost" only every second one, "slow" after 300 ms. PUT /standin/forget
- * drops the history, so that watches from an earlier revision get 410. PUT /standin/copy takes
- * a copy of items and revision, PUT /standin/restore goes back to the last copy, or to the
- * start: revisions are given out again, and the header "store-era" of all responses rises by
- * one. GET /standin/calls returns the number of read calls. */
+ * drops the history, so that watches from an earlier revision get 410. PUT /standin/silence has
+ * the watches that wait now get no response, as if their connections had gone silent. PUT
+ * /standin/copy takes a copy of items and revision, PUT /standin/restore goes back to the last
+ * copy, or to the start: revisions are given out again, and the header "store-era" of all
+ * responses rises by one. GET /standin/calls returns the number of read calls. */
 #include <foxtailrun/http/server.h>
 #include <glib.h>
 #include <jansson.h>
@@ -228,6 +229,13 @@
     }
 }
 
+/* The watches that wait get no response; their requests last until the connections close. */
+static void
+silence_watches (store_t *store)
+{
+  g_ptr_array_set_size (store->watches, 0);
+}
+
 static void
 cancel_watch (fh_request_t *request, void *user)
 {
@@ -428,6 +436,8 @@
                 (const char *)body.data);
   else if (strcmp (path, "/standin/forget") == 0)
     store->oldest_revision = store->revision + 1;
+  else if (strcmp (path, "/standin/silence") == 0)
+    silence_watches (store);
   else if (strcmp (path, "/standin/copy") == 0)
     take_copy (store);
   else if (strcmp (path, "/standin/restore") == 0)
