Serve or refuse requests with long fields instead of ending the process

To an instance beside another node the same request ended with 504.

Cause: a call to the instance beside the node is copied by encoding and decoding it; the decoder took texts of at most 16 KB, the server heads of 400 KB, and create_call asserted that decoding succeeds.

Fix: calls between nodes carry texts as long as a head and one header more than a caller may send; what is longer is refused on arrival with 414, 431 or 501; a call that cannot be copied is refused. No assertion is left on bytes of a caller.

Related paths looked at, all with the same two answers now: methods of HTTP/2 (a long one ended the process, one with line breaks was written into the request to the instance), hosts, response headers of instances over 16 KB, 64 headers (the caller's service was left out), request ids over 63 bytes or empty (the node waited for an echo of its own), 414 for a path over the limit of a head, log lines over PIPE_BUF (dropped). The other assertions hold on the process's own state.

--- a/packages/base/source/log.c
+++ b/packages/base/source/log.c
@@ -13,6 +13,10 @@
 /* Largest number of distinct messages tracked; a full table is cleared. */
 #define REPEAT_TABLE_MAX 256
 
+/* Bytes of a text that are written; callers' requests have paths and hosts of any length, and a
+ * line over PIPE_BUF would be dropped. */
+#define TEXT_MAX 256
+
 typedef struct
 {
   fb_time_t period_start;
@@ -69,6 +73,17 @@
   g_string_append_c (line, '"');
 }
 
+/* Returns TEXT, or its first bytes and its length in BUFFER if it is too long. */
+static fb_str_t
+shorten_text (fb_str_t text, GString *buffer)
+{
+  if (text.len <= TEXT_MAX)
+    return text;
+  g_string_append_len (buffer, text.data, TEXT_MAX);
+  g_string_append_printf (buffer, "...(%zu bytes)", text.len);
+  return (fb_str_t){ buffer->str, buffer->len };
+}
+
 static void
 append_text (const fb_log_t *log, GString *line, const char *key, fb_str_t text)
 {
@@ -216,7 +231,12 @@
   for (size_t i = 0; i < count; i++)
     {
       if (fields[i].text.data)
-        append_text (log, line, fields[i].key, fields[i].text);
+        {
+          GString *buffer = g_string_new ("");
+
+          append_text (log, line, fields[i].key, shorten_text (fields[i].text, buffer));
+          g_string_free (buffer, TRUE);
+        }
       else
         append_number (log, line, fields[i].key, fields[i].number);
     }
--- a/packages/base/tests/test-base.c
+++ b/packages/base/tests/test-base.c
@@ -5,6 +5,8 @@
 #include <foxtailrun/base/log.h>
 #include <foxtailrun/base/version.h>
 #include <glib.h>
+#include <limits.h>
+#include <string.h>
 
 /* Guards against numbers that overflow or contain other characters being accepted. */
 static void
@@ -186,6 +188,39 @@
     }
 }
 
+/* Guards against lines that are dropped, as over PIPE_BUF, since callers send long texts. */
+static void
+test_log_long_text (void)
+{
+  static const struct
+  {
+    char fill;
+    size_t length;
+    const char *end; /* of the field */
+  } cases[] = {
+    { 'x', 256, "x b=" },
+    { 'x', 257, "x...(257 bytes)\" b=" },
+    { 'x', 400000, "...(400000 bytes)\" b=" },
+    { '\1', 400000, "...(400000 bytes)\" b=" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (0);
+      GString *line = g_string_new ("");
+      fb_log_t *log = fb_create_log (clock, FB_LOG_LOGFMT, FB_LOG_INFO, append_line, line);
+      char *text = g_strnfill (cases[i].length, cases[i].fill);
+
+      FB_LOG (log, FB_LOG_INFO, "test", "long", FB_TEXT ("a", text), FB_TEXT ("b", text));
+      g_assert_cmpuint (line->len, <=, PIPE_BUF);
+      g_assert_nonnull (strstr (line->str, cases[i].end));
+      g_free (text);
+      g_string_free (line, TRUE);
+      fb_destroy_log (log);
+      fb_destroy_clock (clock);
+    }
+}
+
 /* Guards against repeated messages that flood the log or are suppressed uncounted. */
 static void
 test_log_repeats (void)
@@ -220,6 +255,7 @@
   g_test_add_func ("/base/counters", test_counters);
   g_test_add_func ("/base/histogram", test_histogram);
   g_test_add_func ("/base/log-quoting", test_log_quoting);
+  g_test_add_func ("/base/log-long-text", test_log_long_text);
   g_test_add_func ("/base/log-repeats", test_log_repeats);
   return g_test_run ();
 }
--- a/packages/http/include/foxtailrun/http/message.h
+++ b/packages/http/include/foxtailrun/http/message.h
@@ -17,6 +17,10 @@
 /* Returns the first header NAME's value, or an empty string with NULL data. */
 fb_str_t fh_find_header (const fh_header_t *headers, size_t count, fb_str_t name);
 
+/* Returns whether TEXT is a token (RFC 9110, section 5.6.2), as methods and header names are.
+ */
+bool fh_is_token (fb_str_t text);
+
 /* Returns whether header NAME must not be forwarded: hop-by-hop or generated per connection
  * (such as host and content-length). */
 bool fh_is_hop_header (fb_str_t name);
--- a/packages/http/source/http-message.c
+++ b/packages/http/source/http-message.c
@@ -1,5 +1,6 @@
 #include <foxtailrun/http/message.h>
 #include <glib.h>
+#include <string.h>
 
 fb_str_t
 fh_find_header (const fh_header_t *headers, size_t count, fb_str_t name)
@@ -12,6 +13,17 @@
   return (fb_str_t){ NULL, 0 };
 }
 
+bool
+fh_is_token (fb_str_t text)
+{
+  static const char others[] = "!#$%&'*+-.^_`|~";
+
+  for (size_t i = 0; i < text.len; i++)
+    if (!g_ascii_isalnum (text.data[i]) && !memchr (others, text.data[i], sizeof others - 1))
+      return false;
+  return text.len > 0;
+}
+
 bool
 fh_is_hop_header (fb_str_t name)
 {
--- a/packages/http/source/http-reply.c
+++ b/packages/http/source/http-reply.c
@@ -15,6 +15,8 @@
       return "Not Found";
     case 413:
       return "Payload Too Large";
+    case 414:
+      return "URI Too Long";
     case 417:
       return "Expectation Failed";
     case 428:
--- a/packages/http/source/http-request.c
+++ b/packages/http/source/http-request.c
@@ -222,17 +222,6 @@
     }
 }
 
-static bool
-is_token (fb_str_t text)
-{
-  static const char others[] = "!#$%&'*+-.^_`|~";
-
-  for (size_t i = 0; i < text.len; i++)
-    if (!g_ascii_isalnum (text.data[i]) && !memchr (others, text.data[i], sizeof others - 1))
-      return false;
-  return text.len > 0;
-}
-
 /* Returns whether TEXT holds no control byte; with ALLOWS_BLANKS it may hold spaces and
  * tabs. */
 static bool
@@ -303,7 +292,7 @@
       char *name = (char *)header->name.data; /* in MESSAGE's own copy */
 
       trim_end (&header->value);
-      if (!is_token (header->name) || !is_printable (header->value, true))
+      if (!fh_is_token (header->name) || !is_printable (header->value, true))
         return 400;
       for (size_t j = 0; j < header->name.len; j++)
         name[j] = g_ascii_tolower (name[j]);
@@ -391,6 +380,15 @@
   return result;
 }
 
+/* Returns whether the request line does not end within the limit of a head; BYTES follow what
+ * was received so far. */
+static bool
+is_in_first_line (const fh_request_reader_t *reader, fb_bytes_t bytes)
+{
+  return (reader->head->len == 0 || !memchr (reader->head->data, '\n', reader->head->len))
+         && !memchr (bytes.data, '\n', MIN (bytes.len, HEAD_BYTES_MAX - reader->head->len));
+}
+
 static fh_request_result_t
 collect_head (fh_request_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
 {
@@ -400,7 +398,7 @@
   if (reader->line_state == FH_LINE_INVALID)
     return reject (reader, 400);
   if (reader->head->len + length > HEAD_BYTES_MAX)
-    return reject (reader, 431);
+    return reject (reader, is_in_first_line (reader, bytes) ? 414 : 431);
   if (reader->line_state == FH_LINE_SECTION && reader->head->len == 0)
     return parse_contiguous_head (reader, (fb_bytes_t){ bytes.data, length });
   g_byte_array_append (reader->head, bytes.data, (guint)length);
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -1,6 +1,5 @@
 /* Backend service: admits calls to the local backend server and runs them there. */
 #include "node-backend.h"
-#include <foxtailrun/base/invariant.h>
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -207,7 +206,7 @@
   fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
   const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
   const fb_name_t *instance = &backend->local.instance;
-  fh_header_t headers[FH_HEADERS_MAX + 3];
+  fh_header_t headers[FW_HEADERS_MAX + 3];
   fh_client_request_t outgoing
       = { .method = backend_call->call.method,
           .host = backend_call->call.host,
@@ -381,6 +380,7 @@
   return route && !route->repeatable && route->ticket;
 }
 
+/* Returns a copy of CALL, or NULL if it has a text that calls between nodes cannot carry. */
 static fn_backend_call_t *
 create_call (fn_backend_t *backend, const fw_call_t *call)
 {
@@ -392,10 +392,13 @@
   backend_call->handle = ++backend->last_handle;
   backend_call->header = fw_encode_call (call, &length);
   backend_call->body = g_memdup2 (call->body.data, call->body.len);
-  FB_INVARIANT (fw_decode_call ((fb_bytes_t){ backend_call->header, length },
-                                (fb_bytes_t){ backend_call->body, call->body.len },
-                                &backend_call->call)
-                == FB_OK);
+  if (fw_decode_call ((fb_bytes_t){ backend_call->header, length },
+                      (fb_bytes_t){ backend_call->body, call->body.len }, &backend_call->call)
+      != FB_OK)
+    {
+      free_call (backend_call);
+      return NULL;
+    }
   now = fb_read_clock (fk_get_clock (backend->kernel));
   backend_call->arrived_at = now;
   backend_call->deadline = get_deadline (call, now);
@@ -538,6 +541,26 @@
     fn_refuse_waiting_calls (backend);
 }
 
+/* Answers a call that could not be copied. Its ticket, if any, may have run before. */
+static void
+refuse_unreadable_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered,
+                        void *user)
+{
+  fw_call_t answer
+      = { .kind = FW_ANSWER,
+          .outcome = call->ticket.len > 0 && !fb_equal_str (call->ticket, FN_TICKET_REQUEST)
+                         ? FW_UNKNOWN
+                         : FW_NOT_RUN,
+          .status = 431,
+          .reason = FB_LITERAL ("the request has a field that is too long") };
+
+  fb_add_counter (backend->refused, 1);
+  FB_LOG (fk_get_log (backend->kernel), FB_LOG_WARNING, FN_SERVED, "call cannot be copied",
+          FB_STR ("id", call->request_id), FB_STR ("host", call->host),
+          FB_STR ("path", call->path));
+  answered (&answer, user);
+}
+
 uint64_t
 fn_serve_call (fn_backend_t *backend, const fw_call_t *call, fn_answered_fn_t answered,
                void *user)
@@ -547,8 +570,14 @@
       = fb_equal_str (call->ticket, FN_TICKET_REQUEST)
         || (!refusal_reason && call->ticket.len == 0 && needs_ticket (backend, call));
   fn_backend_call_t *backend_call = create_call (backend, call);
-  uint64_t handle = backend_call->handle;
+  uint64_t handle;
 
+  if (!backend_call)
+    {
+      refuse_unreadable_call (backend, call, answered, user);
+      return 0;
+    }
+  handle = backend_call->handle;
   backend_call->answered = answered;
   backend_call->user = user;
   backend_call->has_ticket = !is_ticket_request && call->ticket.len > 0;
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -8,8 +8,9 @@
 
 #define CALL_PATH "/call"
 
-/* Limit of an encoded call or answer without its body. */
-#define HEADER_MAX_BYTES (256 * 1024)
+/* Limit of an encoded call or answer without its body: the longest head of a caller's request,
+ * and what the nodes add. */
+#define HEADER_MAX_BYTES (FW_TEXT_MAX + 64 * 1024)
 
 /* Limit for one node. */
 #define IDLE_CONNECTIONS_MAX 64
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -168,11 +168,15 @@
   end_attempt (user, answer);
 }
 
-/* Returns whether header NAME of a caller is replaced or removed. */
+/* Returns whether HEADER of a caller is replaced or removed. An empty request id is replaced by
+ * the node's. */
 static bool
-is_replaced_header (const fn_dialect_t *dialect, fb_str_t name)
+is_replaced_header (const fn_dialect_t *dialect, const fh_header_t *header)
 {
+  fb_str_t name = header->name;
+
   return fb_has_prefix (name, FB_LITERAL ("foxtailrun-"))
+         || (header->value.len == 0 && fb_equal_str (name, dialect->request_id))
          || fb_equal_str (name, dialect->timeout_ms) || fb_equal_str (name, dialect->instance)
          || fb_equal_str (name, dialect->caller);
 }
@@ -187,11 +191,11 @@
 
   for (size_t i = 0; i < count; i++)
     {
-      if (!fh_is_hop_header (headers[i].name) && !is_replaced_header (dialect, headers[i].name))
+      if (!fh_is_hop_header (headers[i].name) && !is_replaced_header (dialect, &headers[i]))
         message->headers[message->header_count++]
             = (fw_header_t){ headers[i].name, headers[i].value };
     }
-  if (dialect->caller.len > 0 && message->header_count < FW_HEADERS_MAX)
+  if (dialect->caller.len > 0)
     message->headers[message->header_count++]
         = (fw_header_t){ dialect->caller, fb_get_name (&settings->service) };
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -5,9 +5,6 @@
 #include <stdio.h>
 #include <string.h>
 
-/* In bytes. */
-#define REQUEST_ID_MAX 63
-
 /* Longer timeouts are reduced to this. */
 #define CALLER_TIMEOUT_MAX_MS 3600000
 
@@ -27,7 +24,7 @@
          const char *request_id)
 {
   const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
-  fh_header_t headers[FH_HEADERS_MAX + 3];
+  fh_header_t headers[FW_HEADERS_MAX + 4];
   size_t count = 0;
   GString *text = NULL;
   fb_bytes_t body = answer->body;
@@ -183,18 +180,19 @@
 
 /* Writes the caller's request id, or a new one, into REQUEST_ID. */
 static void
-set_request_id (fn_entry_t *entry, fh_request_t *request, char request_id[REQUEST_ID_MAX + 1])
+set_request_id (fn_entry_t *entry, fh_request_t *request,
+                char request_id[FN_REQUEST_ID_MAX + 1])
 {
   const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
   fb_str_t header = find_request_header (request, dialect->request_id);
 
-  if (header.len > 0 && header.len <= REQUEST_ID_MAX)
+  if (header.len > 0 && header.len <= FN_REQUEST_ID_MAX)
     {
       memcpy (request_id, header.data, header.len);
       request_id[header.len] = '\0';
       return;
     }
-  snprintf (request_id, REQUEST_ID_MAX + 1, "%016" PRIx64, ++entry->next_id);
+  snprintf (request_id, FN_REQUEST_ID_MAX + 1, "%016" PRIx64, ++entry->next_id);
 }
 
 /* Returns the caller's timeout in ns, or the route's without one. */
@@ -303,16 +301,63 @@
   return true;
 }
 
-/* Returns why REQUEST is malformed, or NULL. Control bytes could split header lines sent to the
- * backend server. */
+static size_t
+count_request_headers (fh_request_t *request, fb_str_t name)
+{
+  const fh_header_t *headers;
+  size_t count = fh_get_headers (request, &headers);
+  size_t found = 0;
+
+  for (size_t i = 0; i < count; i++)
+    found += fb_equal_str (headers[i].name, name);
+  return found;
+}
+
+/* Returns why a field of REQUEST is longer than calls between nodes can carry and sets STATUS,
+ * or returns NULL. HTTP/1 refuses such a head before; HTTP/2 takes a little more, and any
+ * method. */
+static const char *
+find_length_error (fn_entry_t *entry, fh_request_t *request, uint32_t *status)
+{
+  const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
+  const fh_header_t *headers;
+  size_t count = fh_get_headers (request, &headers);
+
+  *status = 431;
+  if (find_request_header (request, dialect->request_id).len > FN_REQUEST_ID_MAX)
+    return "request id is longer than 255 bytes";
+  if (fh_get_host (request).len > FW_TEXT_MAX)
+    return "host is longer than 400 KB";
+  for (size_t i = 0; i < count; i++)
+    if (headers[i].name.len > FW_TEXT_MAX || headers[i].value.len > FW_TEXT_MAX)
+      return "header is longer than 400 KB";
+  if (fh_get_path (request).len > FW_TEXT_MAX)
+    {
+      *status = 414;
+      return "path is longer than 400 KB";
+    }
+  if (fh_get_method (request).len > FB_NAME_MAX)
+    {
+      *status = 501;
+      return "method is longer than any known one";
+    }
+  return NULL;
+}
+
+/* Returns why REQUEST is refused and sets STATUS, or returns NULL. Control bytes could split
+ * header lines sent to the backend server. */
 static const char *
-find_request_error (fn_entry_t *entry, fh_request_t *request)
+find_request_error (fn_entry_t *entry, fh_request_t *request, uint32_t *status)
 {
   const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
   const fh_header_t *headers;
   size_t count = fh_get_headers (request, &headers);
   fb_str_t path = fh_get_path (request);
+  const char *length_error = find_length_error (entry, request, status);
 
+  if (length_error)
+    return length_error;
+  *status = 400;
   for (size_t i = 0; i < path.len; i++)
     {
       if ((unsigned char)path.data[i] <= ' ')
@@ -327,6 +372,16 @@
           || memchr (headers[i].name.data, '\n', headers[i].name.len))
         return "header holds a line break";
     }
+  /* HTTP/2 allows any bytes. */
+  if (!fh_is_token (fh_get_method (request)))
+    return "method is no token";
+  for (size_t i = 0; i < fh_get_host (request).len; i++)
+    {
+      if ((unsigned char)fh_get_host (request).data[i] <= ' ')
+        return "host holds a control byte or a space";
+    }
+  if (count_request_headers (request, dialect->request_id) > 1)
+    return "several request ids";
   if (find_request_header (request, dialect->customer).len > FB_NAME_MAX)
     return "customer name is too long";
   return NULL;
@@ -406,19 +461,20 @@
   bool ready = fn_is_ready (distribution);
   const fn_dialect_t *dialect = fn_get_adapter (entry->kernel)->dialect;
   fc_snapshot_t *snapshot = fn_get_snapshot (distribution);
-  const char *error = find_request_error (entry, request);
+  uint32_t error_status;
+  const char *error = find_request_error (entry, request, &error_status);
   const fc_route_t *route = NULL;
   uint32_t service_index;
   fb_str_t service;
   fb_str_t customer;
   const char *reason;
-  char request_id[REQUEST_ID_MAX + 1];
+  char request_id[FN_REQUEST_ID_MAX + 1];
   fn_entry_call_t *call;
 
   set_request_id (entry, request, request_id);
   if (error)
     {
-      refuse_request (entry, request, 400, error, request_id);
+      refuse_request (entry, request, error_status, error, request_id);
       return;
     }
   if (snapshot)
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -10,6 +10,10 @@
 #include <foxtailrun/http/server.h>
 #include <glib.h>
 
+/* Longest request id of a caller in bytes. That of a call made by a run of another grows with
+ * each level; 25 levels fit. */
+#define FN_REQUEST_ID_MAX 255
+
 /* Limit of the attempts of one call, the first included. */
 #define FN_ATTEMPTS_MAX 6
 
@@ -58,7 +62,7 @@
   const fc_route_t *route;
   fb_str_t customer;
   fb_str_t ticket;
-  char request_id[64];
+  char request_id[FN_REQUEST_ID_MAX + 1];
   fb_time_t arrived_at;
   fb_time_t deadline;
   fb_time_t latency_target; /* of the route, or of its rank */
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -10,8 +10,13 @@
 #define FW_REQUEST_BODY_MAX (1024 * 1024)
 #define FW_ANSWER_BODY_MAX (8 * 1024 * 1024)
 
-/* Largest number of headers in a request or an answer. */
-#define FW_HEADERS_MAX 64
+/* Longest path, host, header name or value, ticket or other free text in bytes: as long as the
+ * head of a caller's request can be. */
+#define FW_TEXT_MAX (400 * 1024)
+
+/* Largest number of headers in a request or an answer: 64 of the caller, and the name of its
+ * service. */
+#define FW_HEADERS_MAX 65
 
 typedef enum
 {
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -12,9 +12,6 @@
  * refuse them during a rolling replacement. */
 #define CALL_FIELDS_WITH_CRASH (CALL_FIELDS + 2)
 
-/* Longest path, header name or value, ticket or other free text in bytes. */
-#define TEXT_MAX (16 * 1024)
-
 static bool
 has_crash (const fw_call_t *message)
 {
@@ -103,18 +100,18 @@
   message->rank = fw_read_str (&reader, FB_NAME_MAX);
   message->customer = fw_read_str (&reader, FB_NAME_MAX);
   message->method = fw_read_str (&reader, FB_NAME_MAX);
-  message->host = fw_read_str (&reader, TEXT_MAX);
-  message->path = fw_read_str (&reader, TEXT_MAX);
+  message->host = fw_read_str (&reader, FW_TEXT_MAX);
+  message->path = fw_read_str (&reader, FW_TEXT_MAX);
   message->at_most_once = fw_read_u64 (&reader, 1) == 1;
   message->target_left_us = fw_read_u64 (&reader, UINT64_MAX);
   message->is_caller_retry = fw_read_u64 (&reader, 1) == 1;
   message->earlier_attempt_arrived = fw_read_u64 (&reader, 1) == 1;
-  message->ticket = fw_read_str (&reader, TEXT_MAX);
-  message->request_id = fw_read_str (&reader, TEXT_MAX);
+  message->ticket = fw_read_str (&reader, FW_TEXT_MAX);
+  message->request_id = fw_read_str (&reader, FW_TEXT_MAX);
   message->outcome = (fw_outcome_t)fw_read_u64 (&reader, FW_FAILED);
   message->status = (uint32_t)fw_read_u64 (&reader, 999);
   message->close_delimited = fw_read_u64 (&reader, 1) == 1;
-  message->reason = fw_read_str (&reader, TEXT_MAX);
+  message->reason = fw_read_str (&reader, FW_TEXT_MAX);
   message->retry_elsewhere = fw_read_u64 (&reader, 1) == 1;
   message->reached_backend = fw_read_u64 (&reader, 1) == 1;
   message->load = (uint32_t)fw_read_u64 (&reader, UINT32_MAX);
@@ -131,8 +128,8 @@
   message->header_count = headers.count / 2;
   for (size_t i = 0; i < message->header_count; i++)
     {
-      message->headers[i].name = fw_read_str (&headers, TEXT_MAX);
-      message->headers[i].value = fw_read_str (&headers, TEXT_MAX);
+      message->headers[i].name = fw_read_str (&headers, FW_TEXT_MAX);
+      message->headers[i].value = fw_read_str (&headers, FW_TEXT_MAX);
     }
   return fw_finish_reader (&headers);
 }
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -170,6 +170,40 @@
   g_free (bytes);
 }
 
+/* Guards against a text of a caller that is lost in transit, or ends a process, because it is
+ * long. */
+static void
+test_call_lengths (void)
+{
+  static const struct
+  {
+    size_t length;
+    fb_status_t status;
+  } cases[]
+      = { { 16 * 1024 + 1, FB_OK }, { FW_TEXT_MAX, FB_OK }, { FW_TEXT_MAX + 1, FB_INVALID } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    for (int field = 0; field < 5; field++)
+      {
+        char *text = g_strnfill (cases[i].length, 'x');
+        fw_call_t sent = make_call ();
+        fb_str_t *const fields[] = { &sent.path, &sent.host, &sent.ticket,
+                                     &sent.headers[0].name, &sent.headers[0].value };
+        fw_call_t decoded;
+        size_t length;
+        uint8_t *bytes;
+
+        *fields[field] = fb_wrap_text (text);
+        bytes = fw_encode_call (&sent, &length);
+        g_test_message ("field %d of %zu bytes", field, cases[i].length);
+        g_assert_cmpint (
+            fw_decode_call ((fb_bytes_t){ bytes, length }, (fb_bytes_t){ NULL, 0 }, &decoded),
+            ==, cases[i].status);
+        g_free (bytes);
+        g_free (text);
+      }
+}
+
 /* Guards against a crash or quarantine that changes in transit, and calls without one that an
  * earlier build would refuse. */
 static void
@@ -497,6 +531,7 @@
   g_test_add_func ("/wire/datagram-round-trip", test_datagram_round_trip);
   g_test_add_func ("/wire/control-round-trip", test_control_round_trip);
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
+  g_test_add_func ("/wire/call-lengths", test_call_lengths);
   g_test_add_func ("/wire/call-crash", test_call_crash);
   g_test_add_func ("/wire/crash-round-trip", test_crash_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
