End an exchange after 16 responses to other requests

An operator of another system reported an instance that sent bytes without end, and a caller that kept them until it ran out of memory.

Found instead: responses to another request were dropped without a limit. The call lasted until its deadline, 1 s and on the product's own interface 4 s, and the node parsed them all the while.

Fix: the exchange ends as unanswered after 16 of them, as it does after 16 interim responses, so that a repeatable call goes to another instance.

Related paths looked at: interim responses, header lines, trailers, chunk extensions, empty lines (all limited), the common limit of incomplete responses, feed updates and reads of the store (limited by size and time), answers between nodes, which are passed on only when complete.

--- a/packages/foxtailrund/tests/fixture-fleet.c
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -300,6 +300,19 @@
   g_assert_cmpint (kill (fleet->backends[number], signal), ==, 0);
 }
 
+void
+fleet_start_endless (fleet_t *fleet, size_t number, const char *kind)
+{
+  fb_name_t address = make_address (fleet, number);
+  char port[8];
+  char *argv[] = { ENDLESS_PATH, address.data, port, (char *)kind, NULL };
+
+  g_snprintf (port, sizeof port, "%d", BACKEND_PORT);
+  kill (fleet->backends[number], SIGKILL);
+  waitpid (fleet->backends[number], NULL, 0);
+  fleet->backends[number] = spawn (fleet, argv, "backends.log");
+}
+
 int
 fleet_wait_exit (fleet_t *fleet, size_t number)
 {
@@ -479,6 +492,18 @@
     }
 }
 
+void
+fleet_spoil_responses (fleet_t *fleet, size_t number, const char *kind, unsigned interval)
+{
+  char *path = g_strdup_printf ("/standin/spoil?%s&%u", kind, interval);
+  fleet_response_t response = fleet_finish_call (
+      fleet, begin_request (fleet, number, BACKEND_PORT, "GET", path, NULL));
+
+  g_assert_cmpuint (response.status, ==, 200);
+  fleet_clear_response (&response);
+  g_free (path);
+}
+
 uint64_t
 fleet_count_runs (fleet_t *fleet, const char *path)
 {
--- a/packages/foxtailrund/tests/fixture-fleet.h
+++ b/packages/foxtailrund/tests/fixture-fleet.h
@@ -60,6 +60,14 @@
 /* Sends SIGNAL to the backend server of node NUMBER. */
 void fleet_signal_backend (fleet_t *fleet, size_t number, int signal);
 
+/* Has the backend server of node NUMBER spoil one in INTERVAL of its responses by KIND, see
+ * standin-backend.c; none with 0. */
+void fleet_spoil_responses (fleet_t *fleet, size_t number, const char *kind, unsigned interval);
+
+/* Replaces the backend server of node NUMBER by one that sends bytes without end, of a KIND of
+ * standin-endless.c. */
+void fleet_start_endless (fleet_t *fleet, size_t number, const char *kind);
+
 /* Waits until node NUMBER exits; returns its exit status, or 128 plus the signal. */
 int fleet_wait_exit (fleet_t *fleet, size_t number);
 
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -25,6 +25,10 @@
  * taken for one that does not: it may have been replaced by another version. */
 #define UNIDENTIFIED_RESPONSES_MAX 8
 
+/* Responses to other requests that an exchange drops. A server in trouble may send them without
+ * end. */
+#define OTHER_RESPONSES_MAX 16
+
 /* Close when sent bytes stay unacknowledged for this long. */
 #define USER_TIMEOUT_MS 3000
 
@@ -60,6 +64,7 @@
   uint64_t idle_timeout_ms; /* close the connection when idle for longer */
   bool reused;
   bool out_of_sync; /* a response to another request arrived; do not reuse the connection */
+  unsigned other_responses; /* dropped since */
   bool closing;
   int open_handles;
   GList link; /* in idle_connections of the client */
@@ -385,6 +390,12 @@
           break;
         }
       connection->out_of_sync = true;
+      if (++connection->other_responses > OTHER_RESPONSES_MAX)
+        {
+          connection->reused = false;
+          fail_connection (connection, FH_NO_ANSWER, "too many responses to other requests");
+          return;
+        }
       fh_reset_reader (connection->reader, connection->exchange->is_head);
     }
 }
--- a/packages/http/tests/test-endless.c
+++ b/packages/http/tests/test-endless.c
@@ -177,7 +177,9 @@
 static void
 run_exchanges (fixture_t *fixture)
 {
-  fh_client_request_t request = { .method = FB_LITERAL ("GET"), .path = FB_LITERAL ("/") };
+  fh_client_request_t request = { .method = FB_LITERAL ("GET"),
+                                  .path = FB_LITERAL ("/"),
+                                  .echoed_header = { FB_LITERAL ("id"), FB_LITERAL ("own") } };
   bool deadline_passed = false;
   fk_timer_t *timer
       = fk_create_timeout (fixture->kernel, DEADLINE, stop_waiting, &deadline_passed);
@@ -226,6 +228,8 @@
     { "chunk extension", CHUNKED "1;", "x" },
     { "trailers", CHUNKED "0\r\n", "x: y\r\n" },
     { "no HTTP", "", "\377" },
+    { "responses to other requests", "",
+      "HTTP/1.1 200 OK\r\nid: other\r\ncontent-length: 0\r\n\r\n" },
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -3,15 +3,15 @@
  * Usage: standin-backend ADDRESS PORT NAME SLOTS SERVICE_MS
  * The answer echoes the request: "name=NAME path=PATH body=BODY runs=N", N counting the runs of
  * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503,
- * crash=MS ends the process after that time in service. With
- * SLOTS requests in service, a further one gets 503 and counts as an overrun. GET /standin/runs
- * returns one line "PATH COUNT" for each path run, GET /standin/overruns the number of
- * overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to requests
- * with X-Attempt-Id; without a value it removes the header. GET /standin/spoil?KIND&N spoils
- * one in N of the further responses to requests that were run, by KIND: "no-id", "other-id",
- * "two-ids", "no-signature", "bare" (neither), "coding" (a content coding is named) or
- * "refusal" (status 503 without X-Not-Executed). With "+close" after KIND such a response has
- * no length and ends with its connection; "whole" spoils nothing else. N 0 ends it.
+ * crash=MS ends the process after that time in service, size=BYTES appends as many to the
+ * answer. With SLOTS requests in service, a further one gets 503 and counts as an overrun. GET
+ * /standin/runs returns one line "PATH COUNT" for each path run, GET /standin/overruns the
+ * number of overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to
+ * requests with X-Attempt-Id; without a value it removes the header. GET /standin/spoil?KIND&N
+ * spoils one in N of the further responses to requests that were run, by KIND: "no-id",
+ * "other-id", "two-ids", "no-signature", "bare" (neither), "coding" (a content coding is named)
+ * or "refusal" (status 503 without X-Not-Executed). With "+close" after KIND such a response
+ * has no length and ends with its connection; "whole" spoils nothing else. N 0 ends it.
  *
  * A request with X-Attempt-Id is answered like the users' instances do: the response
  * repeats the id, carries a signature and returns the caller's service in X-Seen-Caller. The
@@ -102,18 +102,20 @@
 
 #define CLOSE_SUFFIX "+close"
 
-/* Answers a request that was run with a response that is not one of the protocol. */
+/* Answers a request that was run with a response that is not one of the protocol, except for
+ * kind "whole", whose body is TEXT. */
 static void
 respond_spoilt (backend_t *backend, fh_request_t *request, const char *text)
 {
   const char *kind = backend->spoil_kind;
+  const char *body_text = g_str_has_prefix (kind, "whole") ? text : "spoilt\n";
   bool is_own = !find_header (request, FB_LITERAL ("x-attempt-id")).data;
   fb_str_t id_name
       = is_own ? FB_LITERAL ("foxtailrun-request-id") : FB_LITERAL ("x-attempt-id");
   bool bare = g_str_has_prefix (kind, "bare");
   bool other_id = g_str_has_prefix (kind, "other-id");
   uint32_t status = g_str_has_prefix (kind, "refusal") ? 503 : 200;
-  fb_bytes_t body = { (const uint8_t *)text, strlen (text) };
+  fb_bytes_t body = { (const uint8_t *)body_text, strlen (body_text) };
   fh_header_t headers[HEADERS_MAX];
   size_t count = 0;
 
@@ -200,6 +202,21 @@
   return expected.data && !fb_equal_str (expected, fb_wrap_text (backend->name));
 }
 
+/* Returns the answer to JOB; free with g_free. */
+static char *
+format_answer (const job_t *job)
+{
+  const char *size = strstr (job->path, "size=");
+  char *filler
+      = g_strnfill (size ? g_ascii_strtoull (size + strlen ("size="), NULL, 10) : 0, 'x');
+  char *text
+      = g_strdup_printf ("name=%s path=%s body=%s runs=%" G_GUINT64_FORMAT "\n%s",
+                         job->backend->name, job->path, job->body, job->run_count, filler);
+
+  g_free (filler);
+  return text;
+}
+
 static void
 finish_job (void *user)
 {
@@ -209,8 +226,7 @@
   job->backend->in_use--;
   if (job->request)
     {
-      text = g_strdup_printf ("name=%s path=%s body=%s runs=%" G_GUINT64_FORMAT "\n",
-                              job->backend->name, job->path, job->body, job->run_count);
+      text = format_answer (job);
       if (is_spoilt (job->backend))
         respond_spoilt (job->backend, job->request, text);
       else
