Check the id of a response that ends with its connection

Fix: both ask the same function; a response that names another request and ends its connection ends the exchange as unanswered.

Related paths looked at: responses to HEAD, interim responses, the resend of a repeatable request on a connection that closed while idle (not done any more when a response to another request had come on it), cancelled exchanges (their connections are closed).

--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -159,7 +159,8 @@
 {
   fh_exchange_t *exchange = connection->exchange;
   fh_response_t response = { .result = result, .error = error };
-  bool stale = connection->reused && !fh_has_received_bytes (connection->reader);
+  bool stale = connection->reused && !connection->out_of_sync
+               && !fh_has_received_bytes (connection->reader);
 
   close_connection (connection);
   if (!exchange)
@@ -411,11 +412,20 @@
     {
       fh_view_response (connection->reader, &response);
       record_echo (exchange, &response);
-      if (find_response_target (exchange, &response) == ANSWERS_NO_REQUEST)
-        fail_unidentified (connection);
-      else
-        complete_response (connection, false);
-      return;
+      switch (find_response_target (exchange, &response))
+        {
+        case ANSWERS_REQUEST:
+          complete_response (connection, false);
+          return;
+        case ANSWERS_NO_REQUEST:
+          fail_unidentified (connection);
+          return;
+        case ANSWERS_OTHER_REQUEST:
+          connection->out_of_sync = true;
+          fail_connection (connection, FH_NO_ANSWER,
+                           "connection ended with a response to another request");
+          return;
+        }
     }
   fail_connection (connection,
                    fh_has_headers (connection->reader) ? FH_TRUNCATED : FH_NO_ANSWER,
--- a/packages/http/tests/test-unidentified.c
+++ b/packages/http/tests/test-unidentified.c
@@ -137,7 +137,9 @@
         }
 }
 
-/* Guards against a response without a length that does not name the request. */
+/* Guards against a response without a length that does not name the request, or names another
+ * one.
+ */
 static void
 test_close_delimited (void)
 {
@@ -148,6 +150,12 @@
   } cases[] = {
     { OK_LINE OWN_ID "\r\nbody", true },
     { "HTTP/1.0 200 OK\r\n" OWN_ID "\r\nbody", true },
+    { OK_LINE "request-id: other\r\n\r\nbody", false },
+    { "HTTP/1.0 200 OK\r\nrequest-id: other\r\n\r\nbody", false },
+    { "HTTP/1.1 500 Error\r\nrequest-id: other\r\n\r\nbody", false },
+    { OK_LINE "request-id: other\r\n" LENGTH OK_LINE "request-id: other\r\n\r\nbody", false },
+    { OK_LINE "request-id: other\r\n" LENGTH OK_LINE OWN_ID "\r\nbody", true },
+    { OK_LINE "request-id: other\r\n" LENGTH, false },
     { OK_LINE "\r\nbody", false },
     { OK_LINE "x: y\r\n\r\nbody", false },
     { OK_LINE "request-id:\r\n\r\nbody", false },
