Read the endpoints before the document after a cut; trim values of headers

A blank behind the value of a response header made a healthy response one of another request, or one with an unknown transfer coding; rows in /http/unidentified/whole.

--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -39,9 +39,9 @@
 #define BACKOFF_MAX_MS 1000
 #define BACKOFF_DOUBLINGS 4
 
-/* Age of the known state from which a node that could not read the store reads the newest
- * document by itself: a read of changes returns each one published meanwhile in full, the
- * oldest first, and several large ones take seconds on a slow link. */
+/* Age of the known state from which a node that could not read the store reads endpoints and
+ * the newest document apart: a read of changes returns each document published meanwhile in
+ * full, the oldest first, and several large ones take seconds on a slow link. */
 #define BACKLOG_AGE (2 * FB_SECOND)
 
 /* A document of this size takes 0.15 s on a link of 7 Mbit/s. Smaller ones come with the
@@ -138,10 +138,11 @@
 static fd_read_kind_t
 get_read_kind (const fd_feed_t *feed)
 {
-  if (feed->read_kind == FD_READ_CHANGES
-      && (feed->document_known_position.era < feed->position.era || has_backlog (feed)))
+  if (feed->read_kind != FD_READ_CHANGES)
+    return feed->read_kind;
+  if (feed->document_known_position.era < feed->position.era)
     return FD_READ_DOCUMENT;
-  return feed->read_kind;
+  return has_backlog (feed) ? FD_READ_ENDPOINTS : FD_READ_CHANGES;
 }
 
 static void
@@ -181,6 +182,8 @@
 {
   fd_read_t read = { .after_key = feed->page_key };
 
+  if (feed->read_kind == FD_READ_CHANGES && get_read_kind (feed) == FD_READ_ENDPOINTS)
+    feed->is_document_due = true;
   feed->read_kind = get_read_kind (feed);
   feed->read_era = feed->page_key ? feed->first_page_position.era : feed->position.era;
   read.kind = feed->read_kind;
@@ -329,7 +332,9 @@
   feed->position = fb_get_later_position (feed->position, position);
   fd_set_known_at (feed, MAX (feed->known_at, feed->document_read_started_at));
   feed->read_completed_at = get_time (feed);
-  schedule_next_read (feed, feed->document_read_found_new);
+  schedule_next_read (
+      feed, feed->document_read_found_new
+                || (feed->is_document_due && !fd_is_following (feed, feed->read_completed_at)));
 }
 
 static void
@@ -338,6 +343,7 @@
   feed->document_known_position
       = fb_get_later_position (feed->document_known_position, position);
   feed->document_read_found_new = feed->documents_read > 0;
+  feed->is_document_due = false;
   if (fd_is_following (feed, get_time (feed)))
     schedule_read (feed, FD_READ_CHANGES);
   else
@@ -361,6 +367,7 @@
   fm_end_full_read (feed->listing);
   feed->synced = true;
   feed->rereading = false;
+  feed->is_document_due = false;
   feed->position = feed->first_page_position;
   feed->document_known_position = feed->first_page_position;
   fd_set_known_at (feed, feed->read_started_at);
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -53,6 +53,7 @@
   bool rereading;                     /* a full read after that is due and has not failed */
   uint32_t documents_read;            /* by the outstanding or last read */
   bool document_read_found_new;       /* the last FD_READ_DOCUMENT found one */
+  bool is_document_due;               /* endpoints are read apart, then the document */
   fb_time_t next_read_at;             /* of a retry, or of a read other than FD_READ_CHANGES */
   fb_time_t read_started_at;          /* of the outstanding or last read */
   fb_time_t document_read_started_at; /* of the last FD_READ_DOCUMENT */
--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -126,6 +126,18 @@
          && parser->status_code != 204 && parser->status_code != 304;
 }
 
+/* Returns the value of RANGE without blanks at its end, which http_parser keeps. */
+static fb_str_t
+get_value (const fh_reader_t *reader, const header_range_t *range)
+{
+  fb_str_t value = { reader->header_text->str + range->value_offset, range->value_len };
+
+  while (value.len > 0
+         && (value.data[value.len - 1] == ' ' || value.data[value.len - 1] == '\t'))
+    value.len--;
+  return value;
+}
+
 /* Returns whether a transfer coding besides chunked is named; its body cannot be decoded. */
 static bool
 has_unknown_coding (const fh_reader_t *reader)
@@ -133,9 +145,8 @@
   for (size_t i = 0; i < reader->header_count; i++)
     {
       const header_range_t *range = &reader->header_ranges[i];
-      const char *text = reader->header_text->str;
-      fb_str_t name = { text + range->name_offset, range->name_len };
-      fb_str_t value = { text + range->value_offset, range->value_len };
+      fb_str_t name = { reader->header_text->str + range->name_offset, range->name_len };
+      fb_str_t value = get_value (reader, range);
 
       if (fb_equal_str (name, FB_LITERAL ("transfer-encoding"))
           && (value.len != strlen ("chunked")
@@ -308,8 +319,7 @@
 
       reader->header_views[i]
           = (fh_header_t){ { reader->header_text->str + range->name_offset, range->name_len },
-                           { reader->header_text->str + range->value_offset,
-                             range->value_len } };
+                           get_value (reader, range) };
     }
   response->status = reader->parser.status_code;
   response->header_count = reader->header_count;
--- a/packages/http/tests/test-unidentified.c
+++ b/packages/http/tests/test-unidentified.c
@@ -187,6 +187,8 @@
     WHOLE,
     OK_LINE OWN_ID CHUNKS,
     OK_LINE OWN_ID "Transfer-Encoding: Chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    OK_LINE OWN_ID "Transfer-Encoding: chunked \r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+    OK_LINE "Request-Id: own  \r\n" LENGTH,
     OK_LINE OWN_ID OWN_ID LENGTH,
     "HTTP/1.1 100 Continue\r\n\r\n" WHOLE,
     "HTTP/1.0 200 OK\r\nREQUEST-ID: own\r\n" LENGTH,
