--- a/standins/standin-endless.c
+++ b/standins/standin-endless.c
@@ -6,6 +6,7 @@
  * length), "others" (responses to another request) or "bytes". Where there is a head it has the
  * request's X-Attempt-Id or Foxtailrun-Request-Id, and a signature. */
 #include <glib.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -193,6 +194,8 @@
       fprintf (stderr, "usage: standin-endless ADDRESS PORT KIND\n");
       return 2;
     }
+  /* Callers close while bytes are under way. */
+  signal (SIGPIPE, SIG_IGN);
   uv_loop_init (&server.loop);
   uv_tcp_init (&server.loop, &server.listener);
   server.listener.data = &server;
