Refuse another node's answer whose status is no final HTTP status

An answer message between nodes could carry any status from 0 to 999, and the entry node passed it on: a caller would have got status 000 as an answer. The decoder now takes 200 to 599 only; the attempt ends as one without a usable answer.

--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -8,6 +8,11 @@
 #define CALL_FORMAT 5
 #define CALL_FIELDS 30
 
+/* Final HTTP status codes (RFC 9110, section 15): an answer with another one would reach the
+ * caller as such. */
+#define STATUS_MIN 200
+#define STATUS_MAX 599
+
 /* With the crash and the quarantine; only messages that have one of them, as earlier builds
  * refuse them during a rolling replacement. */
 #define CALL_FIELDS_WITH_CRASH (CALL_FIELDS + 2)
@@ -85,6 +90,14 @@
   return has_crash (message);
 }
 
+/* Only answers have a status. */
+static bool
+has_valid_status (const fw_call_t *message)
+{
+  return message->kind == FW_CALL
+         || (message->status >= STATUS_MIN && message->status <= STATUS_MAX);
+}
+
 static bool
 read_call (const msgpack_object *object, fw_call_t *message)
 {
@@ -123,7 +136,7 @@
   message->rate_limit_milli = fw_read_u64 (&reader, UINT64_MAX);
   headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
   if (!read_crash (&reader, message) || !fw_finish_reader (&reader) || message->kind < FW_CALL
-      || headers.count % 2 != 0)
+      || !has_valid_status (message) || headers.count % 2 != 0)
     return false;
   message->header_count = headers.count / 2;
   for (size_t i = 0; i < message->header_count; i++)
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -524,6 +524,41 @@
     }
 }
 
+/* Guards against the status of another node's answer that is no final HTTP status and would be
+ * passed on to the caller, such as 000. */
+static void
+test_answer_status (void)
+{
+  static const struct
+  {
+    fw_call_kind_t kind;
+    fw_outcome_t outcome;
+    uint32_t status;
+    bool valid;
+  } cases[] = {
+    { FW_ANSWER, FW_ANSWERED, 0, false },   { FW_ANSWER, FW_ANSWERED, 99, false },
+    { FW_ANSWER, FW_ANSWERED, 100, false }, { FW_ANSWER, FW_ANSWERED, 199, false },
+    { FW_ANSWER, FW_ANSWERED, 200, true },  { FW_ANSWER, FW_ANSWERED, 599, true },
+    { FW_ANSWER, FW_ANSWERED, 600, false }, { FW_ANSWER, FW_ANSWERED, 999, false },
+    { FW_ANSWER, FW_NOT_RUN, 0, false },    { FW_ANSWER, FW_NOT_RUN, 503, true },
+    { FW_ANSWER, FW_UNKNOWN, 0, false },    { FW_ANSWER, FW_FAILED, 0, false },
+    { FW_ANSWER, FW_FAILED, 502, true },    { FW_CALL, 0, 0, true },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_call_t sent
+          = { .kind = cases[i].kind, .outcome = cases[i].outcome, .status = cases[i].status };
+      fw_call_t decoded;
+      GByteArray *packed = fw_pack_call (&sent);
+
+      g_test_message ("case %zu", i);
+      g_assert_cmpint (fw_unpack_call ((fb_bytes_t){ packed->data, packed->len }, &decoded), ==,
+                       cases[i].valid ? FB_OK : FB_INVALID);
+      g_byte_array_unref (packed);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -533,6 +568,7 @@
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
   g_test_add_func ("/wire/call-lengths", test_call_lengths);
   g_test_add_func ("/wire/call-crash", test_call_crash);
+  g_test_add_func ("/wire/answer-status", test_answer_status);
   g_test_add_func ("/wire/crash-round-trip", test_crash_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
   g_test_add_func ("/wire/feed-known-position", test_feed_known_position);
