Let nested calls inherit the urgency of the call that needs them

Cause: a call that an instance makes while it runs a request was admitted by its own route. Its rank could be less urgent than that of its parent, its target of 80 ms refused it at any wait, and its service time was averaged with calls five times as long.

A nested call, known by its id, now has at least the rank of its parent, counts as in time until its deadline and is queued first in its rank. Only where the parent's route has a timeout of three targets or more; other routes are served as before.

Ruled out: cold instances and cut links as the cause of these refusals; they remain.

--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -416,7 +416,7 @@
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
   fr_call_options_t times = { backend_call->deadline, backend_call->target_time,
-                              backend_call->call.is_caller_retry };
+                              backend_call->call.goes_first };
 
   fn_adopt_reported_limit (backend, &backend_call->call);
   if (backend_call->has_ticket && !fn_begin_ticket (backend_call))
@@ -613,8 +613,8 @@
     fr_cancel_call (backend->admission, handle);
 }
 
-bool
-fn_is_parent_retry (fn_backend_t *backend, fb_str_t request_id)
+const fw_call_t *
+fn_find_parent_call (fn_backend_t *backend, fb_str_t request_id)
 {
   GHashTableIter iter;
   gpointer value;
@@ -623,17 +623,18 @@
   while (length > 0 && request_id.data[length - 1] != '.')
     length--;
   if (length < 2)
-    return false;
+    return NULL;
   g_hash_table_iter_init (&iter, backend->calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const fw_call_t *call = &((const fn_backend_call_t *)value)->call;
+      const fn_backend_call_t *backend_call = value;
 
-      if (call->earlier_attempt_arrived
-          && fb_equal_str (call->request_id, (fb_str_t){ request_id.data, length - 1 }))
-        return true;
+      if (backend_call->state != FN_CALL_WAITING
+          && fb_equal_str (backend_call->call.request_id,
+                           (fb_str_t){ request_id.data, length - 1 }))
+        return &backend_call->call;
     }
-  return false;
+  return NULL;
 }
 
 size_t
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -95,7 +95,7 @@
   return call->attempt_count - call->retry_elsewhere_count - call->queue_full_count
              <= route->retries
          && (!call->reached_backend
-             || fr_withdraw_retry (call->entry->budget, get_service_name (call), route->rank));
+             || fr_withdraw_retry (call->entry->budget, get_service_name (call), call->rank));
 }
 
 /* Records what ANSWER reports of INSTANCE: its rate limit, and whether it leaves. A refusal
@@ -123,14 +123,13 @@
 
   read_instance_report (entry, instance, answer);
   fn_read_request_report (call, answer);
-  fr_report_times (entry->picker, instance, call->route->rank,
+  fr_report_times (entry->picker, instance, call->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
-  fr_report_result_for_rank (entry->picker, instance, call->route->rank,
-                             classify_answer (answer),
+  fr_report_result_for_rank (entry->picker, instance, call->rank, classify_answer (answer),
                              read_time (entry) - call->attempt_started_at, answer->load);
-  fr_report_customer (entry->throttle, get_service_name (call), call->route->rank,
-                      call->customer, accepted);
+  fr_report_customer (entry->throttle, get_service_name (call), call->rank, call->customer,
+                      accepted);
   call->may_have_run |= answer->outcome != FW_NOT_RUN;
   call->reached_backend |= answer->reached_backend;
   if (acquire_retry (call, answer))
@@ -210,7 +209,7 @@
     .id = call->attempt_id,
     .remaining_us = (uint64_t)((call->deadline - call->attempt_started_at) / FB_MICROSECOND),
     .service = get_service_name (call),
-    .rank = fb_get_name (&fc_get_rank (call->snapshot, route->rank)->name),
+    .rank = fb_get_name (&fc_get_rank (call->snapshot, call->rank)->name),
     .customer = call->customer,
     .method = fh_get_method (call->request),
     .host = fh_get_host (call->request),
@@ -218,7 +217,7 @@
     .at_most_once = !route->repeatable,
     .target_left_us
     = (uint64_t)(MAX (call->target_time - call->attempt_started_at, 0) / FB_MICROSECOND),
-    .is_caller_retry = call->is_caller_retry,
+    .goes_first = call->goes_first,
     .earlier_attempt_arrived = call->reached_backend || call->parent_is_retry,
     .ticket = call->ticket,
     .request_id = fb_wrap_text (call->request_id),
@@ -282,7 +281,7 @@
       return;
     }
   call->tried_instances[call->attempt_count++] = ticket.node;
-  fr_begin_attempt_for_rank (entry->picker, &ticket.node, call->route->rank);
+  fr_begin_attempt_for_rank (entry->picker, &ticket.node, call->rank);
   send_attempt (call, node);
 }
 
@@ -299,9 +298,8 @@
       start_ticket_attempt (call);
       return;
     }
-  if (!fr_pick_for_latency_target (entry->picker, service, call->route->rank,
-                                   call->latency_target, call->tried_instances,
-                                   call->attempt_count, &instance))
+  if (!fr_pick_for_latency_target (entry->picker, service, call->rank, call->latency_target,
+                                   call->tried_instances, call->attempt_count, &instance))
     {
       fn_finish_with_outcome (call, FW_NOT_RUN, 503,
                               call->attempt_count > 0
@@ -313,8 +311,8 @@
   node = find_node (entry, &instance);
   if (!node)
     {
-      fr_report_result_for_rank (entry->picker, &instance, call->route->rank,
-                                 FR_RESULT_CANCELLED, 0, 0);
+      fr_report_result_for_rank (entry->picker, &instance, call->rank, FR_RESULT_CANCELLED, 0,
+                                 0);
       fn_finish_with_outcome (call, FW_NOT_RUN, 503, "the chosen instance has left");
       return;
     }
@@ -332,8 +330,7 @@
   if (attempt_id == 0)
     return;
   instance = close_attempt (call);
-  fr_report_result_for_rank (entry->picker, instance, call->route->rank, FR_RESULT_CANCELLED, 0,
-                             0);
+  fr_report_result_for_rank (entry->picker, instance, call->rank, FR_RESULT_CANCELLED, 0, 0);
   if (call->is_local)
     {
       fn_cancel_call (find_backend (entry), handle);
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -1,5 +1,6 @@
 /* Entry: accepts callers' requests and answers them. */
 #include "node-entry.h"
+#include <foxtailrun/call/nested.h>
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -249,17 +250,22 @@
              : 0;
 }
 
+static uint32_t
+get_target_ms (const fc_snapshot_t *snapshot, const fc_route_t *route)
+{
+  return route->target_ms > 0 ? route->target_ms
+                              : fc_get_rank (snapshot, route->rank)->target_ms;
+}
+
 /* Sets the time until which an answer is in time, counted from the caller's first request. */
 static void
 set_target_time (fn_entry_call_t *call, fb_time_t caller_timeout)
 {
-  uint32_t target = call->route->target_ms;
   fb_time_t spent = estimate_spent_time (call->entry, call->route, caller_timeout);
 
-  if (target == 0)
-    target = fc_get_rank (call->snapshot, call->route->rank)->target_ms;
-  call->latency_target = target * FB_MILLISECOND;
+  call->latency_target = get_target_ms (call->snapshot, call->route) * FB_MILLISECOND;
   call->is_caller_retry = spent > 0;
+  call->goes_first = call->is_caller_retry;
   call->target_time = call->arrived_at + MAX (call->latency_target - spent, 0);
 }
 
@@ -409,6 +415,7 @@
   call->request = request;
   call->snapshot = fc_retain_snapshot (snapshot);
   call->route = route;
+  call->rank = route->rank;
   call->service_index = service_index;
   call->customer = read_customer (entry, request);
   call->ticket = find_request_header (request, FB_LITERAL ("foxtailrun-ticket"));
@@ -438,6 +445,33 @@
   return route && route->repeatable;
 }
 
+/* Lets CALL inherit the urgency of the one on whose behalf the backend server makes it, if any.
+ */
+static void
+adopt_parent (fn_entry_call_t *call)
+{
+  const fw_call_t *parent = fn_find_parent_call (
+      fk_find_service (call->entry->kernel, FN_BACKEND), fb_wrap_text (call->request_id));
+  fr_urgency_t urgency = { call->rank, call->target_time, call->is_caller_retry };
+  const fc_route_t *route;
+  fr_parent_t inherited;
+
+  if (!parent)
+    return;
+  call->parent_is_retry = parent->earlier_attempt_arrived;
+  route = fc_find_route (call->snapshot, parent->host, parent->method, parent->path);
+  if (!route)
+    return;
+  inherited = (fr_parent_t){ .rank = route->rank,
+                             .timeout_ms = route->timeout_ms,
+                             .target_ms = get_target_ms (call->snapshot, route) };
+  fc_find_rank (call->snapshot, parent->rank, &inherited.rank);
+  urgency = fr_inherit_urgency (&urgency, call->deadline, &inherited);
+  call->rank = urgency.rank;
+  call->target_time = urgency.target_time;
+  call->goes_first = urgency.goes_first;
+}
+
 /* Returns why CALL is refused on arrival, or NULL. */
 static const char *
 find_call_refusal (const fn_entry_call_t *call)
@@ -524,8 +558,7 @@
   if (fn_refuse_quarantined_call (call))
     return;
   fh_set_cancelled_handler (request, cancel_call, call);
-  call->parent_is_retry = fn_is_parent_retry (fk_find_service (entry->kernel, FN_BACKEND),
-                                              fb_wrap_text (request_id));
+  adopt_parent (call);
   if (call->parent_is_retry)
     fr_charge_retry (entry->budget, service);
   else
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -60,6 +60,7 @@
   fh_request_t *request;
   fc_snapshot_t *snapshot; /* holds a reference */
   const fc_route_t *route;
+  uint32_t rank; /* index; that of the route, or a more urgent one of the parent call */
   fb_str_t customer;
   fb_str_t ticket;
   char request_id[FN_REQUEST_ID_MAX + 1];
@@ -69,6 +70,7 @@
   fb_time_t target_time;    /* until which an answer is in time */
   bool is_caller_retry;     /* the caller's timeout suggests that it spent time on earlier
                                requests */
+  bool goes_first; /* queued before others of its rank: a caller retry or a nested call */
   fk_timer_t *timer;
   uint32_t service_index; /* chosen by the splitter */
   uint32_t attempt_count;
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -187,9 +187,10 @@
 /* Cancels a call: its answer is not delivered. A running call with a ticket still completes. */
 void fn_cancel_call (fn_backend_t *backend, uint64_t handle);
 
-/* Returns whether REQUEST_ID is a call by the backend server on behalf of one it runs as a
- * retry. Its id is that of its parent, a dot and a number. */
-bool fn_is_parent_retry (fn_backend_t *backend, fb_str_t request_id);
+/* Returns the running call on whose behalf the backend server makes call REQUEST_ID, or NULL if
+ * it is not nested in one; owned by BACKEND and valid until the call ends. The id of a nested
+ * call is that of its parent, a dot and a number. */
+const fw_call_t *fn_find_parent_call (fn_backend_t *backend, fb_str_t request_id);
 
 /* Returns the number of calls that are not answered yet. */
 size_t fn_count_backend_calls (fn_backend_t *backend);
--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -54,7 +54,8 @@
   fb_str_t path;
   bool at_most_once;            /* the request is not repeatable */
   uint64_t target_left_us;      /* time left until the target time; 0 when it has passed */
-  bool is_caller_retry;         /* the caller's request was refused before and is sent again */
+  bool goes_first;              /* queued before others of its rank: a caller's retry after a
+                                   refusal, or a nested call */
   bool earlier_attempt_arrived; /* an earlier attempt of the request reached a node */
   fb_str_t ticket;              /* empty unless the route requires one */
   fb_str_t request_id;
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -45,7 +45,7 @@
   fw_pack_str (&packer, message->path);
   msgpack_pack_uint64 (&packer, message->at_most_once);
   msgpack_pack_uint64 (&packer, message->target_left_us);
-  msgpack_pack_uint64 (&packer, message->is_caller_retry);
+  msgpack_pack_uint64 (&packer, message->goes_first);
   msgpack_pack_uint64 (&packer, message->earlier_attempt_arrived);
   fw_pack_str (&packer, message->ticket);
   fw_pack_str (&packer, message->request_id);
@@ -117,7 +117,7 @@
   message->path = fw_read_str (&reader, FW_TEXT_MAX);
   message->at_most_once = fw_read_u64 (&reader, 1) == 1;
   message->target_left_us = fw_read_u64 (&reader, UINT64_MAX);
-  message->is_caller_retry = fw_read_u64 (&reader, 1) == 1;
+  message->goes_first = fw_read_u64 (&reader, 1) == 1;
   message->earlier_attempt_arrived = fw_read_u64 (&reader, 1) == 1;
   message->ticket = fw_read_str (&reader, FW_TEXT_MAX);
   message->request_id = fw_read_str (&reader, FW_TEXT_MAX);
