Picker: evacuated zones

Cause: the instances of a zone that the operator evacuates must get no call, also when no other instance is left.

fr_set_zone_evacuated leaves the zone's instances out of the subset, from which each candidate choice is made, ejected and suspect ones included. They return with a slow start.

Tests: call (ctest -R call) passed; /picker/evacuation is new.

--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -38,6 +38,11 @@
  * membership's changed hook, and for this node itself. */
 void fr_update_instance (fr_picker_t *picker, const fw_member_t *member);
 
+/* Excludes the instances of ZONE from every choice, also as a last resort, or, unless
+ * EVACUATED, includes them again with a slow start. Holds for instances that are added later,
+ * too. */
+void fr_set_zone_evacuated (fr_picker_t *picker, const fb_name_t *zone, bool evacuated);
+
 /* Picks an instance of SERVICE other than the EXCLUDED_COUNT names in EXCLUDED and counts a
  * call in flight on it. Returns false when there is none. */
 bool fr_pick_backend (fr_picker_t *picker, fb_str_t service, fb_str_t key,
@@ -97,6 +102,7 @@
   bool candidate;       /* the next pick chooses among the candidates */
   bool in_subset;       /* this node sends calls to it */
   bool ejected;
+  bool evacuated;     /* its zone gets no calls */
   uint32_t in_flight; /* calls of this node, all ranks */
   uint32_t load;      /* per 1,000 slots, as last reported */
   double score;       /* expected cost of another call; lower is better */
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -27,6 +27,8 @@
   picker->random = g_rand_new_with_seed (seed);
   picker->instances = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
   picker->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_service);
+  picker->evacuated_zones
+      = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, g_free, NULL);
   return picker;
 }
 
@@ -37,6 +39,7 @@
     return;
   g_hash_table_destroy (picker->instances);
   g_hash_table_destroy (picker->services);
+  g_hash_table_destroy (picker->evacuated_zones);
   g_rand_free (picker->random);
   g_free (picker);
 }
@@ -114,17 +117,53 @@
 }
 
 static void
-set_own_region (fr_picker_t *picker, const fw_member_t *member)
+mark_subsets_stale (fr_picker_t *picker)
 {
   GHashTableIter iter;
   void *value;
 
+  g_hash_table_iter_init (&iter, picker->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((service_t *)value)->subset_stale = true;
+}
+
+static void
+set_own_region (fr_picker_t *picker, const fw_member_t *member)
+{
   if (fb_equal_name (&picker->region, &member->region))
     return;
   picker->region = member->region;
-  g_hash_table_iter_init (&iter, picker->services);
+  mark_subsets_stale (picker);
+}
+
+static void
+restart_slow_start (fr_picker_t *picker, const fb_name_t *zone)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, picker->instances);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    ((service_t *)value)->subset_stale = true;
+    {
+      instance_t *instance = value;
+
+      if (fb_equal_name (&instance->member.zone, zone))
+        instance->slow_start_begin = fb_read_clock (picker->clock);
+    }
+}
+
+void
+fr_set_zone_evacuated (fr_picker_t *picker, const fb_name_t *zone, bool evacuated)
+{
+  bool changed
+      = evacuated ? g_hash_table_add (picker->evacuated_zones, g_memdup2 (zone, sizeof *zone))
+                  : g_hash_table_remove (picker->evacuated_zones, zone);
+
+  if (!changed)
+    return;
+  mark_subsets_stale (picker);
+  if (!evacuated)
+    restart_slow_start (picker, zone);
 }
 
 void
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -76,8 +76,9 @@
   fb_name_t region; /* from this node's own member record; empty before */
   const fb_clock_t *clock;
   GRand *random;
-  GHashTable *instances; /* id -> instance_t */
-  GHashTable *services;  /* name -> service_t */
+  GHashTable *instances;       /* id -> instance_t */
+  GHashTable *services;        /* name -> service_t */
+  GHashTable *evacuated_zones; /* set of fb_name_t */
 };
 
 typedef struct
@@ -111,6 +112,9 @@
  * the same region. */
 distance_t fr_get_distance (const fr_picker_t *picker, const instance_t *instance);
 
+/* Returns whether the zone of INSTANCE is evacuated; the subset has no such instance. */
+bool fr_is_evacuated (const fr_picker_t *picker, const instance_t *instance);
+
 /* Chooses the subset of SERVICE when its instances have changed; call before each use,
  * because sorting at each change is too slow when many members of a large service join at
  * once. */
--- a/packages/call/source/route-subset.c
+++ b/packages/call/source/route-subset.c
@@ -11,6 +11,12 @@
   return DISTANCE_OTHER;
 }
 
+bool
+fr_is_evacuated (const fr_picker_t *picker, const instance_t *instance)
+{
+  return g_hash_table_contains (picker->evacuated_zones, &instance->member.zone);
+}
+
 static int
 compare_weights (const void *a, const void *b)
 {
@@ -30,7 +36,8 @@
     {
       instance_t *instance = g_ptr_array_index (service->instances, i);
 
-      if (instance->in_subset || fr_get_distance (picker, instance) != distance)
+      if (instance->in_subset || fr_get_distance (picker, instance) != distance
+          || fr_is_evacuated (picker, instance))
         continue;
       instance->in_subset = true;
       g_ptr_array_add (service->subset, instance);
--- a/packages/call/source/route-visit.c
+++ b/packages/call/source/route-visit.c
@@ -12,6 +12,7 @@
     .distance = distances[fr_get_distance (picker, instance)],
     .in_subset = instance->in_subset,
     .ejected = fr_is_ejected (instance, now),
+    .evacuated = fr_is_evacuated (picker, instance),
     .in_flight = instance->in_flight,
     .load = instance->load,
     .score = fr_score_instance (instance, rank, now),
--- a/packages/call/tests/test-picker.c
+++ b/packages/call/tests/test-picker.c
@@ -409,6 +409,62 @@
     }
 }
 
+/* Guards against calls to an evacuated zone, also when it holds all instances or all others are
+ * ejected or suspected, against places of the subset that its instances take, and against a
+ * zone that stays excluded. */
+static void
+test_evacuation (void)
+{
+  static const struct
+  {
+    int others; /* instances of another zone, beside 30 of the evacuated one */
+    bool ejected;
+    fw_member_state_t state;
+    bool picks;
+  } cases[] = { { 0, false, FW_ALIVE, false },
+                { 30, false, FW_ALIVE, true },
+                { 1, true, FW_ALIVE, true },
+                { 1, false, FW_SUSPECT, true },
+                { 1, true, FW_SUSPECT, true } };
+
+  for (int policy = FR_PICK_LOCALITY; policy <= FR_PICK_RENDEZVOUS; policy++)
+    for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+      {
+        fixture_t fixture = create_fixture ((fr_pick_policy_t)policy);
+        fb_name_t zone = fb_make_name ("zone-0");
+        fb_name_t picked;
+
+        add_instances (&fixture, 0, 20, 0);
+        fr_set_zone_evacuated (fixture.picker, &zone, true);
+        add_instances (&fixture, 20, 10, 0);
+        for (int other = 100; other < 100 + cases[i].others; other++)
+          {
+            fb_name_t id = make_id (other);
+
+            update_member (&fixture, other, 1, 0, cases[i].state);
+            if (cases[i].ejected)
+              fr_eject_until (fixture.picker, &id, G_MAXINT64);
+          }
+        for (int pick = 0; pick < 100; pick++)
+          {
+            bool found = fr_pick_for_latency_target (fixture.picker, service, 0, FB_SECOND,
+                                                     NULL, 0, &picked);
+
+            g_assert_cmpint (found, ==, cases[i].picks);
+            g_assert_true (!found || g_ascii_strtoull (picked.data + 5, NULL, 10) >= 100);
+          }
+        g_assert_cmpuint (fr_count_available_instances (fixture.picker, service)
+                              + fr_count_ejected (fixture.picker, service),
+                          ==, (size_t)MIN (cases[i].others, SUBSET_SIZE_MAX));
+        fr_set_zone_evacuated (fixture.picker, &zone, false);
+        g_assert_true (fr_pick_for_latency_target (fixture.picker, service, 0, FB_SECOND, NULL,
+                                                   0, &picked));
+        g_assert_cmpuint (fr_count_available_instances (fixture.picker, service), >=,
+                          SUBSET_ZONE_QUOTA);
+        destroy_fixture (&fixture);
+      }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -423,5 +479,6 @@
   g_test_add_func ("/picker/score", test_score);
   g_test_add_func ("/picker/baselines", test_baselines);
   g_test_add_func ("/picker/visit", test_visit);
+  g_test_add_func ("/picker/evacuation", test_evacuation);
   return g_test_run ();
 }
