--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -24,8 +24,8 @@
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
  * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
  * limit_ms; [backend] address, port, limit_burst_ms; [platform] address, port; [seeds] nodes;
- * [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio and
- * shared_retry_floor have no key and are 0 after fc_check_settings. */
+ * [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio,
+ * shared_retry_floor and evacuation have no key and are 0 after fc_check_settings. */
 typedef struct
 {
   fb_name_t id;
@@ -42,6 +42,7 @@
   size_t pipeline_bytes;          /* held for them and their responses */
   fb_time_t source_poll_interval; /* between two reads of the platform's list of
                                       instances; 0 when it has none */
+  bool evacuation;                /* the platform names zones whose instances get no calls */
   double retry_ratio; /* retries per first attempt, with a retry budget shared by the nodes */
   uint32_t shared_retry_floor; /* further retries in 10 s of all nodes together; 0 without
                                   a shared retry budget */
--- a/packages/dist/include/foxtailrun/dist/feed.h
+++ b/packages/dist/include/foxtailrun/dist/feed.h
@@ -11,10 +11,11 @@
 
 typedef enum
 {
-  FD_READ_ALL,      /* everything, page by page */
-  FD_READ_CHANGES,  /* changes of endpoints and the document */
-  FD_READ_DOCUMENT, /* the newest document only */
-  FD_READ_ENDPOINTS /* changes of endpoints only */
+  FD_READ_ALL,        /* everything, page by page */
+  FD_READ_CHANGES,    /* changes of endpoints and the document */
+  FD_READ_DOCUMENT,   /* the newest document only */
+  FD_READ_ENDPOINTS,  /* changes of endpoints only */
+  FD_READ_EVACUATIONS /* the complete set of evacuated zones */
 } fd_read_kind_t;
 
 typedef struct
@@ -57,6 +58,9 @@
   fm_changed_fn_t endpoint_changed;
   /* A newer document may be available, see fd_get_document. */
   void (*document_changed) (void *user);
+  /* The set of evacuated zones has changed, see fd_get_evacuations. Never called without
+   * fd_feed_options_t.evacuation. */
+  void (*evacuations_changed) (void *user);
   void *user;
 } fd_feed_hooks_t;
 
@@ -65,6 +69,7 @@
   fb_name_t address; /* of this node */
   fb_name_t zone;
   fb_time_t poll_interval; /* age of the known state at which a node reads the store */
+  bool evacuation;         /* the store names evacuated zones; otherwise none is ever known */
 } fd_feed_options_t;
 
 typedef struct fd_feed fd_feed_t;
@@ -89,6 +94,12 @@
 void fd_set_document (fd_feed_t *feed, fb_position_t position, uint64_t number,
                       fb_bytes_t text);
 
+/* Delivers that ZONE is evacuated or, unless ACTIVE, no longer; FD_READ_ALL and
+ * FD_READ_EVACUATIONS deliver the evacuated zones only. Takes effect at the end of the read; of
+ * several for one zone the one with the latest position counts. */
+void fd_set_evacuation (fd_feed_t *feed, fb_position_t position, const fb_name_t *zone,
+                        bool active);
+
 /* Ends the outstanding read. */
 void fd_end_read (fd_feed_t *feed, const fd_read_result_t *result);
 
@@ -113,6 +124,12 @@
 /* Records that the newest document was refused: across a restore any other is newer. */
 void fd_refuse_document (fd_feed_t *feed);
 
+/* Returns whether ZONE is evacuated. */
+bool fd_is_evacuated (const fd_feed_t *feed, const fb_name_t *zone);
+
+/* Returns the evacuated zones, COUNT of them in no order; free with g_free. */
+fb_name_t *fd_get_evacuations (const fd_feed_t *feed, size_t *count);
+
 /* Returns whether everything has been read once. */
 bool fd_is_synced (const fd_feed_t *feed);
 
--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -2,36 +2,10 @@
 #include "feed-state.h"
 #include <string.h>
 
-/* Wait of a read of changes; each read is charged for. It is part of the time after which a
- * silent connection is noticed. */
-#define CHANGE_WAIT_MS 300
-
-/* Limit of the wait for a response, beyond the wait for a change. A connection that goes silent
- * just before a read is noticed after a poll interval and both; removals must be known again 3
- * s after that. */
-#define READ_TIMEOUT_MS 1500
-
-/* Limit for the first read after a failed one, doubled for each further one up to the limit
- * above. When only the last connection was broken, the store responds at once on a new one. If
- * that goes silent as well, the grace period that follows must end within the same 3 s. */
-#define RETRY_TIMEOUT_MS 500
-
 /* Failed reads in a row that are taken for an outage of the store. A single one is hardly long
  * enough for endpoints to expire, and most often a connection that was lost. */
 #define OUTAGE_FAILURES 2
 
-/* After a failed read: the response shows at once that the store is back. */
-#define FAILED_CHANGE_WAIT_MS 1
-
-/* On a node with followers: each response tells them that they missed nothing. */
-#define RELAY_CHANGE_WAIT_MS 200
-
-/* Age of the known state, in poll intervals, at which a node with followers reads the store,
- * and at which a follower without updates reads it itself. The difference leaves a relay 0.4 s
- * to read a configuration of 300 KB over a link of 7 Mbit/s. */
-#define RELAY_READ_AGE_INTERVALS 0.6
-#define FOLLOWER_READ_AGE_INTERVALS 1.25
-
 /* Time from the start of a failed read to the next one, if the failure does not take longer:
  * random below a bound that doubles with each failure. */
 #define BACKOFF_MIN_MS 100
@@ -86,6 +60,7 @@
   feed->id = ((uint64_t)g_rand_int (feed->random) << 32) + 1;
   feed->listing = fm_create_listing (clock, hooks->endpoint_changed, hooks->user);
   feed->pending_requests = g_ptr_array_new_with_free_func (g_free);
+  fd_init_evacuations (feed);
   find_counters (feed, counters);
   return feed;
 }
@@ -96,6 +71,7 @@
   if (!feed)
     return;
   fd_clear_feed_documents (feed);
+  fd_clear_evacuations (feed);
   fm_destroy_listing (feed->listing);
   g_ptr_array_free (feed->pending_requests, TRUE);
   g_rand_free (feed->random);
@@ -103,25 +79,12 @@
   g_free (feed);
 }
 
-/* Returns the age of the known state at which this node reads the store. */
-static fb_time_t
-get_read_age (const fd_feed_t *feed, fb_time_t now)
-{
-  double intervals = 1;
-
-  if (fd_has_followers (feed, now))
-    intervals = RELAY_READ_AGE_INTERVALS;
-  else if (feed->relay_address.len > 0)
-    intervals = FOLLOWER_READ_AGE_INTERVALS;
-  return (fb_time_t)((double)feed->options.poll_interval * intervals);
-}
-
 static fb_time_t
 get_next_read_time (const fd_feed_t *feed, fb_time_t now)
 {
   if (feed->consecutive_failures > 0 || feed->read_kind != FD_READ_CHANGES)
     return feed->next_read_at;
-  return feed->known_at + get_read_age (feed, now);
+  return feed->known_at + fd_get_read_age (feed, now);
 }
 
 /* Returns whether large documents may have been published while the store could not be read. */
@@ -132,6 +95,14 @@
          && fd_get_document (feed, &(fb_position_t){ 0 }).len >= LARGE_DOCUMENT_BYTES;
 }
 
+/* Returns the kind of the read that delivers endpoints apart from the document. Evacuations are
+ * read before, so that all three are known up to the start of the document's read. */
+static fd_read_kind_t
+get_separate_kind (const fd_feed_t *feed)
+{
+  return feed->options.evacuation ? FD_READ_EVACUATIONS : FD_READ_ENDPOINTS;
+}
+
 /* Returns the kind of the read to start. Changes of a document that is known up to a position
  * of an earlier era cannot be requested: the document is read by itself. */
 static fd_read_kind_t
@@ -141,7 +112,9 @@
     return feed->read_kind;
   if (feed->document_known_position.era < feed->position.era)
     return FD_READ_DOCUMENT;
-  return has_backlog (feed) ? FD_READ_ENDPOINTS : FD_READ_CHANGES;
+  if (fd_needs_evacuation_read (feed))
+    return FD_READ_EVACUATIONS;
+  return has_backlog (feed) ? get_separate_kind (feed) : FD_READ_CHANGES;
 }
 
 static void
@@ -156,42 +129,26 @@
   fm_begin_full_read (feed->listing);
 }
 
-static uint32_t
-get_change_wait_ms (const fd_feed_t *feed, fb_time_t now)
-{
-  if (feed->consecutive_failures > 0)
-    return FAILED_CHANGE_WAIT_MS;
-  return fd_has_followers (feed, now) ? RELAY_CHANGE_WAIT_MS : CHANGE_WAIT_MS;
-}
-
-static uint32_t
-get_timeout_ms (const fd_feed_t *feed, uint32_t wait_ms)
-{
-  uint32_t timeout_ms = RETRY_TIMEOUT_MS;
-
-  if (feed->consecutive_failures == 0)
-    return wait_ms + READ_TIMEOUT_MS;
-  for (uint32_t i = 1; i < feed->consecutive_failures && timeout_ms < READ_TIMEOUT_MS; i++)
-    timeout_ms *= 2;
-  return MIN (timeout_ms, READ_TIMEOUT_MS);
-}
-
 static void
 start_read (fd_feed_t *feed, fb_time_t now)
 {
   fd_read_t read = { .after_key = feed->page_key };
 
-  if (feed->read_kind == FD_READ_CHANGES && get_read_kind (feed) == FD_READ_ENDPOINTS)
+  if (feed->read_kind == FD_READ_CHANGES && get_read_kind (feed) == get_separate_kind (feed))
     feed->is_document_due = true;
   feed->read_kind = get_read_kind (feed);
+  if (!feed->page_key)
+    fd_begin_evacuation_read (feed);
   feed->read_era = feed->page_key ? feed->first_page_position.era : feed->position.era;
   read.kind = feed->read_kind;
   switch (feed->read_kind)
     {
     case FD_READ_CHANGES:
       read.after_revision
-          = fb_get_earlier_position (feed->position, feed->document_known_position).revision;
-      read.wait_ms = get_change_wait_ms (feed, now);
+          = fd_limit_to_evacuations (
+                feed, fb_get_earlier_position (feed->position, feed->document_known_position))
+                .revision;
+      read.wait_ms = fd_get_change_wait_ms (feed, now);
       break;
     case FD_READ_ENDPOINTS:
       read.after_revision = feed->position.revision;
@@ -200,12 +157,14 @@
     case FD_READ_DOCUMENT:
       feed->document_read_started_at = now;
       break;
+    case FD_READ_EVACUATIONS:
+      break;
     case FD_READ_ALL:
       if (!feed->page_key)
         begin_full_read (feed);
       break;
     }
-  read.timeout_ms = get_timeout_ms (feed, read.wait_ms);
+  read.timeout_ms = fd_get_timeout_ms (feed, read.wait_ms);
   feed->read_outstanding = true;
   feed->read_started_at = now;
   feed->documents_read = 0;
@@ -310,7 +269,7 @@
 {
   schedule_read (feed, newest_only ? FD_READ_DOCUMENT : FD_READ_CHANGES);
   if (newest_only)
-    feed->next_read_at = feed->known_at + get_read_age (feed, get_time (feed));
+    feed->next_read_at = feed->known_at + fd_get_read_age (feed, get_time (feed));
 }
 
 static void
@@ -346,7 +305,7 @@
   if (fd_is_following (feed, get_time (feed)))
     schedule_read (feed, FD_READ_CHANGES);
   else
-    schedule_read (feed, FD_READ_ENDPOINTS);
+    schedule_read (feed, get_separate_kind (feed));
 }
 
 /* Changes made during a full read are found by the next read of changes, which starts at the
@@ -368,6 +327,7 @@
   feed->rereading = false;
   feed->is_document_due = false;
   feed->position = feed->first_page_position;
+  fd_finish_evacuation_read (feed, feed->position);
   feed->document_known_position = feed->first_page_position;
   fd_set_known_at (feed, feed->read_started_at);
   feed->read_completed_at = get_time (feed);
@@ -435,6 +395,19 @@
   fd_mark_source_available (feed);
 }
 
+/* A set of several pages is read with everything else. */
+static void
+finish_evacuations (fd_feed_t *feed, const fd_read_result_t *result)
+{
+  if (result->kind == FD_RESULT_HAS_MORE)
+    {
+      restart_full_read (feed);
+      return;
+    }
+  fd_finish_evacuation_read (feed, result->position);
+  schedule_read (feed, FD_READ_ENDPOINTS);
+}
+
 static void
 finish_read (fd_feed_t *feed, const fd_read_result_t *result)
 {
@@ -444,6 +417,7 @@
       finish_page (feed, result);
       break;
     case FD_READ_CHANGES:
+      fd_finish_evacuation_read (feed, result->position);
       finish_changes (feed, result->position);
       break;
     case FD_READ_DOCUMENT:
@@ -452,6 +426,9 @@
     case FD_READ_ENDPOINTS:
       finish_endpoints (feed, result->position);
       break;
+    case FD_READ_EVACUATIONS:
+      finish_evacuations (feed, result);
+      break;
     }
 }
 
--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -317,6 +317,7 @@
   feed->rereading = false;
   if (!feed->read_outstanding)
     feed->read_kind = FD_READ_CHANGES;
+  fd_apply_evacuations (feed, update);
   apply_endpoints (feed, update);
   feed->position = update->position;
   feed->relay_feed_id = update->feed_id;
@@ -362,6 +363,11 @@
       handle_relay_failure (feed, "relay has no current state of the store");
       return;
     }
+  if (!fd_accepts_evacuations (feed, response))
+    {
+      handle_relay_failure (feed, "relay sends no evacuations");
+      return;
+    }
   feed->next_request_at = now;
   if (response->position.era > feed->position.era)
     fd_begin_era (feed, response->position);
@@ -383,7 +389,7 @@
 is_up_to_date (const fd_feed_t *feed, fb_time_t now)
 {
   return feed->synced && feed->read_kind != FD_READ_ALL && feed->consecutive_failures == 0
-         && fm_is_listing_shareable (feed->listing)
+         && fm_is_listing_shareable (feed->listing) && fd_can_send_evacuations (feed)
          && now < feed->known_at + 2 * feed->options.poll_interval;
 }
 
@@ -418,8 +424,10 @@
   update.endpoints = (fw_endpoint_t *)(void *)endpoints->data;
   if (has_newer_document (feed, &pending->message))
     update.delta = fd_find_delta (feed, pending->message.document_position);
+  fd_add_evacuations (feed, &update);
   fb_add_counter (feed->updates_sent, 1);
   feed->hooks.send_response (pending->requester, &update, feed->hooks.user);
+  g_free (update.evacuated_zones);
   g_array_free (endpoints, TRUE);
 }
 
@@ -435,7 +443,8 @@
     return false;
   return request->feed_id != feed->id
          || request->sequence != fm_get_listing_sequence (feed->listing)
-         || has_newer_document (feed, request) || feed->read_completed_at > pending->arrived_at;
+         || has_newer_document (feed, request) || fd_misses_evacuation (feed, pending)
+         || feed->read_completed_at > pending->arrived_at;
 }
 
 void
--- a/packages/dist/source/feed-state.h
+++ b/packages/dist/source/feed-state.h
@@ -28,6 +28,14 @@
   fb_time_t avoid_until;
 } fd_avoided_relay_t;
 
+/* Last known request about a zone: to evacuate it or, unless ACTIVE, its withdrawal. */
+typedef struct
+{
+  fb_name_t zone;
+  fb_position_t position; /* of the write; in a set from a relay, up to which that is known */
+  bool active;
+} fd_evacuation_t;
+
 /* A request of another node that waits for a change. */
 typedef struct
 {
@@ -71,6 +79,13 @@
   uint64_t announced_document_number;
   fd_document_t documents[FD_DOCUMENTS_MAX]; /* newest first */
 
+  /* Evacuated zones. */
+  GArray *evacuations;                        /* fd_evacuation_t, all active */
+  GArray *read_evacuations;                   /* delivered by the outstanding read */
+  fb_position_t evacuations_position;         /* all changes of the set up to here are known */
+  fb_position_t evacuations_changed_position; /* EVACUATIONS_POSITION at the last change */
+  fb_time_t evacuations_changed_at;
+
   /* Following another node. */
   fb_name_t relay_address; /* empty while this node reads the store */
   bool request_outstanding;
@@ -123,6 +138,50 @@
 
 void fd_clear_feed_documents (fd_feed_t *feed);
 
+/* feed-evacuation.c */
+
+void fd_init_evacuations (fd_feed_t *feed);
+void fd_clear_evacuations (fd_feed_t *feed);
+
+/* Drops what the last read has delivered; a read begins that delivers anew. */
+void fd_begin_evacuation_read (fd_feed_t *feed);
+
+/* Applies what the read of READ_KIND has delivered; the store was read at POSITION. */
+void fd_finish_evacuation_read (fd_feed_t *feed, fb_position_t position);
+
+/* Returns POSITION, or the earlier one up to which the set of evacuated zones is known. */
+fb_position_t fd_limit_to_evacuations (const fd_feed_t *feed, fb_position_t position);
+
+/* Returns whether the set is of an earlier era than the known position, so that its changes
+ * cannot be requested. */
+bool fd_needs_evacuation_read (const fd_feed_t *feed);
+
+/* Returns whether UPDATE tells this node all that it must know of evacuations. */
+bool fd_accepts_evacuations (const fd_feed_t *feed, const fw_feed_message_t *update);
+
+/* Takes over the set of UPDATE unless a later one is known. */
+void fd_apply_evacuations (fd_feed_t *feed, const fw_feed_message_t *update);
+
+/* Returns whether the set fits a feed update. */
+bool fd_can_send_evacuations (const fd_feed_t *feed);
+
+/* Adds the set to UPDATE; the caller frees its zones. */
+void fd_add_evacuations (const fd_feed_t *feed, fw_feed_message_t *update);
+
+/* Returns whether the sender of PENDING does not know the last change of the set. */
+bool fd_misses_evacuation (const fd_feed_t *feed, const fd_pending_request_t *pending);
+
+/* feed-timing.c */
+
+/* Returns the age of the known state at which this node reads the store. */
+fb_time_t fd_get_read_age (const fd_feed_t *feed, fb_time_t now);
+
+/* Returns how long the store may wait for a change before it responds to a read. */
+uint32_t fd_get_change_wait_ms (const fd_feed_t *feed, fb_time_t now);
+
+/* Returns the limit of each wait for data of a read in which the store waits for WAIT_MS. */
+uint32_t fd_get_timeout_ms (const fd_feed_t *feed, uint32_t wait_ms);
+
 /* dist-feed.c */
 
 /* Records that all changes up to TIME are known. */
--- a/packages/dist/tests/fixture-feed.c
+++ b/packages/dist/tests/fixture-feed.c
@@ -1,4 +1,4 @@
-#include "fixture-feed.h"
+#include "fixture-feed-state.h"
 #include <string.h>
 
 #define STEP (5 * FB_MILLISECOND)
@@ -15,77 +15,6 @@
 /* Period in which each instance updates its endpoint in the store, in steps. */
 #define ENDPOINT_WRITE_STEPS 200
 
-/* A kept connection to the store or a relay. */
-typedef struct
-{
-  bool open;
-  bool silent; /* what is sent on it is lost */
-  size_t relay;
-  fb_time_t used_at;
-} connection_t;
-
-typedef struct
-{
-  fleet_t *fleet;
-  size_t number;
-  feed_fault_t fault;
-  fd_feed_t *feed;
-  fb_time_t run_at;
-  fw_member_state_t known_states[FEED_NODES_MAX];
-  bool read_outstanding;
-  fd_read_t read;
-  fb_time_t read_end_at;
-  bool read_lost; /* it gets no response */
-  fb_time_t read_started_at;
-  connection_t store_connection;
-  connection_t relay_connection;
-  size_t relay; /* FEED_NODES_MAX before the first request */
-  bool request_outstanding;
-  fb_time_t request_sent_at;
-  fb_time_t response_at;
-  uint8_t *response;
-  size_t response_len;
-} node_t;
-
-typedef struct
-{
-  fw_member_state_t state;
-  uint64_t incarnation;
-  uint64_t revision; /* of the last write */
-} listed_endpoint_t;
-
-/* Contents of the store. */
-typedef struct
-{
-  listed_endpoint_t endpoints[FEED_NODES_MAX];
-  uint64_t revision;
-  uint64_t compacted_revision; /* changes before this revision are compacted */
-  char *text;
-  uint64_t text_revision;
-  uint64_t text_number;
-} store_t;
-
-struct fleet
-{
-  fb_clock_t *clock;
-  fb_counters_t *counters;
-  size_t count;
-  node_t nodes[FEED_NODES_MAX];
-  store_t store;
-  store_t copy;
-  uint64_t era;
-  bool store_available;
-  bool store_silent;
-  bool updates_stopped;
-  uint64_t steps;
-  size_t reads;
-  size_t document_reads;
-  size_t full_reads;
-  uint64_t published;                    /* documents */
-  uint64_t incarnations[FEED_NODES_MAX]; /* of the instances' current starts */
-  bool has_left[FEED_NODES_MAX];         /* the current start was listed as leaving */
-};
-
 static fb_name_t
 make_name (const char *prefix, size_t number)
 {
@@ -145,6 +74,7 @@
   node->fleet->reads++;
   node->fleet->document_reads += read->kind == FD_READ_DOCUMENT;
   node->fleet->full_reads += read->kind == FD_READ_ALL;
+  node->fleet->evacuation_reads += read->kind == FD_READ_EVACUATIONS;
 }
 
 static node_t *
@@ -214,6 +144,19 @@
 {
 }
 
+static void
+record_evacuations (void *user)
+{
+  node_t *node = user;
+
+  for (size_t i = 0; i < FEED_ZONES; i++)
+    {
+      fb_name_t zone = make_name ("zone-", i);
+
+      node->evacuated[i] = fd_is_evacuated (node->feed, &zone);
+    }
+}
+
 static fb_position_t
 make_position (const fleet_t *fleet, uint64_t revision)
 {
@@ -241,6 +184,23 @@
     }
 }
 
+/* Delivers the evacuations changed after REVISION to NODE; ended ones only WITH_ENDED. */
+static void
+deliver_evacuations (node_t *node, uint64_t revision, bool with_ended)
+{
+  const fleet_t *fleet = node->fleet;
+
+  for (size_t i = 0; i < FEED_ZONES; i++)
+    {
+      const listed_evacuation_t *listed = &fleet->store.evacuations[i];
+      fb_name_t zone = make_name ("zone-", i);
+
+      if (listed->revision > revision && (listed->active || with_ended))
+        fd_set_evacuation (node->feed, make_position (fleet, listed->revision), &zone,
+                           listed->active);
+    }
+}
+
 static void
 deliver_document (node_t *node)
 {
@@ -266,8 +226,11 @@
     result.kind = FD_RESULT_FAILED;
   else if (read->kind == FD_READ_DOCUMENT)
     deliver_document (node);
+  else if (read->kind == FD_READ_EVACUATIONS)
+    deliver_evacuations (node, 0, false);
   else if (read->kind == FD_READ_ALL)
     {
+      deliver_evacuations (node, 0, false);
       deliver_endpoints (node, 0, false);
       deliver_document (node);
     }
@@ -277,6 +240,8 @@
   else
     {
       deliver_endpoints (node, read->after_revision, true);
+      if (read->kind == FD_READ_CHANGES)
+        deliver_evacuations (node, read->after_revision, true);
       if (read->kind == FD_READ_CHANGES && fleet->store.text_revision > read->after_revision)
         deliver_document (node);
     }
@@ -371,9 +336,11 @@
   node_t *node = &fleet->nodes[number];
   fd_feed_options_t options = { .address = make_name ("10.0.0.", number),
                                 .zone = make_name ("zone-", number % FEED_ZONES),
-                                .poll_interval = FEED_POLL_INTERVAL };
+                                .poll_interval = FEED_POLL_INTERVAL,
+                                .evacuation = fleet->evacuation };
   fd_feed_hooks_t hooks
-      = { start_read, send_request, receive_response, record_endpoint, ignore_document, node };
+      = { start_read,         send_request, receive_response, record_endpoint, ignore_document,
+          record_evacuations, node };
 
   *node = (node_t){ .fleet = fleet, .number = number, .relay = FEED_NODES_MAX };
   for (size_t i = 0; i < FEED_NODES_MAX; i++)
@@ -393,8 +360,8 @@
   start_node (fleet, number, (uint32_t)fleet->steps);
 }
 
-fleet_t *
-feed_create_fleet (size_t count, uint32_t seed)
+static fleet_t *
+create_fleet (size_t count, uint32_t seed, bool evacuation)
 {
   fleet_t *fleet = g_new0 (fleet_t, 1);
 
@@ -403,6 +370,7 @@
   fleet->count = count;
   fleet->store_available = true;
   fleet->era = 1;
+  fleet->evacuation = evacuation;
   feed_publish (fleet, "first");
   for (size_t i = 0; i < count; i++)
     feed_set_endpoint (fleet, i, FW_ALIVE);
@@ -412,6 +380,24 @@
   return fleet;
 }
 
+fleet_t *
+feed_create_fleet (size_t count, uint32_t seed)
+{
+  return create_fleet (count, seed, false);
+}
+
+fleet_t *
+feed_create_fleet_with_evacuation (size_t count, uint32_t seed)
+{
+  return create_fleet (count, seed, true);
+}
+
+void
+feed_set_evacuated (fleet_t *fleet, size_t zone, bool evacuated)
+{
+  fleet->store.evacuations[zone] = (listed_evacuation_t){ evacuated, ++fleet->store.revision };
+}
+
 void
 feed_destroy_fleet (fleet_t *fleet)
 {
@@ -522,71 +508,3 @@
   fleet->store.text_revision = ++fleet->store.revision;
   fleet->store.text_number = ++fleet->published;
 }
-
-size_t
-feed_get_relay (const fleet_t *fleet, size_t node)
-{
-  return fleet->nodes[node].request_outstanding ? fleet->nodes[node].relay : FEED_NODES_MAX;
-}
-
-fw_member_state_t
-feed_get_state (const fleet_t *fleet, size_t node, size_t other)
-{
-  return fleet->nodes[node].known_states[other];
-}
-
-fw_member_state_t
-feed_get_endpoint_state (const fleet_t *fleet, size_t node)
-{
-  return fleet->store.endpoints[node].state;
-}
-
-bool
-feed_has_newest_document (const fleet_t *fleet, size_t node)
-{
-  fb_position_t position;
-  fb_bytes_t text = fd_get_document (fleet->nodes[node].feed, &position);
-
-  return fb_compare_positions (position, make_position (fleet, fleet->store.text_revision)) == 0
-         && text.len == strlen (fleet->store.text)
-         && memcmp (text.data, fleet->store.text, text.len) == 0;
-}
-
-bool
-feed_is_healthy (const fleet_t *fleet, size_t node)
-{
-  return fleet->nodes[node].fault == FEED_NO_FAULT;
-}
-
-size_t
-feed_count_reads (const fleet_t *fleet)
-{
-  return fleet->reads;
-}
-
-size_t
-feed_count_document_reads (const fleet_t *fleet)
-{
-  return fleet->document_reads;
-}
-
-size_t
-feed_count_full_reads (const fleet_t *fleet)
-{
-  return fleet->full_reads;
-}
-
-bool
-feed_is_current (const fleet_t *fleet, size_t node)
-{
-  return fleet->store.endpoints[node].incarnation == 1 + fleet->incarnations[node];
-}
-
-bool
-feed_has_text (const fleet_t *fleet, size_t node, const char *expected)
-{
-  fb_position_t position;
-  fb_bytes_t text = fd_get_document (fleet->nodes[node].feed, &position);
-
-  return text.len == strlen (expected) && memcmp (text.data, expected, text.len) == 0;
-}
--- a/packages/dist/tests/fixture-feed.h
+++ b/packages/dist/tests/fixture-feed.h
@@ -27,6 +27,9 @@
  * a first document, and runs it until all are listed. */
 fleet_t *feed_create_fleet (size_t count, uint32_t seed);
 
+/* The same, with feeds that read which zones are evacuated. */
+fleet_t *feed_create_fleet_with_evacuation (size_t count, uint32_t seed);
+
 void feed_destroy_fleet (fleet_t *fleet);
 
 void feed_advance (fleet_t *fleet, fb_time_t time);
@@ -61,6 +64,9 @@
  * a later start of the instance. */
 void feed_set_endpoint (fleet_t *fleet, size_t node, fw_member_state_t state);
 
+/* Writes into the store that the zone of number ZONE is evacuated, or no longer. */
+void feed_set_evacuated (fleet_t *fleet, size_t zone, bool evacuated);
+
 void feed_publish (fleet_t *fleet, const char *text);
 
 /* Returns the node that NODE's outstanding request went to; FEED_NODES_MAX without one. */
@@ -90,7 +96,11 @@
 size_t feed_count_reads (const fleet_t *fleet);
 size_t feed_count_document_reads (const fleet_t *fleet);
 
-/* Returns the number of reads of everything by all nodes. */
+/* Return the number of reads of everything, and of the evacuations alone, by all nodes. */
 size_t feed_count_full_reads (const fleet_t *fleet);
+size_t feed_count_evacuation_reads (const fleet_t *fleet);
+
+/* Returns whether NODE knows the zone of number ZONE as evacuated. */
+bool feed_is_evacuated (const fleet_t *fleet, size_t node, size_t zone);
 
 #endif
--- a/packages/dist/tests/fixture-recorder.c
+++ b/packages/dist/tests/fixture-recorder.c
@@ -46,9 +46,10 @@
 {
   fd_feed_options_t options = { .address = fb_make_name (address),
                                 .zone = fb_make_name ("z"),
-                                .poll_interval = FEED_POLL_INTERVAL };
-  fd_feed_hooks_t hooks = { record_read,     record_request,  record_response,
-                            record_endpoint, ignore_document, recorder };
+                                .poll_interval = FEED_POLL_INTERVAL,
+                                .evacuation = recorder->evacuation };
+  fd_feed_hooks_t hooks = { record_read,     record_request,  record_response, record_endpoint,
+                            ignore_document, ignore_document, recorder };
 
   return fd_create_feed (&options, 1, clock, counters, NULL, &hooks);
 }
--- a/packages/dist/tests/fixture-recorder.h
+++ b/packages/dist/tests/fixture-recorder.h
@@ -8,6 +8,7 @@
 /* Records reads that a feed starts, requests that it sends and its response to a request. */
 typedef struct
 {
+  bool evacuation; /* set by the test: the feed reads evacuations */
   fd_read_t read;
   size_t read_count;
   bool requested;
--- a/packages/dist/tests/test-feed.c
+++ b/packages/dist/tests/test-feed.c
@@ -179,8 +179,8 @@
       fd_feed_options_t options = { .address = fb_make_name ("10.0.0.1"),
                                     .zone = fb_make_name ("z"),
                                     .poll_interval = FEED_POLL_INTERVAL };
-      fd_feed_hooks_t hooks = { ignore_read,  ignore_request,  ignore_response,
-                                record_state, ignore_document, &state };
+      fd_feed_hooks_t hooks = { ignore_read,     ignore_request,  ignore_response, record_state,
+                                ignore_document, ignore_document, &state };
       fd_feed_t *feed = fd_create_feed (&options, 1, clock, counters, NULL, &hooks);
       fw_endpoint_t listed = { { .id = fb_make_name ("i"), .state = FW_ALIVE }, 9 };
       fw_endpoint_t removed = { { .id = fb_make_name ("i"), .state = FW_DEAD }, 9 };
--- a/packages/foxtailrun/source/admin-client.c
+++ b/packages/foxtailrun/source/admin-client.c
@@ -184,6 +184,7 @@
 clear_node_status (void *data)
 {
   g_free (((fx_node_status_t *)data)->refused_document);
+  g_free (((fx_node_status_t *)data)->evacuated_zones);
 }
 
 static int
@@ -193,6 +194,19 @@
                            &((const fx_node_status_t *)b)->id);
 }
 
+/* Returns the texts in LIST, separated by commas; free with g_free. */
+static char *
+join_texts (const json_t *list)
+{
+  GString *joined = g_string_new ("");
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+      g_string_append_printf (joined, "%s%s", i > 0 ? "," : "", json_string_value (item));
+  return g_string_free (joined, FALSE);
+}
+
 static void
 parse_version (fx_node_status_t *member, json_t *body)
 {
@@ -205,6 +219,8 @@
   member->ready = json_is_true (json_object_get (body, "ready"));
   g_free (member->refused_document);
   member->refused_document = g_strdup (json_string_value (json_object_get (body, "refused")));
+  g_free (member->evacuated_zones);
+  member->evacuated_zones = join_texts (json_object_get (body, "evacuated_zones"));
 }
 
 bool
--- a/packages/foxtailrun/source/admin-client.h
+++ b/packages/foxtailrun/source/admin-client.h
@@ -29,6 +29,7 @@
   bool reader;            /* whether it reads the platform's document */
   bool ready;             /* accepts calls */
   char *refused_document; /* last one and its first problem, or NULL; owned */
+  char *evacuated_zones;  /* names that it knows, separated by commas; owned */
 } fx_node_status_t;
 
 typedef struct fx_admin_client fx_admin_client_t;
--- a/packages/foxtailrun/source/cmd-status.c
+++ b/packages/foxtailrun/source/cmd-status.c
@@ -30,12 +30,12 @@
 static json_t *
 pack_node_status (const fx_node_status_t *member)
 {
-  return json_pack ("{s:s,s:s,s:s,s:s,s:b,s:I,s:s,s:b,s:b,s:s?}", "id", member->id.data, "zone",
-                    member->zone.data, "service", member->service.data, "state",
+  return json_pack ("{s:s,s:s,s:s,s:s,s:b,s:I,s:s,s:b,s:b,s:s?,s:s}", "id", member->id.data,
+                    "zone", member->zone.data, "service", member->service.data, "state",
                     member->state.data, "reached", member->reached, "number",
                     (json_int_t)member->version_number, "digest", member->digest, "reader",
-                    member->reader, "ready", member->ready, "refused",
-                    member->refused_document);
+                    member->reader, "ready", member->ready, "refused", member->refused_document,
+                    "evacuated_zones", member->evacuated_zones ? member->evacuated_zones : "");
 }
 
 static void
@@ -51,6 +51,8 @@
                member->reached ? member->state.data : "silent", member->version_number,
                member->digest, member->ready ? "yes" : "no", member->reader ? "yes" : "no",
                member->refused_document ? member->refused_document : "-");
+      if (member->evacuated_zones && member->evacuated_zones[0])
+        fprintf (out, "%-24s evacuated zones: %s\n", "", member->evacuated_zones);
     }
 }
 
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -62,11 +62,12 @@
   char digest[FB_DIGEST_HEX_LEN + 1];
 
   fb_format_digest (&version->digest, digest);
-  return json_pack ("{s:s,s:s,s:I,s:I,s:s,s:b,s:b,s:s?}", "id", settings->id.data, "zone",
-                    settings->zone.data, "number", (json_int_t)version->number, "revision",
-                    (json_int_t)version->revision, "digest", digest, "reader",
-                    fn_is_reader (distribution), "ready", is_ready (admin), "refused",
-                    fn_get_refusal (distribution));
+  return json_pack (
+      "{s:s,s:s,s:I,s:I,s:s,s:b,s:b,s:s?,s:o}", "id", settings->id.data, "zone",
+      settings->zone.data, "number", (json_int_t)version->number, "revision",
+      (json_int_t)version->revision, "digest", digest, "reader", fn_is_reader (distribution),
+      "ready", is_ready (admin), "refused", fn_get_refusal (distribution), "evacuated_zones",
+      fn_describe_evacuated_zones (fk_find_service (admin->kernel, FN_DIRECTORY)));
 }
 
 static bool
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -262,6 +262,12 @@
                        .reason = fb_wrap_text (fr_describe_refusal (refusal)),
                        .retry_elsewhere = refusal == FR_REFUSED_CANCELLED };
 
+  if (refusal == FR_REFUSED_CANCELLED && backend_call->answered
+      && fn_is_evacuated (backend_call->backend))
+    {
+      answer.reason = FB_LITERAL (FN_EVACUATED_REASON);
+      fb_add_counter (backend_call->backend->evacuated, 1);
+    }
   fb_add_counter (backend_call->backend->refused, 1);
   if (backend_call->has_ticket)
     fn_end_ticket (backend_call, &answer);
@@ -361,6 +367,11 @@
   if (fn_get_adapter (backend->kernel)->source_lists_endpoints
       && (backend->local.instance.len == 0 || fn_is_backend_leaving (backend)))
     return "backend server is leaving or gone";
+  if (fn_is_evacuated (backend))
+    {
+      fb_add_counter (backend->evacuated, 1);
+      return FN_EVACUATED_REASON;
+    }
   if (now < backend->refuse_until)
     return "backend server takes no connections";
   if (backend->closed || (backend->draining && call->ticket.len == 0))
@@ -510,10 +521,12 @@
   backend->unusable_responses = fb_find_counter (counters, "backend_unusable_responses", "");
   backend->crashes = fb_find_counter (counters, "backend_crashes", "");
   backend->quarantined = fb_find_counter (counters, "backend_quarantined_calls", "");
+  backend->evacuated = fb_find_counter (counters, "backend_evacuated_calls", "");
   backend->rate_limit_gauge = fb_find_counter (counters, "backend_rate_limit_millis", "");
   backend->invalid_rate_limits = fb_find_counter (counters, "backend_invalid_rate_limits", "");
   backend->wait_times = fb_create_histogram (counters, "backend_wait_us", "");
   backend->service_times = fb_create_histogram (counters, "backend_service_us", "");
+  fn_watch_own_zone (backend);
   fk_register_service (kernel, FN_BACKEND, &vtable, backend);
 }
 
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -76,6 +76,7 @@
   fb_counter_t *unusable_responses; /* ended calls without a response that can be passed on */
   fb_counter_t *crashes;
   fb_counter_t *quarantined;      /* calls refused since their request is quarantined */
+  fb_counter_t *evacuated;        /* calls refused since the zone is evacuated */
   fb_counter_t *rate_limit_gauge; /* calls in 1,000 s; 0 without a limit */
   fb_counter_t *invalid_rate_limits;
   fb_histogram_t *wait_times;    /* in the queue, of calls that were started */
@@ -104,6 +105,17 @@
 /* Returns whether the backend server is listed as leaving or said so itself. */
 bool fn_is_backend_leaving (const fn_backend_t *backend);
 
+/* node-backend-evacuation.c */
+
+/* Reason for which a call is refused while the zone is evacuated. */
+#define FN_EVACUATED_REASON "zone is evacuated"
+
+/* Returns whether the zone of this node is evacuated: no call may reach the backend server. */
+bool fn_is_evacuated (const fn_backend_t *backend);
+
+/* Refuses queued calls when the zone of this node is evacuated from now on. */
+void fn_watch_own_zone (fn_backend_t *backend);
+
 /* Refuses the queued calls, which may be retried elsewhere. */
 void fn_refuse_waiting_calls (fn_backend_t *backend);
 
--- a/packages/node/source/node-directory.c
+++ b/packages/node/source/node-directory.c
@@ -1,4 +1,5 @@
-/* Directory service: the endpoints that calls can be sent to, by id. */
+/* Directory service: the endpoints that calls can be sent to, by id, and the evacuated zones.
+ */
 #include "node-services.h"
 #include <foxtailrun/base/digest.h>
 #include <foxtailrun/base/invariant.h>
@@ -14,6 +15,12 @@
   void *user;
 } watcher_t;
 
+typedef struct
+{
+  fn_evacuation_changed_fn_t changed;
+  void *user;
+} evacuation_watcher_t;
+
 struct fn_directory
 {
   fk_kernel_t *kernel;
@@ -21,6 +28,10 @@
   fm_leaving_t *leaving; /* endpoints that leave although they may be listed as alive */
   watcher_t watchers[WATCHERS_MAX];
   size_t watcher_count;
+  GHashTable *evacuated_zones; /* set of fb_name_t */
+  evacuation_watcher_t evacuation_watchers[WATCHERS_MAX];
+  size_t evacuation_watcher_count;
+  fb_counter_t *evacuated_gauge;
 };
 
 static void
@@ -30,6 +41,7 @@
 
   g_hash_table_destroy (directory->endpoints);
   fm_destroy_leaving (directory->leaving);
+  g_hash_table_destroy (directory->evacuated_zones);
   g_free (directory);
 }
 
@@ -49,6 +61,10 @@
   directory->endpoints
       = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, NULL, g_free);
   directory->leaving = fm_create_leaving (fk_get_clock (kernel));
+  directory->evacuated_zones
+      = g_hash_table_new_full (fb_hash_name_key, fb_equal_name_keys, g_free, NULL);
+  directory->evacuated_gauge
+      = fb_find_counter (fk_get_counters (kernel), "evacuated_zones", "");
   fk_register_service (kernel, FN_DIRECTORY, &vtable, directory);
   if (!fn_get_adapter (kernel)->source_lists_endpoints)
     fn_watch_members (fk_find_service (kernel, FN_MEMBERSHIP), update_from_member, kernel);
@@ -123,3 +139,75 @@
   FB_INVARIANT (directory->watcher_count < WATCHERS_MAX);
   directory->watchers[directory->watcher_count++] = (watcher_t){ changed, user };
 }
+
+static void
+announce_evacuation (fn_directory_t *directory, const fb_name_t *zone, bool evacuated,
+                     fb_time_t age)
+{
+  FB_LOG (fk_get_log (directory->kernel), FB_LOG_WARNING, FN_DIRECTORY,
+          evacuated ? "zone is evacuated: its instances get no calls"
+                    : "evacuation of a zone has ended",
+          FB_TEXT ("zone", zone->data), FB_NUMBER ("age_ms", age / FB_MILLISECOND));
+  for (size_t i = 0; i < directory->evacuation_watcher_count; i++)
+    directory->evacuation_watchers[i].changed (zone, evacuated,
+                                               directory->evacuation_watchers[i].user);
+}
+
+static bool
+contains_zone (const fb_name_t *zones, size_t count, const fb_name_t *zone)
+{
+  for (size_t i = 0; i < count; i++)
+    if (fb_equal_name (&zones[i], zone))
+      return true;
+  return false;
+}
+
+void
+fn_set_evacuated_zones (fn_directory_t *directory, const fb_name_t *zones, size_t count,
+                        fb_time_t age)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  for (size_t i = 0; i < count; i++)
+    if (g_hash_table_add (directory->evacuated_zones, g_memdup2 (&zones[i], sizeof zones[i])))
+      announce_evacuation (directory, &zones[i], true, age);
+  g_hash_table_iter_init (&iter, directory->evacuated_zones);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      fb_name_t zone = *(const fb_name_t *)key;
+
+      if (contains_zone (zones, count, &zone))
+        continue;
+      g_hash_table_iter_remove (&iter);
+      announce_evacuation (directory, &zone, false, age);
+    }
+  fb_set_counter (directory->evacuated_gauge, g_hash_table_size (directory->evacuated_zones));
+}
+
+bool
+fn_is_zone_evacuated (const fn_directory_t *directory, const fb_name_t *zone)
+{
+  return g_hash_table_contains (directory->evacuated_zones, zone);
+}
+
+json_t *
+fn_describe_evacuated_zones (const fn_directory_t *directory)
+{
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, directory->evacuated_zones);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    json_array_append_new (list, json_string (((const fb_name_t *)key)->data));
+  return list;
+}
+
+void
+fn_watch_evacuations (fn_directory_t *directory, fn_evacuation_changed_fn_t changed, void *user)
+{
+  FB_INVARIANT (directory->evacuation_watcher_count < WATCHERS_MAX);
+  directory->evacuation_watchers[directory->evacuation_watcher_count++]
+      = (evacuation_watcher_t){ changed, user };
+}
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -551,6 +551,14 @@
                                 / (double)MAX (nodes, 1));
 }
 
+static void
+handle_evacuation (const fb_name_t *zone, bool evacuated, void *user)
+{
+  fn_entry_t *entry = user;
+
+  fr_set_zone_evacuated (entry->picker, zone, evacuated);
+}
+
 static fb_status_t
 start_entry (fk_kernel_t *kernel, void *data)
 {
@@ -637,6 +645,7 @@
   entry->next_id = (uint64_t)randombytes_random () << 24;
   create_entry_metrics (entry, fk_get_counters (kernel));
   fn_watch_endpoints (fk_find_service (kernel, FN_DIRECTORY), handle_endpoint_change, entry);
+  fn_watch_evacuations (fk_find_service (kernel, FN_DIRECTORY), handle_evacuation, entry);
   fk_register_service (kernel, FN_ENTRY, &vtable, entry);
 }
 
--- a/packages/node/source/node-explain.c
+++ b/packages/node/source/node-explain.c
@@ -46,6 +46,8 @@
 {
   if (preference->candidate)
     return "candidate";
+  if (preference->evacuated)
+    return "zone is evacuated";
   if (!preference->in_subset)
     return "not used by this node";
   return preference->ejected ? "ejected after failures" : "spare";
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -210,6 +210,18 @@
   fn_update_endpoint (feed->kernel, member);
 }
 
+static void
+handle_evacuations (void *user)
+{
+  fn_feed_t *feed = user;
+  size_t count;
+  fb_name_t *zones = fd_get_evacuations (feed->feed, &count);
+
+  fn_set_evacuated_zones (fk_find_service (feed->kernel, FN_DIRECTORY), zones, count,
+                          fd_get_age (feed->feed));
+  g_free (zones);
+}
+
 static void
 read_store (const fd_read_t *read, void *user)
 {
@@ -362,11 +374,12 @@
   const fc_settings_t *settings = fn_get_settings (kernel);
   fd_feed_options_t options = { .address = settings->address,
                                 .zone = settings->zone,
-                                .poll_interval = settings->source_poll_interval };
+                                .poll_interval = settings->source_poll_interval,
+                                .evacuation = settings->evacuation };
   fn_feed_t *feed = g_new0 (fn_feed_t, 1);
   fd_feed_hooks_t hooks
-      = { read_store,       send_request, send_response, handle_endpoint_change,
-          deliver_document, feed };
+      = { read_store,       send_request,       send_response, handle_endpoint_change,
+          deliver_document, handle_evacuations, feed };
 
   feed->base.read = read_document;
   feed->kernel = kernel;
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -83,6 +83,23 @@
 /* Calls CHANGED with USER on each change of an endpoint; register before services start. */
 void fn_watch_endpoints (fn_directory_t *directory, fn_member_changed_fn_t changed, void *user);
 
+/* ZONE's instances get no calls from now on or, unless EVACUATED, get calls again. */
+typedef void (*fn_evacuation_changed_fn_t) (const fb_name_t *zone, bool evacuated, void *user);
+
+/* Replaces the set of evacuated zones by the COUNT names in ZONES, known for AGE in ns. */
+void fn_set_evacuated_zones (fn_directory_t *directory, const fb_name_t *zones, size_t count,
+                             fb_time_t age);
+
+bool fn_is_zone_evacuated (const fn_directory_t *directory, const fb_name_t *zone);
+
+/* Returns the names of the evacuated zones as a new JSON list, owned by the caller. */
+json_t *fn_describe_evacuated_zones (const fn_directory_t *directory);
+
+/* Calls CHANGED with USER for each zone whose evacuation begins or ends; register before
+ * services start. */
+void fn_watch_evacuations (fn_directory_t *directory, fn_evacuation_changed_fn_t changed,
+                           void *user);
+
 /* distribution: the configuration in force. */
 typedef struct fn_distribution fn_distribution_t;
 
@@ -194,6 +211,10 @@
 /* Returns the number of calls that are not answered yet. */
 size_t fn_count_backend_calls (fn_backend_t *backend);
 
+/* Records that the evacuation of this node's zone has ended: the backend server may have
+ * become cold meanwhile. */
+void fn_note_evacuation_end (fk_kernel_t *kernel);
+
 /* From now on refuses new calls without a ticket; if FINAL, all new calls. */
 void fn_drain_backend (fn_backend_t *backend, bool final);
 
--- a/packages/wire/include/foxtailrun/wire/feed.h
+++ b/packages/wire/include/foxtailrun/wire/feed.h
@@ -13,6 +13,9 @@
 /* Largest compressed delta between two documents, in bytes. */
 #define FW_DELTA_MAX (64 * 1024)
 
+/* Largest number of evacuated zones in one message. */
+#define FW_EVACUATIONS_MAX 64
+
 typedef enum
 {
   FW_FEED_REQUEST = 1, /* the requester's state; answered with the changes since */
@@ -40,6 +43,13 @@
   bool complete;            /* UPDATE: ENDPOINTS is the full list, not only the changes */
   size_t endpoint_count;
   fw_endpoint_t *endpoints; /* UPDATE: owned after decoding, see fw_clear_feed */
+  /* UPDATE: the complete set of evacuated zones, and the position of the source up to which it
+   * is known. A message without the set is encoded without the fields; builds that don't know
+   * them refuse a message with the set. */
+  bool has_evacuations;
+  fb_position_t evacuations_position;
+  size_t evacuation_count;
+  fb_name_t *evacuated_zones; /* owned after decoding */
 } fw_feed_message_t;
 
 /* Encodes MESSAGE into a new buffer that the caller frees with g_free. */
--- a/packages/wire/source/wire-feed.c
+++ b/packages/wire/source/wire-feed.c
@@ -17,6 +17,13 @@
  */
 #define FEED_FIELDS_WITH_ERAS (FEED_FIELDS_WITH_KNOWN_POSITION + 4)
 
+/* With all of these and the set of evacuated zones. Builds without evacuation refuse such a
+ * message and read the store: their relay's set would be lost. */
+#define FEED_FIELDS_WITH_EVACUATIONS (FEED_FIELDS_WITH_ERAS + 1)
+
+/* Elements before the zones: era and revision of the position up to which the set is known. */
+#define EVACUATIONS_HEADER_FIELDS 2
+
 /* Elements of one endpoint: the member and its slots. */
 #define ENDPOINT_FIELDS 2
 
@@ -30,12 +37,24 @@
 static size_t
 count_fields (const fw_feed_message_t *message)
 {
+  if (message->has_evacuations)
+    return FEED_FIELDS_WITH_EVACUATIONS;
   if (has_eras (message))
     return FEED_FIELDS_WITH_ERAS;
   return message->document_known_position.revision > 0 ? FEED_FIELDS_WITH_KNOWN_POSITION
                                                        : FEED_FIELDS;
 }
 
+static void
+pack_evacuations (msgpack_packer *packer, const fw_feed_message_t *message)
+{
+  msgpack_pack_array (packer, EVACUATIONS_HEADER_FIELDS + message->evacuation_count);
+  msgpack_pack_uint64 (packer, message->evacuations_position.era);
+  msgpack_pack_uint64 (packer, message->evacuations_position.revision);
+  for (size_t i = 0; i < message->evacuation_count; i++)
+    fw_pack_name (packer, &message->evacuated_zones[i]);
+}
+
 uint8_t *
 fw_encode_feed (const fw_feed_message_t *message, size_t *length)
 {
@@ -73,6 +92,8 @@
       msgpack_pack_uint64 (&packer, message->document_known_position.era);
       msgpack_pack_uint64 (&packer, message->document_number);
     }
+  if (field_count >= FEED_FIELDS_WITH_EVACUATIONS)
+    pack_evacuations (&packer, message);
   copy = g_memdup2 (buffer.data, buffer.size);
   *length = buffer.size;
   msgpack_sbuffer_destroy (&buffer);
@@ -95,9 +116,28 @@
   return fw_finish_reader (list);
 }
 
+static bool
+read_evacuations (const msgpack_object *object, fw_feed_message_t *message)
+{
+  fw_reader_t list = fw_start_reader (object);
+
+  if (message->kind != FW_FEED_UPDATE)
+    return false;
+  message->has_evacuations = true;
+  message->evacuations_position.era = fw_read_u64 (&list, UINT64_MAX);
+  message->evacuations_position.revision = fw_read_u64 (&list, UINT64_MAX);
+  if (list.failed)
+    return false;
+  message->evacuation_count = list.count - EVACUATIONS_HEADER_FIELDS;
+  message->evacuated_zones = g_new0 (fb_name_t, message->evacuation_count);
+  for (size_t i = 0; i < message->evacuation_count; i++)
+    fw_read_name (&list, &message->evacuated_zones[i]);
+  return fw_finish_reader (&list);
+}
+
 /* Reads the fields after the endpoints. */
 static bool
-read_known_position (fw_reader_t *reader, fw_feed_message_t *message)
+read_optional_fields (fw_reader_t *reader, fw_feed_message_t *message)
 {
   message->document_known_position = message->document_position;
   if (reader->count >= FEED_FIELDS_WITH_KNOWN_POSITION)
@@ -108,7 +148,10 @@
   message->document_position.era = fw_read_u64 (reader, UINT64_MAX);
   message->document_known_position.era = fw_read_u64 (reader, UINT64_MAX);
   message->document_number = fw_read_u64 (reader, UINT64_MAX);
-  return has_eras (message);
+  if (reader->count < FEED_FIELDS_WITH_EVACUATIONS)
+    return has_eras (message);
+  return read_evacuations (
+      fw_read_array (reader, EVACUATIONS_HEADER_FIELDS + (size_t)FW_EVACUATIONS_MAX), message);
 }
 
 static bool
@@ -130,7 +173,7 @@
   message->request_wait_us = fw_read_u64 (&reader, INT64_MAX / 1000);
   list = fw_start_reader (
       fw_read_array (&reader, 1 + ENDPOINT_FIELDS * (size_t)FW_ENDPOINTS_MAX));
-  if (!read_known_position (&reader, message))
+  if (!read_optional_fields (&reader, message))
     return false;
   return fw_finish_reader (&reader) && message->kind >= FW_FEED_REQUEST
          && read_endpoints (&list, message);
@@ -156,4 +199,7 @@
   g_free (message->endpoints);
   message->endpoints = NULL;
   message->endpoint_count = 0;
+  g_free (message->evacuated_zones);
+  message->evacuated_zones = NULL;
+  message->evacuation_count = 0;
 }
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -338,6 +338,63 @@
     }
 }
 
+/* Guards against a set of evacuated zones that changes in transit, that is lost without a
+ * refusal by builds that don't know it, or that makes other messages longer. */
+static void
+test_feed_evacuations (void)
+{
+  static const struct
+  {
+    fw_feed_message_kind_t kind;
+    uint64_t era;
+    bool has_set;
+    size_t count;
+    uint8_t fields; /* of the encoded message */
+    fb_status_t decoded;
+  } cases[] = { { FW_FEED_UPDATE, 0, false, 0, 12, FB_OK },
+                { FW_FEED_UPDATE, 3, false, 2, 16, FB_OK },
+                { FW_FEED_UPDATE, 3, true, 0, 17, FB_OK },
+                { FW_FEED_UPDATE, 0, true, 2, 17, FB_OK },
+                { FW_FEED_UPDATE, 3, true, FW_EVACUATIONS_MAX, 17, FB_OK },
+                { FW_FEED_UPDATE, 3, true, FW_EVACUATIONS_MAX + 1, 17, FB_INVALID },
+                { FW_FEED_REQUEST, 3, true, 1, 17, FB_INVALID } };
+  fb_name_t zones[FW_EVACUATIONS_MAX + 1];
+
+  for (char i = 0; i <= FW_EVACUATIONS_MAX; i++)
+    zones[(size_t)i] = (fb_name_t){ .data = { 'z', '0' + i }, .len = 2 };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_endpoint_t endpoints[2];
+      fw_feed_message_t sent = make_feed (endpoints);
+      fw_feed_message_t decoded;
+      size_t length;
+      uint8_t *bytes;
+
+      sent.kind = cases[i].kind;
+      sent.position.era = sent.document_position.era = sent.document_known_position.era
+          = cases[i].era;
+      sent.has_evacuations = cases[i].has_set;
+      sent.evacuations_position = (fb_position_t){ cases[i].era, 21 };
+      sent.evacuation_count = cases[i].count;
+      sent.evacuated_zones = zones;
+      bytes = fw_encode_feed (&sent, &length);
+      /* A short array's header has the count in its low bits; a longer one follows 0xdc 0. */
+      g_assert_cmpuint (bytes[0] == 0xdc ? bytes[2] : bytes[0] & 15, ==, cases[i].fields);
+      g_assert_cmpint (fw_decode_feed ((fb_bytes_t){ bytes, length }, &decoded), ==,
+                       cases[i].decoded);
+      if (cases[i].decoded == FB_OK)
+        {
+          g_assert_cmpint (decoded.has_evacuations, ==, cases[i].has_set);
+          g_assert_cmpuint (decoded.evacuation_count, ==, cases[i].has_set * cases[i].count);
+          g_assert_cmpuint (decoded.evacuations_position.revision, ==, cases[i].has_set * 21);
+          for (size_t j = 0; j < decoded.evacuation_count; j++)
+            g_assert_true (fb_equal_name (&decoded.evacuated_zones[j], &zones[j]));
+        }
+      fw_clear_feed (&decoded);
+      g_free (bytes);
+    }
+}
+
 /* Guards against feed messages whose endpoints or configuration change in transit. */
 static void
 test_feed_round_trip (void)
@@ -536,6 +593,7 @@
   g_test_add_func ("/wire/crash-round-trip", test_crash_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
   g_test_add_func ("/wire/feed-known-position", test_feed_known_position);
+  g_test_add_func ("/wire/feed-evacuations", test_feed_evacuations);
   g_test_add_func ("/wire/malformed", test_malformed);
   g_test_add_func ("/wire/declared-sizes", test_declared_sizes);
   g_test_add_func ("/wire/override", test_override);
