--- a/packages/dist/tests/test-evacuation.c
+++ b/packages/dist/tests/test-evacuation.c
@@ -129,15 +129,15 @@
   return (fb_position_t){ 1, revision };
 }
 
-/* Reads the document apart: the feed reads evacuations next. */
+/* Reads changes and, DELAY later, the document apart: the feed reads evacuations next. */
 static void
-read_document_apart (fd_feed_t *feed, fb_clock_t *clock, recorder_t *recorder)
+read_document_apart (fd_feed_t *feed, fb_clock_t *clock, recorder_t *recorder, fb_time_t delay)
 {
   wait_for_read (feed, clock, recorder, FD_READ_CHANGES);
   deliver_text (feed, at (11), "second");
   deliver_text (feed, at (12), "third");
   finish_recorded_read (feed, at (12));
-  fb_advance_clock (clock, FEED_POLL_INTERVAL * 3 / 4);
+  fb_advance_clock (clock, delay);
   fd_run_feed (feed);
   g_assert_cmpint (recorder->read.kind, ==, FD_READ_DOCUMENT);
   finish_recorded_read (feed, at (13));
@@ -172,7 +172,7 @@
       request.document_number = 12;
       fw_clear_feed (&update);
       g_clear_pointer (&recorder.response, g_free);
-      read_document_apart (feed, clock, &recorder);
+      read_document_apart (feed, clock, &recorder, FEED_POLL_INTERVAL * 3 / 4);
       fd_handle_request (feed, &recorder, &request);
       g_assert_null (recorder.response);
       fb_advance_clock (clock, FB_MILLISECOND);
@@ -200,8 +200,9 @@
 }
 
 /* Guards against a read that an update has overtaken, or a late update, that brings back an
- * older set; against an update without a set that counts as current; and against a set where
- * the store names no evacuations. */
+ * older set; against an update without a set that counts as current; against a set where the
+ * store names no evacuations; and against a change that is missed since the next read begins
+ * after the position of the set. */
 static void
 test_updates (void)
 {
@@ -216,7 +217,8 @@
   } cases[] = { { true, true, true, 20, 0, true },    { true, true, true, 9, 0, false },
                 { true, true, true, 20, 15, true },   { true, true, true, 20, 25, false },
                 { true, true, false, 20, 15, false }, { true, true, false, 20, 25, true },
-                { true, false, true, 20, 0, false },  { false, true, true, 20, 0, false } };
+                { true, false, true, 20, 0, false },  { false, true, true, 20, 0, false },
+                { true, true, true, 15, 0, true } };
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
@@ -227,6 +229,7 @@
       fb_name_t zones[] = { zone };
       fw_feed_message_t update = { .kind = FW_FEED_UPDATE,
                                    .position = at (20),
+                                   .document_known_position = at (20),
                                    .has_evacuations = cases[i].has_set,
                                    .evacuations_position = at (cases[i].set_position),
                                    .evacuation_count = cases[i].in_update,
@@ -244,6 +247,49 @@
       g_assert_cmpint (fd_is_evacuated (feed, &zone), ==, cases[i].evacuated);
       g_assert_cmpint (fb_compare_positions (fd_get_position (feed), at (20)) >= 0, ==,
                        cases[i].has_set || !cases[i].evacuation);
+      fb_advance_clock (clock, FEED_POLL_INTERVAL);
+      wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
+      g_assert_cmpuint (
+          recorder.read.after_revision, <=,
+          MAX (MAX (cases[i].read_position, 10), cases[i].has_set ? cases[i].set_position : 0));
+      fd_destroy_feed (feed);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
+/* Guards against a set that is kept although a full read has another one, because its position
+ * is higher, and against one of several pages that is taken to be complete after the first. */
+static void
+test_full_reads (void)
+{
+  for (int paged = 0; paged < 2; paged++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      recorder_t recorder = { .evacuation = true };
+      fd_feed_t *feed = create_recorded_feed ("10.0.0.1", clock, counters, &recorder);
+      fd_read_result_t compacted = { FD_RESULT_COMPACTED, .position = at (0) };
+      fd_read_result_t page = { FD_RESULT_HAS_MORE, .position = at (14), .last_key = "key" };
+
+      sync_recorded_feed (feed, 1);
+      if (paged)
+        read_document_apart (feed, clock, &recorder, FEED_POLL_INTERVAL);
+      else
+        wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
+      fd_end_read (feed, paged ? &page : &compacted);
+      fd_run_feed (feed);
+      g_assert_cmpint (recorder.read.kind, ==, FD_READ_ALL);
+      fd_set_evacuation (feed, at (4), &zone, true);
+      if (paged)
+        {
+          fd_end_read (feed, &page);
+          fd_run_feed (feed);
+          g_assert_cmpstr (recorder.read.after_key, ==, "key");
+          g_assert_false (fd_is_evacuated (feed, &zone));
+        }
+      finish_recorded_read (feed, at (5));
+      g_assert_true (fd_is_evacuated (feed, &zone));
       fd_destroy_feed (feed);
       fb_destroy_counters (counters);
       fb_destroy_clock (clock);
@@ -258,5 +304,6 @@
   g_test_add_func ("/dist/evacuation/outage-and-restore", test_outage_and_restore);
   g_test_add_func ("/dist/evacuation/separate-reads", test_separate_reads);
   g_test_add_func ("/dist/evacuation/updates", test_updates);
+  g_test_add_func ("/dist/evacuation/full-reads", test_full_reads);
   return g_test_run ();
 }
