Evacuation: trials of quarantined requests, tests of settings

Cause: the node that lets the trial of a quarantined request through may be in an evacuated zone, which refuses it. Such nodes are no longer among those that own trials. Tests of the settings and of an answer to a request that was sent before a change of the set.

--- a/packages/dist/tests/test-evacuation.c
+++ b/packages/dist/tests/test-evacuation.c
@@ -187,6 +187,10 @@
       fd_run_feed (feed);
       g_assert_cmpint (recorder.read.kind, ==, FD_READ_ENDPOINTS);
       finish_recorded_read (feed, at (20));
+      g_clear_pointer (&recorder.response, g_free);
+      /* Sent by a node that took an update from before the change. */
+      fd_handle_request (feed, &recorder, &request);
+      g_assert_cmpint (recorder.response != NULL, ==, changed);
       wait_for_read (feed, clock, &recorder, FD_READ_CHANGES);
       g_assert_cmpuint (recorder.read.after_revision, <=, 14);
       fd_set_evacuation (feed, at (16), &zone, !changed);
--- a/packages/node/source/node-quarantine.c
+++ b/packages/node/source/node-quarantine.c
@@ -203,15 +203,18 @@
   fb_name_t addresses[OWNERS_MAX];
   size_t count;
   fb_str_t service;
+  const fn_directory_t *directory;
 } owners_t;
 
+/* A node in an evacuated zone lets nothing through. */
 static void
 add_owner (const fw_member_t *endpoint, void *user)
 {
   owners_t *owners = user;
 
   if (endpoint->state == FW_ALIVE && owners->count < OWNERS_MAX
-      && fb_equal_str (fb_get_name (&endpoint->service), owners->service))
+      && fb_equal_str (fb_get_name (&endpoint->service), owners->service)
+      && !fn_is_zone_evacuated (owners->directory, &endpoint->zone))
     owners->addresses[owners->count++] = endpoint->address;
 }
 
@@ -219,9 +222,10 @@
 fn_owns_trial (fn_quarantine_t *quarantine, const fb_digest_t *key)
 {
   const fc_settings_t *settings = fn_get_settings (quarantine->kernel);
-  owners_t owners = { .service = fb_get_name (&settings->service) };
+  owners_t owners = { .service = fb_get_name (&settings->service),
+                      .directory = fk_find_service (quarantine->kernel, FN_DIRECTORY) };
 
-  fn_visit_endpoints (fk_find_service (quarantine->kernel, FN_DIRECTORY), add_owner, &owners);
+  fn_visit_endpoints (owners.directory, add_owner, &owners);
   return fr_owns_trial (key, &settings->address, owners.addresses, owners.count);
 }
 
