--- a/packages/dist/source/dist-feed.c
+++ b/packages/dist/source/dist-feed.c
@@ -323,11 +323,11 @@
   if (page_key)
     return;
   fm_end_full_read (feed->listing);
+  fd_finish_evacuation_read (feed, feed->first_page_position);
   feed->synced = true;
   feed->rereading = false;
   feed->is_document_due = false;
   feed->position = feed->first_page_position;
-  fd_finish_evacuation_read (feed, feed->position);
   feed->document_known_position = feed->first_page_position;
   fd_set_known_at (feed, feed->read_started_at);
   feed->read_completed_at = get_time (feed);
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -210,15 +210,16 @@
   fn_update_endpoint (feed->kernel, member);
 }
 
+/* The state known so far is as old as the news can be; a node that starts has none. */
 static void
 handle_evacuations (void *user)
 {
   fn_feed_t *feed = user;
+  fb_time_t age = fd_is_synced (feed->feed) ? fd_get_age (feed->feed) : 0;
   size_t count;
   fb_name_t *zones = fd_get_evacuations (feed->feed, &count);
 
-  fn_set_evacuated_zones (fk_find_service (feed->kernel, FN_DIRECTORY), zones, count,
-                          fd_get_age (feed->feed));
+  fn_set_evacuated_zones (fk_find_service (feed->kernel, FN_DIRECTORY), zones, count, age);
   g_free (zones);
 }
 
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -86,7 +86,8 @@
 /* ZONE's instances get no calls from now on or, unless EVACUATED, get calls again. */
 typedef void (*fn_evacuation_changed_fn_t) (const fb_name_t *zone, bool evacuated, void *user);
 
-/* Replaces the set of evacuated zones by the COUNT names in ZONES, known for AGE in ns. */
+/* Replaces the set of evacuated zones by the COUNT names in ZONES. The news is at most AGE
+ * ns old, which is logged. */
 void fn_set_evacuated_zones (fn_directory_t *directory, const fb_name_t *zones, size_t count,
                              fb_time_t age);
 
