--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -361,7 +361,7 @@
   fb_name_t zones[FW_EVACUATIONS_MAX + 1];
 
   for (char i = 0; i <= FW_EVACUATIONS_MAX; i++)
-    zones[(size_t)i] = (fb_name_t){ .data = { 'z', '0' + i }, .len = 2 };
+    zones[(int)i] = (fb_name_t){ .data = { 'z', '0' + i }, .len = 2 };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
       fw_endpoint_t endpoints[2];
@@ -385,10 +385,9 @@
       if (cases[i].decoded == FB_OK)
         {
           g_assert_cmpint (decoded.has_evacuations, ==, cases[i].has_set);
-          g_assert_cmpuint (decoded.evacuation_count, ==, cases[i].has_set * cases[i].count);
           g_assert_cmpuint (decoded.evacuations_position.revision, ==, cases[i].has_set * 21);
-          for (size_t j = 0; j < decoded.evacuation_count; j++)
-            g_assert_true (fb_equal_name (&decoded.evacuated_zones[j], &zones[j]));
+          g_assert_cmpmem (decoded.evacuated_zones, decoded.evacuation_count * sizeof zones[0],
+                           zones, cases[i].has_set * cases[i].count * sizeof zones[0]);
         }
       fw_clear_feed (&decoded);
       g_free (bytes);
