Limit the requests to cold instances, learnt by health checks

An instance that has just started tolerates few requests a second and ends when it gets many more. After a loss of power all instances come back cold, get the load of all and end again; the service stays down at ordinary load.

The node beside an instance now keeps a sliding window of 1 s of the starts (call/warmup) and lets a cold instance have floor (rate x overage) of them. Admission queries it beside the rate limit; calls that would start too late are refused on arrival with 429 and reason warming-up. A health check every 500 ms, 200 ms while the state is assumed, says how long the instance is cold; it counts in the window. Services without warmup_rate get neither.

The document gains health, warmup_ms and warmup_rate of [[service]], the settings warmup_overage and warmup_tolerance.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -7,12 +7,14 @@
 #include <foxtailrun/base/counter.h>
 #include <foxtailrun/base/string.h>
 #include <foxtailrun/call/rate-limit.h>
+#include <foxtailrun/call/warmup.h>
 
 /* Why a call was refused without being started. */
 typedef enum
 {
   FR_REFUSED_QUEUE_FULL, /* the rank's queue is full or the latency target cannot be met */
   FR_REFUSED_RATE_LIMIT, /* the backend server's rate limit lets it start too late */
+  FR_REFUSED_WARMING_UP, /* the limit of a cold backend server lets it start too late */
   FR_REFUSED_DEADLINE,   /* the deadline cannot be met or has passed */
   FR_REFUSED_DRAINING,   /* the node is leaving */
   FR_REFUSED_CANCELLED   /* the caller cancelled it before it started */
@@ -59,6 +61,10 @@
 /* Starts no more calls than LIMIT allows; LIMIT is borrowed and outlives ADMISSION. */
 void fr_set_admission_rate_limit (fr_admission_t *admission, fr_rate_limit_t *limit);
 
+/* Starts no more calls than WARMUP allows, and counts them there; WARMUP is borrowed and
+ * outlives ADMISSION. */
+void fr_set_admission_warmup (fr_admission_t *admission, fr_warmup_t *warmup);
+
 /* Frees ADMISSION, dropping waiting calls without a hook; may be NULL. */
 void fr_destroy_admission (fr_admission_t *admission);
 
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -10,7 +10,7 @@
  * one. */
 #define RESERVE_FRACTION 0.2
 
-/* Least number of slots of which some are reserved. */
+/* Least number of slots, or of starts of a cold backend server, of which some are reserved. */
 #define RESERVING_SLOTS_MIN 5
 
 /* Fraction of the slots that more urgent ranks must use for a reserve to apply. */
@@ -38,20 +38,40 @@
     }
 }
 
-/* Sets RATE to the limit in force; returns false if there is none. */
+/* Sets RATE to the rate limit in force; returns false if there is none. */
 static bool
-get_limit (const fr_admission_t *admission, double *rate)
+get_rate_limit (const fr_admission_t *admission, double *rate)
 {
   return admission->rate_limit != NULL && fr_get_rate_limit (admission->rate_limit, rate);
 }
 
+/* Returns the calls that a cold backend server may get in a second; 0 while it is warm. */
+static size_t
+get_warmup_limit (const fr_admission_t *admission)
+{
+  return admission->warmup != NULL ? fr_get_warmup_limit (admission->warmup) : 0;
+}
+
+/* Sets RATE to the lowest limit of the starts per second; returns false if there is none. */
+static bool
+get_start_limit (const fr_admission_t *admission, double *rate)
+{
+  size_t warmup_limit = get_warmup_limit (admission);
+  bool limited = get_rate_limit (admission, rate);
+
+  if (warmup_limit == 0)
+    return limited;
+  *rate = limited ? MIN (*rate, (double)warmup_limit) : (double)warmup_limit;
+  return true;
+}
+
 bool
 fr_is_below_share (const fr_admission_t *admission, const rank_t *rank)
 {
   double rate;
 
-  /* Calls of different length take the same part of a rate limit. */
-  if (get_limit (admission, &rate))
+  /* Calls of different length take the same part of a limit of the starts. */
+  if (get_start_limit (admission, &rate))
     return rank->start_rate < rank->options.share * rate;
   return rank->usage < rank->options.share * admission->slots;
 }
@@ -59,7 +79,8 @@
 bool
 fr_can_start_by_limit (const fr_admission_t *admission)
 {
-  return admission->rate_limit == NULL || fr_get_start_delay (admission->rate_limit, 0) == 0;
+  return (admission->rate_limit == NULL || fr_get_start_delay (admission->rate_limit, 0) == 0)
+         && (admission->warmup == NULL || fr_get_warmup_delay (admission->warmup, 0) == 0);
 }
 
 /* Returns the slots that RANK leaves free when over its share, growing linearly from the
@@ -79,6 +100,33 @@
   return reserve_max * rank->index / MAX (admission->ranks->len - 1, 1);
 }
 
+/* Returns the starts in a window that RANK leaves free when over its share. A window that less
+ * urgent calls have filled at once keeps urgent ones waiting for up to its whole length. */
+static size_t
+get_warmup_reserve (const fr_admission_t *admission, const rank_t *rank)
+{
+  size_t limit = get_warmup_limit (admission);
+  double urgent_rate = 0;
+
+  if (limit < RESERVING_SLOTS_MIN || rank->index == 0)
+    return 0;
+  for (uint32_t i = 0; i < rank->index; i++)
+    urgent_rate += ((rank_t *)g_ptr_array_index (admission->ranks, i))->start_rate;
+  if (urgent_rate < (double)limit * RESERVE_URGENT_USAGE_MIN)
+    return 0;
+  return (size_t)ceil ((double)limit * RESERVE_FRACTION * rank->index
+                       / MAX (admission->ranks->len - 1, 1));
+}
+
+/* Returns whether RANK, over its share, leaves enough starts of a cold backend server free. */
+static bool
+keeps_warmup_reserve (const fr_admission_t *admission, const rank_t *rank)
+{
+  size_t reserve = get_warmup_reserve (admission, rank);
+
+  return reserve == 0 || fr_get_warmup_delay (admission->warmup, (double)reserve) == 0;
+}
+
 /* Returns, of the ranks with waiting calls, the most urgent one below its share, otherwise
  * the most urgent one if the reserve allows it. NULL when no call waits or the reserve forbids
  * it. */
@@ -99,7 +147,8 @@
         urgent = rank;
     }
   if (urgent != NULL
-      && admission->started + get_reserve (admission, urgent) >= admission->slots)
+      && (admission->started + get_reserve (admission, urgent) >= admission->slots
+          || !keeps_warmup_reserve (admission, urgent)))
     return NULL;
   return urgent;
 }
@@ -213,19 +262,18 @@
             * get_available_fraction (admission, rank, admission->slots, get_usage));
 }
 
-/* Returns the expected wait in ns for the rate limit of a call with CALLS_AHEAD calls of RANK
- * before it. */
+/* Returns the expected wait in ns for the rate limit of a call with CALLS_AHEAD calls before
+ * it.
+ */
 static double
-estimate_limit_wait_behind (const fr_admission_t *admission, const rank_t *rank,
-                            double calls_ahead)
+estimate_rate_limit_wait (const fr_admission_t *admission, const rank_t *rank,
+                          double calls_ahead)
 {
   fb_time_t delay;
   double rate;
 
-  if (!get_limit (admission, &rate))
+  if (!get_rate_limit (admission, &rate))
     return 0;
-  for (uint32_t i = 0; i < rank->index; i++)
-    calls_ahead += (double)((rank_t *)g_ptr_array_index (admission->ranks, i))->waiting;
   delay = fr_get_start_delay (admission->rate_limit, calls_ahead);
   if (delay == 0)
     return 0;
@@ -233,6 +281,41 @@
          / get_available_fraction (admission, rank, MAX (rate, FR_RATE_MIN), get_start_rate);
 }
 
+/* The same for the limit of a cold backend server. */
+static double
+estimate_warmup_wait (const fr_admission_t *admission, const rank_t *rank, double calls_ahead)
+{
+  size_t limit = get_warmup_limit (admission);
+  fb_time_t delay;
+
+  if (admission->warmup == NULL || !fr_is_cold (admission->warmup))
+    return 0;
+  if (!fr_is_below_share (admission, rank))
+    calls_ahead += (double)get_warmup_reserve (admission, rank);
+  delay = fr_get_warmup_delay (admission->warmup, calls_ahead);
+  if (delay == 0 || limit == 0)
+    return (double)delay;
+  return (double)delay
+         / get_available_fraction (admission, rank, (double)limit, get_start_rate);
+}
+
+/* Returns the expected wait in ns for the limits of the starts of a call with CALLS_AHEAD calls
+ * of RANK before it; sets REFUSAL to that of the longer one. */
+static double
+estimate_limit_wait_behind (const fr_admission_t *admission, const rank_t *rank,
+                            double calls_ahead, fr_refusal_t *refusal)
+{
+  double rate_limit_wait;
+  double warmup_wait;
+
+  for (uint32_t i = 0; i < rank->index; i++)
+    calls_ahead += (double)((rank_t *)g_ptr_array_index (admission->ranks, i))->waiting;
+  rate_limit_wait = estimate_rate_limit_wait (admission, rank, calls_ahead);
+  warmup_wait = estimate_warmup_wait (admission, rank, calls_ahead);
+  *refusal = warmup_wait > rate_limit_wait ? FR_REFUSED_WARMING_UP : FR_REFUSED_RATE_LIMIT;
+  return MAX (rate_limit_wait, warmup_wait);
+}
+
 /* A caller retry is queued before the other calls of its customer. */
 static double
 count_calls_ahead (const flow_t *flow, bool is_caller_retry)
@@ -249,10 +332,10 @@
 
 double
 fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow,
-                        bool is_caller_retry)
+                        bool is_caller_retry, fr_refusal_t *refusal)
 {
   return estimate_limit_wait_behind (admission, flow->rank,
-                                     count_calls_ahead (flow, is_caller_retry));
+                                     count_calls_ahead (flow, is_caller_retry), refusal);
 }
 
 fb_time_t
@@ -261,7 +344,8 @@
   const rank_t *rank
       = g_ptr_array_index (admission->ranks, MIN (rank_index, admission->ranks->len - 1));
   double waiting = (double)rank->waiting;
+  fr_refusal_t refusal;
 
   return (fb_time_t)MAX (estimate_wait_behind (admission, rank, waiting),
-                         estimate_limit_wait_behind (admission, rank, waiting));
+                         estimate_limit_wait_behind (admission, rank, waiting, &refusal));
 }
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -76,6 +76,7 @@
   uint32_t slots;
   const fb_clock_t *clock;
   fr_rate_limit_t *rate_limit; /* borrowed; NULL for none */
+  fr_warmup_t *warmup;         /* borrowed; NULL for none */
   fr_admission_hooks_t hooks;
   GPtrArray *ranks;    /* rank_t, most urgent first */
   GHashTable *entries; /* id -> entry_t */
@@ -137,7 +138,7 @@
 void fr_update_usage (fr_admission_t *admission);
 
 /* Returns whether the recent usage of RANK is below its guaranteed share: of the slots, or
- * under a rate limit of the starts. */
+ * under a limit of the starts. */
 bool fr_is_below_share (const fr_admission_t *admission, const rank_t *rank);
 
 /* Returns the rank with waiting calls that gets the next free slot; NULL when no call
@@ -149,11 +150,12 @@
 double fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow,
                          bool is_caller_retry);
 
-/* Like fr_estimate_wait, for the rate limit; 0 without one. */
+/* Like fr_estimate_wait, for the limits of the starts; 0 without one. Sets REFUSAL to the
+ * reason for which a call is refused that would wait too long. */
 double fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow,
-                               bool is_caller_retry);
+                               bool is_caller_retry, fr_refusal_t *refusal);
 
-/* Returns whether the rate limit, if any, lets a call start now. */
+/* Returns whether the limits of the starts, if any, let a call start now. */
 bool fr_can_start_by_limit (const fr_admission_t *admission);
 
 /* admission-limit.c */
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -11,6 +11,8 @@
       return "queue-full";
     case FR_REFUSED_RATE_LIMIT:
       return "rate-limit";
+    case FR_REFUSED_WARMING_UP:
+      return "warming-up";
     case FR_REFUSED_DEADLINE:
       return "deadline";
     case FR_REFUSED_DRAINING:
@@ -129,6 +131,8 @@
   entry->flow->rank->start_rate += (double)FB_SECOND / (double)USAGE_TIME_CONSTANT;
   if (admission->rate_limit != NULL)
     fr_count_start (admission->rate_limit);
+  if (admission->warmup != NULL)
+    fr_count_warmup_start (admission->warmup);
   admission->waiting--;
   admission->started++;
   add_event (admission, entry->call, true, FR_REFUSED_QUEUE_FULL);
@@ -209,6 +213,12 @@
   admission->rate_limit = limit;
 }
 
+void
+fr_set_admission_warmup (fr_admission_t *admission, fr_warmup_t *warmup)
+{
+  admission->warmup = warmup;
+}
+
 void
 fr_destroy_admission (fr_admission_t *admission)
 {
@@ -281,19 +291,19 @@
   return rank->started > 0 || (times->target_time > 0 && rank->waiting > 0);
 }
 
-/* Returns whether the rate limit lets a new call of FLOW start too late for its deadline, or
- * for its target time when its rank is over its share. Unlike the wait for a slot this is known
- * without a sample of the service time. */
+/* Returns whether a limit of the starts lets a new call of FLOW start too late for its
+ * deadline, or for its target time when its rank is over its share; sets REFUSAL to which one.
+ * Unlike the wait for a slot this is known without a sample of the service time. */
 static bool
-misses_by_rate_limit (const fr_admission_t *admission, const flow_t *flow,
-                      const fr_call_options_t *times, fb_time_t now)
+misses_by_start_limit (const fr_admission_t *admission, const flow_t *flow,
+                       const fr_call_options_t *times, fb_time_t now, fr_refusal_t *refusal)
 {
   const rank_t *rank = flow->rank;
   double wait;
 
   if (admission->policy != FR_POLICY_SHARES)
     return false;
-  wait = fr_estimate_limit_wait (admission, flow, times->is_caller_retry);
+  wait = fr_estimate_limit_wait (admission, flow, times->is_caller_retry, refusal);
   if (wait == 0)
     return false;
   if (wait + rank->service_time_ns > (double)(times->deadline - now))
@@ -316,8 +326,7 @@
   *refusal = FR_REFUSED_DEADLINE;
   if (deadline <= now)
     return true;
-  *refusal = FR_REFUSED_RATE_LIMIT;
-  if (misses_by_rate_limit (admission, flow, times, now))
+  if (misses_by_start_limit (admission, flow, times, now, refusal))
     return true;
   *refusal = FR_REFUSED_DEADLINE;
   if (admission->policy == FR_POLICY_SHARES && can_estimate_wait (rank, times))
--- a/packages/call/tests/test-admission.c
+++ b/packages/call/tests/test-admission.c
@@ -12,6 +12,7 @@
   fb_clock_t *clock;
   fb_counters_t *counters;
   fr_rate_limit_t *rate_limit;
+  fr_warmup_t *warmup;
   fr_rank_options_t ranks[RANKS_MAX];
   uint32_t slots;
   size_t rank_count;
@@ -37,7 +38,8 @@
 
 /* Runs one step of a script: "oID,RANK,CUSTOMER,WEIGHT,DEADLINE" (ms from now) offers, "fID"
  * finishes, "cID" cancels, "+MS" advances the clock, "t" ticks, "d" drains, "SN" sets the
- * slots, "RN" the number of ranks and "LN" a limit of N calls a second. */
+ * slots, "RN" the number of ranks and "LN" a limit of N calls a second; "CN" makes the server
+ * cold, tolerating N requests a second. */
 static void
 run_step (fixture_t *fixture, const char *step)
 {
@@ -69,6 +71,10 @@
     case 'd':
       fr_drain_admission (fixture->admission);
       break;
+    case 'C':
+      fr_configure_warmup (fixture->warmup, (double)id, 1);
+      fr_set_cold_until (fixture->warmup, fb_read_clock (fixture->clock) + 60 * FB_SECOND);
+      break;
     case 'L':
       fr_name_rate_limit (fixture->rate_limit, (double)id);
       break;
@@ -220,6 +226,31 @@
     "o25,0,a,1,900 +100 t +1 f25 o26,0,a,1,900 o99,1,a,1,2000",
     "s50 s1 s2 s3 s4 s5 s6 s7 s8 s9 s10 s11 s12 s13 s14 s15 s16 s17 s18 s19 s20 s21 s22 s23 "
     "s24 s25 rate-limit99 " },
+  /* Of 4 starts of a cold server one is kept for health checks, of 10 two. */
+  { "cold", "free slots exceed the limit of a cold server", FR_POLICY_SHARES, 9, 0, 0, 0, 0, 0,
+    "C4 o1,0,a,1,9000 o2,0,a,1,9000 o3,0,a,1,9000 o4,0,a,1,9000 +999 t +1 t", "s1 s2 s3 s4 " },
+  { "cold-refusal", "a call that cannot start in time waits, or one that can is refused",
+    FR_POLICY_SHARES, 9, 0, 0, 0, 0, 0,
+    "C4 o1,0,a,1,90 o2,0,a,1,90 o3,0,a,1,90 o4,0,a,1,999 o5,0,a,1,1001 o6,0,a,1,1001 +1000 t",
+    "s1 s2 s3 warming-up4 s5 s6 " },
+  { "cold-urgent", "a less urgent call takes a start of a cold server", FR_POLICY_SHARES, 9, 0,
+    0, 0, 0, 0,
+    "C4 o1,1,a,1,9000 o2,1,a,1,9000 o3,1,a,1,9000 o5,1,a,1,9000 o6,0,a,1,9000 +1000 t",
+    "s1 s2 s3 s6 s5 " },
+  { "cold-reserve", "a burst of less urgent calls takes all starts of a second",
+    FR_POLICY_SHARES, 20, 0, 0, 0, 0, 0,
+    "C10 o1,0,a,1,9000 o2,2,a,1,9000 o3,2,a,1,9000 o4,2,a,1,9000 o5,2,a,1,9000 o6,2,a,1,9000 "
+    "o7,2,a,1,9000 o8,2,a,1,9000 o9,0,a,1,9000 o10,0,a,1,9000",
+    "s1 s2 s3 s4 s5 s6 s9 s10 " },
+  { "cold-share", "an urgent flood starves a rank within its share of the starts",
+    FR_POLICY_SHARES, 20, 0.5, 0.5, 0, 0, 0,
+    "C10 o1,0,a,1,9000 o2,0,a,1,9000 o3,0,a,1,9000 o4,0,a,1,9000 o5,0,a,1,9000 o6,0,a,1,9000 "
+    "o7,0,a,1,9000 o8,0,a,1,9000 o9,0,a,1,9000 o10,0,a,1,9000 o11,0,a,1,9000 o12,0,a,1,9000 o20,1,a,1,9000 "
+    "+1000 t",
+    "s1 s2 s3 s4 s5 s6 s7 s8 s9 s10 s20 s11 s12 " },
+  { "cold-and-limited", "the shorter of two waits counts", FR_POLICY_SHARES, 9, 0, 0, 0, 0, 0,
+    "L1 C4 o1,0,a,1,900 +1000 o2,0,a,1,9 L1000 +9 o3,0,a,1,9 o4,0,a,1,9 o5,0,a,1,900",
+    "rate-limit1 s2 s3 s4 warming-up5 " },
   { "fifo", "the baseline respects ranks", FR_POLICY_FIFO, 1, 0, 0, 0, 0, 0,
     "o1,1,a,1,900 o2,1,a,1,900 o3,0,a,1,900 f1", "s1 s2 " },
   { "strict", "the baseline respects shares", FR_POLICY_STRICT, 1, 0, 0.9, 0, 0, 0,
@@ -253,10 +284,14 @@
                                            fixture.clock, fixture.counters, &hooks);
   fixture.rate_limit = fr_create_rate_limit (100 * FB_MILLISECOND, fixture.clock);
   fr_set_admission_rate_limit (fixture.admission, fixture.rate_limit);
+  fixture.warmup = fr_create_warmup (fixture.clock);
+  fb_advance_clock (fixture.clock, FR_WARMUP_WINDOW);
+  fr_set_admission_warmup (fixture.admission, fixture.warmup);
   run_script (&fixture, test->script);
   g_assert_cmpstr (fixture.events->str, ==, test->events);
   fr_destroy_admission (fixture.admission);
   fr_destroy_rate_limit (fixture.rate_limit);
+  fr_destroy_warmup (fixture.warmup);
   fb_destroy_counters (fixture.counters);
   fb_destroy_clock (fixture.clock);
   g_string_free (fixture.events, TRUE);
--- a/packages/config/include/foxtailrun/config/schema.h
+++ b/packages/config/include/foxtailrun/config/schema.h
@@ -8,9 +8,10 @@
 
 typedef enum
 {
-  FC_TYPE_NAME,      /* string of 1 to FB_NAME_MAX letters, digits, ".", "_" or "-" */
-  FC_TYPE_REFERENCE, /* name of another element */
-  FC_TYPE_PATH,      /* string that starts with "/" */
+  FC_TYPE_NAME,         /* string of 1 to FB_NAME_MAX letters, digits, ".", "_" or "-" */
+  FC_TYPE_REFERENCE,    /* name of another element */
+  FC_TYPE_PATH,         /* string that starts with "/" */
+  FC_TYPE_REQUEST_PATH, /* path of a request, with an optional query; may be empty */
   FC_TYPE_INTEGER,
   FC_TYPE_NUMBER, /* integer or float */
   FC_TYPE_BOOLEAN,
--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -15,6 +15,10 @@
 #define FC_PIPELINE_BYTES_DEFAULT 262144
 #define FC_LIMIT_BURST_MS_DEFAULT 500
 
+/* Limits of the settings for cold backend servers. */
+#define FC_WARMUP_OVERAGE_MAX 100
+#define FC_WARMUP_TOLERANCE_MAX 1000000
+
 typedef struct
 {
   fb_name_t address; /* numeric IP */
@@ -23,9 +27,10 @@
 
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
  * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
- * limit_ms; [backend] address, port, limit_burst_ms; [platform] address, port; [seeds] nodes;
- * [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio and
- * shared_retry_floor have no key and are 0 after fc_check_settings. */
+ * limit_ms; [backend] address, port, limit_burst_ms, warmup_overage, warmup_tolerance;
+ * [platform] address, port; [seeds] nodes; [admin] key; [log] level, format. The fields
+ * source_poll_interval, retry_ratio and shared_retry_floor have no key and are 0 after
+ * fc_check_settings. */
 typedef struct
 {
   fb_name_t id;
@@ -47,8 +52,11 @@
                                   a shared retry budget */
   fb_time_t drain_timeout;     /* after it the calls still open are cut */
   fc_socket_address_t backend;
-  fb_time_t limit_burst; /* under the backend server's rate limit, calls of this time at the
-                            limit may start at once */
+  fb_time_t limit_burst;   /* under the backend server's rate limit, calls of this time at the
+                              limit may start at once */
+  double warmup_overage;   /* factor by which a cold backend server's rate may be exceeded */
+  double warmup_tolerance; /* requests a second that may reach a cold backend server beyond that
+                              because of delays in transit */
   fc_socket_address_t platform;
   fc_socket_address_t seeds[FC_SEEDS_MAX];
   size_t seed_count;
--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -25,8 +25,12 @@
 typedef struct
 {
   fb_name_t name;
-  uint32_t slots;             /* maximum number of concurrent calls of an instance */
-  uint32_t connections;       /* maximum number of concurrent connections of an instance */
+  uint32_t slots;       /* maximum number of concurrent calls of an instance */
+  uint32_t connections; /* maximum number of concurrent connections of an instance */
+  fb_str_t health;      /* path of health checks; empty for none */
+  uint32_t warmup_ms;   /* how long an instance is usually cold after its start */
+  double warmup_rate;   /* requests per second that a cold instance tolerates; 0: instances
+                           are never treated as cold */
   const uint32_t *depends_on; /* indexes of services */
   size_t depends_count;
 } fc_service_t;
--- a/packages/config/source/check-change.c
+++ b/packages/config/source/check-change.c
@@ -100,6 +100,10 @@
   add_text (builder, table, "name", fb_get_name (&service->name));
   add_integer (builder, table, "slots", service->slots);
   add_integer (builder, table, "connections", service->connections);
+  if (service->health.len > 0)
+    add_text (builder, table, "health", service->health);
+  add_integer (builder, table, "warmup_ms", service->warmup_ms);
+  add_number (builder, table, "warmup_rate", service->warmup_rate);
 }
 
 /* Splits comma-joined METHODS from the end, as children are prepended. */
--- a/packages/config/source/check-service.c
+++ b/packages/config/source/check-service.c
@@ -42,6 +42,22 @@
   snapshot->services[service].depends_count = count;
 }
 
+/* Stores the fields of ROW for cold instances in SERVICE. */
+static void
+store_warmup (const fc_checker_t *checker, const fc_row_t *row, fc_service_t *service)
+{
+  fb_str_t health = fc_get_value (row, "health")->text;
+
+  service->health = (fb_str_t){ g_string_chunk_insert_len (checker->snapshot->texts,
+                                                           health.data, (gssize)health.len),
+                                health.len };
+  service->warmup_ms = (uint32_t)fc_get_value (row, "warmup_ms")->integer;
+  service->warmup_rate = fc_get_value (row, "warmup_rate")->number;
+  /* Only a health check shows that an instance is warm. */
+  if (service->warmup_rate > 0 && !fc_find_child (row->table, "health"))
+    fc_add_key_problem (checker->problems, row, "health", "no value with warmup_rate", NULL);
+}
+
 void
 fc_check_services (fc_checker_t *checker)
 {
@@ -63,6 +79,7 @@
       fb_set_name (&service->name, fc_get_value (&row, "name")->text);
       service->slots = (uint32_t)fc_get_value (&row, "slots")->integer;
       service->connections = (uint32_t)fc_get_value (&row, "connections")->integer;
+      store_warmup (checker, &row, service);
       lists[index] = fc_get_value (&row, "depends_on")->node;
       if (service->name.len > 0
           && !fc_add_name (snapshot->service_names, &service->name, index, &earlier))
--- a/packages/config/source/check-text.c
+++ b/packages/config/source/check-text.c
@@ -70,6 +70,18 @@
   return segments <= PATH_SEGMENTS_MAX;
 }
 
+static bool
+is_request_path (fb_str_t text)
+{
+  if (text.len == 0 || text.len > PATH_MAX_BYTES || text.data[0] != '/')
+    return false;
+  for (size_t i = 0; i < text.len; i++)
+    if (!g_ascii_isgraph (text.data[i]) || text.data[i] == '"' || text.data[i] == '\\'
+        || text.data[i] == '#')
+      return false;
+  return true;
+}
+
 static bool
 is_host (fb_str_t text)
 {
@@ -101,6 +113,8 @@
       return fc_is_name (text);
     case FC_TYPE_PATH:
       return is_path (text);
+    case FC_TYPE_REQUEST_PATH:
+      return is_request_path (text);
     case FC_TYPE_HOST:
       return is_host (text);
     case FC_TYPE_ADDRESS:
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -11,6 +11,9 @@
 #define PATH_TEXT                                                                              \
   "\"/\" or a path of at most 255 bytes and 32 segments, each preceded by \"/\", without "     \
   "spaces, '?' or '#'"
+#define REQUEST_PATH_TEXT                                                                      \
+  "a path of at most 255 printable ASCII characters that starts with \"/\", without spaces, "  \
+  "quotes, backslashes or '#'"
 #define METHODS_TEXT "GET, HEAD, POST, PUT, PATCH, DELETE or OPTIONS, each at most once"
 #define PORT_MAX 65535
 
@@ -38,6 +41,13 @@
     "maximum number of concurrent connections of an instance" },
   { "service", "depends_on", FC_TYPE_REFERENCES, "", "[]", 0, 0, "names of other services",
     "services that this one calls" },
+  { "service", "health", FC_TYPE_REQUEST_PATH, "", "", 0, 0, REQUEST_PATH_TEXT,
+    "path of health checks; required with warmup_rate" },
+  { "service", "warmup_ms", FC_TYPE_INTEGER, "ms", "0", 0, 3600000, NULL,
+    "how long an instance is usually cold after its start" },
+  { "service", "warmup_rate", FC_TYPE_NUMBER, "requests per second", "0", 0, 1000000, NULL,
+    "requests that a cold instance tolerates, health checks included; 0 when its instances are never "
+    "cold" },
 
   { "route", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the route" },
   { "route", "host", FC_TYPE_HOST, "", "", 0, 0, HOST_TEXT,
@@ -120,6 +130,12 @@
     0, 1000, NULL,
     "under a rate limit that the backend server names, calls of this time at the limit, at least "
     "one, may start at once after a pause" },
+  { "backend", "warmup_overage", FC_TYPE_NUMBER, "", "1", 0.1, FC_WARMUP_OVERAGE_MAX, NULL,
+    "factor by which the requests to a cold backend server may exceed the service's warmup_rate" },
+  { "backend", "warmup_tolerance", FC_TYPE_NUMBER, "requests per second", "0", 0,
+    FC_WARMUP_TOLERANCE_MAX, NULL,
+    "requests beyond that which a cold backend server tolerates; left as a margin for delays in "
+    "transit" },
 
   { "platform", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the platform's configuration service and host list" },
@@ -164,6 +180,7 @@
     case FC_TYPE_NAME:
     case FC_TYPE_REFERENCE:
     case FC_TYPE_PATH:
+    case FC_TYPE_REQUEST_PATH:
     case FC_TYPE_ADDRESS:
     case FC_TYPE_CHOICE:
     case FC_TYPE_ADMIN_KEY:
--- a/packages/config/source/toml-subset.c
+++ b/packages/config/source/toml-subset.c
@@ -137,6 +137,29 @@
   return parser->position > start && (*start != '0' || parser->position - start == 1);
 }
 
+/* Parses an integer, or a number with a point and digits on both sides of it. */
+static bool
+parse_number (parser_t *parser, fc_toml_t *node)
+{
+  const char *start = parser->position;
+  const char *point;
+  char copy[2 * DIGITS_MAX + 2] = { 0 };
+
+  if (!parse_integer (parser, node))
+    return false;
+  point = parser->position;
+  if (!skip_char (parser, '.'))
+    return true;
+  while (parser->position < parser->end && g_ascii_isdigit (*parser->position)
+         && parser->position - point <= DIGITS_MAX)
+    parser->position++;
+  memcpy (copy, start, (size_t)(parser->position - start));
+  node->kind = FC_TOML_FLOAT;
+  node->integer = 0;
+  node->number = g_ascii_strtod (copy, NULL);
+  return parser->position - point > 1;
+}
+
 static bool parse_value (parser_t *parser, fc_toml_t *node);
 
 static bool
@@ -181,7 +204,7 @@
       valid = true;
     }
   else
-    valid = parse_integer (parser, node);
+    valid = parse_number (parser, node);
   node->source = (fb_str_t){ start, (size_t)(parser->position - start) };
   return valid;
 }
--- a/packages/config/tests/test-change.c
+++ b/packages/config/tests/test-change.c
@@ -15,6 +15,7 @@
       "[[route]]\nname = \"buy\"\npath = \"/buy\"\nmethods = [\"POST\", \"PUT\"]\n"
       "service = \"shop\"\nrank = \"fast\"\ntimeout_ms = 250\nretries = 0\n\n"
       "[[service]]\nname = \"price\"\nslots = 2\nconnections = 2\ndepends_on = ['stock']\n"
+      "health = \"/h?a\"\nwarmup_ms = 3000\nwarmup_rate = 13.5\n"
       "[[route]]\nname = \"read\"\npath = \"/buy\"\nmethods = [\"GET\"]\n"
       "service = \"price\"\nrank = \"late\"\n"
       "[[route]]\nname = \"stock\"\npath = \"/st\\u006fck\"\nservice = \"stock\"\n"
@@ -45,6 +46,8 @@
         "timeout_ms = 7\n",
         "weight = 3\n",
         "depends_on = [\"price\"]\n",
+        "warmup_rate = 2\n",
+        "health = \"/a\"\n",
         "rank = [{ name = \"x\" }]\n",
         "\r\n" };
 
@@ -158,8 +161,10 @@
       const fc_service_t *service = fc_get_service (snapshot, i);
 
       fc_find_service (snapshot, fb_get_name (&service->name), &index);
-      g_string_append_printf (text, "service %s %u %u %u:", service->name.data, service->slots,
-                              service->connections, index);
+      g_string_append_printf (text, "service %s %u %u %u %.*s %u %a:", service->name.data,
+                              service->slots, service->connections, index,
+                              (int)service->health.len, service->health.data,
+                              service->warmup_ms, service->warmup_rate);
       for (size_t j = 0; j < service->depends_count; j++)
         g_string_append_printf (text, " %u", service->depends_on[j]);
     }
--- a/packages/config/tests/test-document.c
+++ b/packages/config/tests/test-document.c
@@ -6,6 +6,9 @@
 #define VERSION "version = 1\n"
 
 #define VERSION_TEXT "an integer from 1 to 9007199254740991"
+#define HEALTH_TEXT                                                                            \
+  "a path of at most 255 printable ASCII characters that starts with \"/\", without spaces, "  \
+  "quotes, backslashes or '#'"
 #define TOP_KEYS "one of version, idle_ms, rank, service, route, customer, objective"
 #define NAME_TEXT "a name of 1 to 47 letters, digits, '.', '_' or '-'"
 #define PATH_TEXT                                                                              \
@@ -136,6 +139,16 @@
     VERSION SERVICE "depends_on = [\"b\", \"b\"]\n"
                     "[[service]]\nname = \"b\"\nslots = 1\nconnections = 1\n",
     "f:6: service[0].depends_on: found \"b\", allowed: each service at most once\n" },
+  { "warmup-without-health", VERSION SERVICE "warmup_ms = 3000\nwarmup_rate = 13.5\n",
+    "f:2: service[0].health: found no value with warmup_rate, allowed: " HEALTH_TEXT "\n" },
+  { "warmup-values",
+    VERSION SERVICE
+    "health = \"h\"\nwarmup_ms = -1\nwarmup_rate = -0.5\n"
+    "[[service]]\nname = \"b\"\nslots = 1\nconnections = 1\nhealth = \"/a b\"\n",
+    "f:6: service[0].health: found \"h\", allowed: " HEALTH_TEXT "\n"
+    "f:7: service[0].warmup_ms: found -1, allowed: an integer from 0 to 3600000\n"
+    "f:8: service[0].warmup_rate: found -0.5, allowed: a number from 0 to 1000000\n"
+    "f:13: service[1].health: found \"/a b\", allowed: " HEALTH_TEXT "\n" },
   { "self-cycle", VERSION SERVICE "depends_on = [\"shop\"]\n",
     "f:6: service[0].depends_on: found the cycle shop -> shop, allowed: dependencies without a cycle\n" },
   { "two-cycles",
--- a/packages/foxtailrun/source/diff-fields.c
+++ b/packages/foxtailrun/source/diff-fields.c
@@ -122,6 +122,24 @@
   g_string_append_printf (text, "%u", fc_get_service (snapshot, index)->connections);
 }
 
+static void
+format_health (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  append_str (text, fc_get_service (snapshot, index)->health);
+}
+
+static void
+format_warmup_time (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  g_string_append_printf (text, "%u", fc_get_service (snapshot, index)->warmup_ms);
+}
+
+static void
+format_warmup_rate (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  append_number (text, fc_get_service (snapshot, index)->warmup_rate);
+}
+
 static int
 compare_strings (gconstpointer a, gconstpointer b)
 {
@@ -382,6 +400,9 @@
 static const diff_field_t service_fields[] = {
   { "slots", format_slots, assess_slots },
   { "connections", format_connections, NULL },
+  { "health", format_health, NULL, "" },
+  { "warmup_ms", format_warmup_time, NULL, "0" },
+  { "warmup_rate", format_warmup_rate, NULL, "0" },
   { "depends_on", format_dependencies, NULL },
 };
 
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -11,17 +11,20 @@
  * requests. Names are in lower case; an empty one is not used. */
 typedef struct
 {
-  fb_str_t request_id; /* id of a caller's request */
-  fb_str_t timeout_ms; /* how long the sender waits for the response, in ms */
-  fb_str_t outcome;    /* to callers: outcome of the call */
-  fb_str_t customer;   /* from callers: customer that the request belongs to */
-  fb_str_t caller;     /* to backend servers: service on the host that sent the request */
-  fb_str_t instance;   /* to backend servers: the only instance that may run the request */
-  fb_str_t not_run;    /* from backend servers: the request was refused without being run */
-  fb_str_t rate_limit; /* from overloaded backend servers: requests per second that they take
-                          from all hosts together, a decimal number */
-  fb_str_t leaving;    /* from backend servers: "1" while the server is about to stop */
-  fb_str_t signature;  /* from backend servers: a 2xx response without it is not theirs */
+  fb_str_t request_id;  /* id of a caller's request */
+  fb_str_t timeout_ms;  /* how long the sender waits for the response, in ms */
+  fb_str_t outcome;     /* to callers: outcome of the call */
+  fb_str_t customer;    /* from callers: customer that the request belongs to */
+  fb_str_t caller;      /* to backend servers: service on the host that sent the request */
+  fb_str_t instance;    /* to backend servers: the only instance that may run the request */
+  fb_str_t not_run;     /* from backend servers: the request was refused without being run */
+  fb_str_t rate_limit;  /* from overloaded backend servers: requests per second that they take
+                           from all hosts together, a decimal number */
+  fb_str_t warmup_ms;   /* in health responses: how many ms longer the server is cold, a decimal
+                           number; none or 0: it is warm */
+  fb_str_t instance_id; /* in health responses: the instance that sent it */
+  fb_str_t leaving;     /* from backend servers: "1" while the server is about to stop */
+  fb_str_t signature;   /* from backend servers: a 2xx response without it is not theirs */
   bool allows_close_delimited; /* backend servers may end a body that has no length by closing
                                   the connection */
   bool echoes_request_id;      /* backend servers return the request id in their responses; the
--- a/packages/node/source/node-backend-crash.c
+++ b/packages/node/source/node-backend-crash.c
@@ -95,6 +95,7 @@
   GArray *keys = g_array_new (FALSE, FALSE, sizeof (fb_digest_t));
   uint64_t id = make_crash_id ();
 
+  fn_assume_cold_backend (backend->kernel, "backend server has ended");
   fb_add_counter (backend->crashes, 1);
   FB_LOG (fk_get_log (backend->kernel), FB_LOG_WARNING, FN_BACKEND, "backend server has ended",
           FB_TEXT ("instance", backend->local.instance.data),
@@ -140,6 +141,8 @@
       return;
     }
   backend_call->state = FN_CALL_LOST;
+  /* A server that has ended and started again is cold before its new start is listed. */
+  fn_update_health (backend, true);
   if (!backend->probe)
     backend->probe
         = fh_start_probe (backend->kernel, &settings->backend.address, settings->backend.port,
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -133,6 +133,7 @@
 static void
 record_connect_failure (fn_backend_t *backend)
 {
+  fn_assume_cold_backend (backend->kernel, "no connection");
   backend->refuse_until = fb_read_clock (fk_get_clock (backend->kernel)) + RECONNECT_DELAY;
   FB_LOG (fk_get_log (backend->kernel), FB_LOG_WARNING, FN_BACKEND,
           "no connection to the backend server",
@@ -256,7 +257,8 @@
 refuse_call (void *call, fr_refusal_t refusal, void *user)
 {
   fn_backend_call_t *backend_call = call;
-  bool is_busy = refusal == FR_REFUSED_QUEUE_FULL || refusal == FR_REFUSED_RATE_LIMIT;
+  bool is_busy = refusal == FR_REFUSED_QUEUE_FULL || refusal == FR_REFUSED_RATE_LIMIT
+                 || refusal == FR_REFUSED_WARMING_UP;
   fw_call_t answer = { .outcome = FW_NOT_RUN,
                        .status = is_busy ? 429 : 503,
                        .reason = fb_wrap_text (fr_describe_refusal (refusal)),
@@ -441,6 +443,7 @@
   if (backend->client)
     fh_set_connect_timeout (backend->client, CONNECT_TIMEOUT);
   backend->tick_timer = fk_create_timer (kernel, TICK_PERIOD, tick_backend, backend);
+  fn_update_health (backend, false);
   return FB_OK;
 }
 
@@ -459,6 +462,7 @@
         fh_cancel_exchange (backend_call->exchange);
       backend_call->exchange = NULL;
     }
+  fn_stop_health (backend->health);
   fh_cancel_probe (g_steal_pointer (&backend->probe));
   fk_destroy_timer (backend->tick_timer);
   fh_destroy_client (backend->client);
@@ -472,6 +476,8 @@
 
   fr_destroy_admission (backend->admission);
   fr_destroy_rate_limit (backend->rate_limit);
+  fn_destroy_health (backend->health);
+  fr_destroy_warmup (backend->warmup);
   fr_destroy_once (backend->once);
   fc_release_snapshot (backend->admission_snapshot);
   g_hash_table_destroy (backend->calls);
@@ -499,6 +505,9 @@
   backend->rate_limit
       = fr_create_rate_limit (fn_get_settings (kernel)->limit_burst, fk_get_clock (kernel));
   fr_set_admission_rate_limit (backend->admission, backend->rate_limit);
+  backend->warmup = fr_create_warmup (fk_get_clock (kernel));
+  fr_set_admission_warmup (backend->admission, backend->warmup);
+  backend->health = fn_create_health (backend);
   backend->once = fr_create_once (&fn_get_settings (kernel)->id, fn_get_start_id (kernel),
                                   secret, ONCE_RECORDS_MAX, ONCE_BYTES_MAX);
   backend->started = fb_find_counter (counters, "backend_calls", "end=\"started\"");
@@ -521,9 +530,10 @@
 fn_set_local_backend (fk_kernel_t *kernel, const fn_local_backend_t *local)
 {
   fn_backend_t *backend = fk_find_service (kernel, FN_BACKEND);
+  bool is_other = !fb_equal_name (&backend->local.instance, &local->instance)
+                  || backend->local.incarnation != local->incarnation;
 
-  if (!fb_equal_name (&backend->local.instance, &local->instance)
-      || backend->local.incarnation != local->incarnation)
+  if (is_other)
     {
       backend->said_leaving = false;
       fr_reset_rate_limit (backend->rate_limit);
@@ -537,6 +547,9 @@
   FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_BACKEND, "backend server description updated",
           FB_TEXT ("instance", local->instance.data), FB_NUMBER ("slots", local->slots),
           FB_NUMBER ("leaving", local->leaving));
+  if (is_other && local->instance.len > 0)
+    fn_assume_cold_backend (kernel, "another instance or start is listed");
+  fn_update_health (backend, false);
   if (local->leaving || local->instance.len == 0)
     fn_refuse_waiting_calls (backend);
 }
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -8,6 +8,7 @@
 #include <foxtailrun/call/admission.h>
 #include <foxtailrun/call/once.h>
 #include <foxtailrun/call/rate-limit.h>
+#include <foxtailrun/call/warmup.h>
 #include <foxtailrun/http/client.h>
 #include <foxtailrun/http/probe.h>
 #include <glib.h>
@@ -50,11 +51,16 @@
   void *user;
 } fn_backend_call_t;
 
+/* State of the health checks, see node-backend-health.c. */
+typedef struct fn_health fn_health_t;
+
 struct fn_backend
 {
   fk_kernel_t *kernel;
   fr_admission_t *admission;
   fr_rate_limit_t *rate_limit; /* named by the backend server */
+  fr_warmup_t *warmup;         /* whether it is cold, and what it may get then */
+  fn_health_t *health;         /* the health checks that tell it */
   fr_once_t *once;
   fh_client_t *client;
   fk_timer_t *tick_timer;
@@ -149,6 +155,19 @@
 void fn_abort_running_call (fn_backend_call_t *backend_call, uint32_t status,
                             const char *reason);
 
+/* Creates the state of the health checks of BACKEND, which has its warm-up limit. */
+fn_health_t *fn_create_health (fn_backend_t *backend);
+
+/* Cancels the open health check, if any, and sends no more. */
+void fn_stop_health (fn_health_t *health);
+
+/* Frees HEALTH, which was stopped. */
+void fn_destroy_health (fn_health_t *health);
+
+/* Applies what is in force of the configuration and the description of the backend server;
+ * sends a health check now if it has become possible or CHECK_NOW. */
+void fn_update_health (fn_backend_t *backend, bool check_now);
+
 /* Answers a lost call, and frees it. */
 void fn_answer_lost_call (fn_backend_call_t *backend_call);
 
--- a/packages/node/source/node-dialect.c
+++ b/packages/node/source/node-dialect.c
@@ -7,6 +7,7 @@
   .outcome = { "foxtailrun-outcome", 18 },
   .customer = { "foxtailrun-customer", 19 },
   .rate_limit = { "foxtailrun-rate-limit", 21 },
+  .warmup_ms = { "foxtailrun-warmup-ms", 20 },
   .echoes_request_id = true,
   .resolves_paths = true,
 };
--- a/packages/node/source/node-distribution.c
+++ b/packages/node/source/node-distribution.c
@@ -58,6 +58,7 @@
   FB_LOG (fk_get_log (distribution->kernel), FB_LOG_INFO, FN_DISTRIBUTION,
           "configuration in force", FB_TEXT ("version", text),
           FB_NUMBER ("routes", fc_count_routes (snapshot)));
+  fn_update_backend_configuration (distribution->kernel);
 }
 
 static void
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -194,6 +194,22 @@
 /* Returns the number of calls that are not answered yet. */
 size_t fn_count_backend_calls (fn_backend_t *backend);
 
+/* Treats the local backend server as cold until its next health response, and sends a health
+ * check at once. REASON, static, goes to the log. No effect without a service with warmup_rate.
+ */
+void fn_assume_cold_backend (fk_kernel_t *kernel, const char *reason);
+
+/* Sends no health checks while SUSPENDED; an open one is cancelled. */
+void fn_suspend_health_checks (fk_kernel_t *kernel, bool suspended);
+
+/* Reads the configuration in force anew: it has changed. */
+void fn_update_backend_configuration (fk_kernel_t *kernel);
+
+/* Describes whether the local backend server is cold: "none" without a service with
+ * warmup_rate, "warm", "cold" or "assumed". Sets LEFT to the time in ns until it is warm, 0 if
+ * not known. */
+const char *fn_describe_warmup (fn_backend_t *backend, fb_time_t *left);
+
 /* From now on refuses new calls without a ticket; if FINAL, all new calls. */
 void fn_drain_backend (fn_backend_t *backend, bool final);
 
