--- a/packages/call/include/foxtailrun/call/warmup.h
+++ b/packages/call/include/foxtailrun/call/warmup.h
@@ -4,11 +4,18 @@
 #define FOXTAILRUN_CALL_WARMUP_H
 
 #include <foxtailrun/base/clock.h>
+#include <foxtailrun/base/status.h>
+#include <foxtailrun/base/string.h>
 #include <stddef.h>
 
 /* Span in which the starts are limited. */
 #define FR_WARMUP_WINDOW FB_SECOND
 
+/* The starts are spread over this many parts of a window. If all took place at once, a delay of
+ * some of them in transit would bring two such bursts into one second, and an urgent call would
+ * wait for up to a whole window behind a burst of others. */
+#define FR_WARMUP_PARTS 4
+
 /* Largest limit in force; it bounds the memory of the start times. */
 #define FR_WARMUP_LIMIT_MAX 2048
 
@@ -23,8 +30,9 @@
 
 /* Sets the rate that a cold backend server tolerates, in requests per second, and the factor by
  * which it may be exceeded. While cold, at most floor (RATE * OVERAGE) starts are allowed in
- * any span of FR_WARMUP_WINDOW, at least 1 and at most FR_WARMUP_LIMIT_MAX. A rate of 0 ends
- * the limit: the backend server then never counts as cold. */
+ * any span of FR_WARMUP_WINDOW, at least 1 and at most FR_WARMUP_LIMIT_MAX, and the
+ * FR_WARMUP_PARTS-th of them, rounded up, in that part of it. A rate of 0 ends the limit: the
+ * backend server then never counts as cold. */
 void fr_configure_warmup (fr_warmup_t *warmup, double rate, double overage);
 
 /* Returns whether a rate is configured. */
@@ -65,7 +73,27 @@
  * a place in the window is kept for it from this call until fr_count_health_check. */
 fb_time_t fr_request_health_check (fr_warmup_t *warmup);
 
+/* Returns whether a health check is due before its period ends: since the last one, a warm
+ * backend server got so many calls that it would have got too many if it had become cold. */
+bool fr_needs_health_check (const fr_warmup_t *warmup);
+
 /* Returns the time in ns from one health check to the next. */
 fb_time_t fr_get_health_check_period (const fr_warmup_t *warmup);
 
+/* What a response to a health check says; a missing header has data NULL. */
+typedef struct
+{
+  uint32_t status;
+  fb_str_t instance_id;
+  fb_str_t warmup_ms;
+} fr_health_response_t;
+
+/* Sets COLD_TIME to the time in ns for which the backend server says that it stays cold;
+ * without a word of it, it is warm. FB_INVALID if the response says nothing about INSTANCE,
+ * empty if not known: another instance sent it, the time is no decimal number, or a failing
+ * server names none.
+ */
+fb_status_t fr_read_health_response (const fr_health_response_t *response, fb_str_t instance,
+                                     fb_time_t *cold_time);
+
 #endif
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -10,8 +10,10 @@
  * one. */
 #define RESERVE_FRACTION 0.2
 
-/* Least number of slots, or of starts of a cold backend server, of which some are reserved. */
+/* Least number of slots of which some are reserved, and of starts of a cold backend server in a
+ * window: with fewer, a reserve of one start would be more than a quarter of them. */
 #define RESERVING_SLOTS_MIN 5
+#define RESERVING_STARTS_MIN (4 * FR_WARMUP_PARTS)
 
 /* Fraction of the slots that more urgent ranks must use for a reserve to apply. */
 #define RESERVE_URGENT_USAGE_MIN 0.02
@@ -100,21 +102,21 @@
   return reserve_max * rank->index / MAX (admission->ranks->len - 1, 1);
 }
 
-/* Returns the starts in a window that RANK leaves free when over its share. A window that less
- * urgent calls have filled at once keeps urgent ones waiting for up to its whole length. */
+/* Returns the starts that RANK, over its share, leaves free in the part of a window over which
+ * starts are spread: urgent calls wait for the next part once it is full. */
 static size_t
 get_warmup_reserve (const fr_admission_t *admission, const rank_t *rank)
 {
   size_t limit = get_warmup_limit (admission);
   double urgent_rate = 0;
 
-  if (limit < RESERVING_SLOTS_MIN || rank->index == 0)
+  if (limit < RESERVING_STARTS_MIN || rank->index == 0)
     return 0;
   for (uint32_t i = 0; i < rank->index; i++)
     urgent_rate += ((rank_t *)g_ptr_array_index (admission->ranks, i))->start_rate;
   if (urgent_rate < (double)limit * RESERVE_URGENT_USAGE_MIN)
     return 0;
-  return (size_t)ceil ((double)limit * RESERVE_FRACTION * rank->index
+  return (size_t)ceil ((double)limit / FR_WARMUP_PARTS * RESERVE_FRACTION * rank->index
                        / MAX (admission->ranks->len - 1, 1));
 }
 
--- a/packages/call/source/warmup.c
+++ b/packages/call/source/warmup.c
@@ -1,6 +1,7 @@
 /* Limit of the requests to a cold backend server: an exact sliding window of start times. All
  * requests to it pass the node beside it, so that one window holds for all entry nodes. */
 #include <foxtailrun/base/invariant.h>
+#include <foxtailrun/call/rate-limit.h>
 #include <foxtailrun/call/warmup.h>
 #include <glib.h>
 #include <math.h>
@@ -13,6 +14,15 @@
  * still lets calls through. */
 #define CHECK_PART_MAX (1.0 / 3)
 
+/* A warm backend server may become cold at any moment. A health check goes out early when it
+ * got this part of the limit since the last one. */
+#define UNCHECKED_PART_MAX 0.5
+
+/* Status of a server that is not the expected instance, and the least one of a failing server.
+ */
+#define MISDIRECTED_STATUS 421
+#define FAILURE_STATUS_MIN 500
+
 /* The newest start times. Those of a window are enough: the next start may take place one
  * window after the LIMIT-th newest. */
 typedef struct
@@ -28,6 +38,7 @@
   size_t limit; /* starts in a window while cold; 0 without a rate */
   bool assumed; /* cold until the backend server says otherwise */
   bool check_requested;
+  size_t unchecked_starts; /* of calls, since the last health check */
   fb_time_t cold_until;
   fb_time_t last_unrecorded_start; /* the windows are kept only with a rate */
   start_window_t *starts;          /* of calls and health checks; NULL without a rate */
@@ -51,16 +62,17 @@
 }
 
 /* Returns the time in ns until a start with STARTS_AHEAD others before it, when each follows
- * the LIMIT-th one before it by at least a window. */
+ * the LIMIT-th one before it by at least SPAN. */
 static fb_time_t
-get_delay (const start_window_t *window, size_t limit, size_t starts_ahead, fb_time_t now)
+get_span_delay (const start_window_t *window, fb_time_t span, size_t limit, size_t starts_ahead,
+                fb_time_t now)
 {
   size_t number = window->count + starts_ahead;
-  fb_time_t windows = 0; /* after the first one that has room */
+  fb_time_t spans = 0; /* after the first one that has room */
   size_t earlier;
 
   if (limit == 0)
-    return (fb_time_t)(starts_ahead + 1) * FR_WARMUP_WINDOW;
+    return (fb_time_t)(starts_ahead + 1) * span;
   if (number < limit)
     return 0;
   earlier = number - limit;
@@ -69,13 +81,23 @@
       /* It follows starts that are yet to come. */
       size_t skipped = (earlier - window->count) / limit + 1;
 
-      windows = (fb_time_t)skipped;
+      spans = (fb_time_t)skipped;
       if (earlier < skipped * limit)
-        return windows * FR_WARMUP_WINDOW;
+        return spans * span;
       earlier -= skipped * limit;
     }
-  return MAX (get_start (window, earlier) + FR_WARMUP_WINDOW - now, 0)
-         + windows * FR_WARMUP_WINDOW;
+  return MAX (get_start (window, earlier) + span - now, 0) + spans * span;
+}
+
+/* The same for LIMIT starts in a window, spread over its parts. */
+static fb_time_t
+get_delay (const start_window_t *window, size_t limit, size_t starts_ahead, fb_time_t now)
+{
+  size_t part_limit = (limit + FR_WARMUP_PARTS - 1) / FR_WARMUP_PARTS;
+
+  return MAX (get_span_delay (window, FR_WARMUP_WINDOW, limit, starts_ahead, now),
+              get_span_delay (window, FR_WARMUP_WINDOW / FR_WARMUP_PARTS, part_limit,
+                              starts_ahead, now));
 }
 
 fr_warmup_t *
@@ -186,6 +208,7 @@
       warmup->last_unrecorded_start = now;
       return;
     }
+  warmup->unchecked_starts++;
   add_start (warmup->starts, now);
   add_start (warmup->call_starts, now);
 }
@@ -195,9 +218,17 @@
 {
   FB_INVARIANT (warmup->starts != NULL);
   warmup->check_requested = false;
+  warmup->unchecked_starts = 0;
   add_start (warmup->starts, fb_read_clock (warmup->clock));
 }
 
+bool
+fr_needs_health_check (const fr_warmup_t *warmup)
+{
+  return warmup->limit > 0 && !fr_is_cold (warmup)
+         && (double)warmup->unchecked_starts >= (double)warmup->limit * UNCHECKED_PART_MAX;
+}
+
 fb_time_t
 fr_get_health_check_period (const fr_warmup_t *warmup)
 {
@@ -240,5 +271,24 @@
   if (!fr_is_cold (warmup))
     return 0;
   warmup->check_requested = true;
-  return get_delay (warmup->starts, warmup->limit, 0, fb_read_clock (warmup->clock));
+  return get_span_delay (warmup->starts, FR_WARMUP_WINDOW, warmup->limit, 0,
+                         fb_read_clock (warmup->clock));
+}
+
+fb_status_t
+fr_read_health_response (const fr_health_response_t *response, fb_str_t instance,
+                         fb_time_t *cold_time)
+{
+  double ms = 0;
+
+  if (response->status == MISDIRECTED_STATUS
+      || (instance.len > 0 && response->instance_id.data
+          && !fb_equal_str (response->instance_id, instance)))
+    return FB_INVALID;
+  if (!response->warmup_ms.data && response->status >= FAILURE_STATUS_MIN)
+    return FB_INVALID;
+  if (response->warmup_ms.data && fr_parse_rate (response->warmup_ms, &ms) != FB_OK)
+    return FB_INVALID;
+  *cold_time = (fb_time_t)ceil (ms * FB_MILLISECOND);
+  return FB_OK;
 }
--- a/packages/foxtailrun/source/admin-client.c
+++ b/packages/foxtailrun/source/admin-client.c
@@ -203,6 +203,11 @@
   g_strlcpy (member->digest, digest ? digest : "", sizeof member->digest);
   member->reader = json_is_true (json_object_get (body, "reader"));
   member->ready = json_is_true (json_object_get (body, "ready"));
+  /* A node of an earlier version does not report it. */
+  member->warmup
+      = json_object_get (body, "warmup") ? parse_name (body, "warmup") : fb_make_name ("none");
+  member->warmup_left_ms
+      = (uint64_t)json_integer_value (json_object_get (body, "warmup_left_ms"));
   g_free (member->refused_document);
   member->refused_document = g_strdup (json_string_value (json_object_get (body, "refused")));
 }
--- a/packages/foxtailrun/source/admin-client.h
+++ b/packages/foxtailrun/source/admin-client.h
@@ -26,8 +26,10 @@
   bool reached;            /* whether it answered; the fields below are set only then */
   uint64_t version_number; /* of the document in force; 0 for none */
   char digest[FB_DIGEST_HEX_LEN + 1];
-  bool reader;            /* whether it reads the platform's document */
-  bool ready;             /* accepts calls */
+  bool reader;      /* whether it reads the platform's document */
+  bool ready;       /* accepts calls */
+  fb_name_t warmup; /* of its backend server: "none", "warm", "cold" or "assumed" (cold) */
+  uint64_t warmup_left_ms;
   char *refused_document; /* last one and its first problem, or NULL; owned */
 } fx_node_status_t;
 
--- a/packages/foxtailrun/source/cmd-status.c
+++ b/packages/foxtailrun/source/cmd-status.c
@@ -30,12 +30,13 @@
 static json_t *
 pack_node_status (const fx_node_status_t *member)
 {
-  return json_pack ("{s:s,s:s,s:s,s:s,s:b,s:I,s:s,s:b,s:b,s:s?}", "id", member->id.data, "zone",
-                    member->zone.data, "service", member->service.data, "state",
+  return json_pack ("{s:s,s:s,s:s,s:s,s:b,s:I,s:s,s:b,s:b,s:s?,s:s,s:I}", "id", member->id.data,
+                    "zone", member->zone.data, "service", member->service.data, "state",
                     member->state.data, "reached", member->reached, "number",
                     (json_int_t)member->version_number, "digest", member->digest, "reader",
-                    member->reader, "ready", member->ready, "refused",
-                    member->refused_document);
+                    member->reader, "ready", member->ready, "refused", member->refused_document,
+                    "warmup", member->warmup.data, "warmup_left_ms",
+                    (json_int_t)member->warmup_left_ms);
 }
 
 static void
@@ -54,6 +55,22 @@
     }
 }
 
+/* Prints a line for each node whose backend server is cold. */
+static void
+print_cold_backends (const GArray *members, FILE *out)
+{
+  for (guint i = 0; i < members->len; i++)
+    {
+      const fx_node_status_t *member = &g_array_index (members, fx_node_status_t, i);
+
+      if (strcmp (member->warmup.data, "cold") == 0)
+        fprintf (out, "%s: backend server is cold for %" G_GUINT64_FORMAT " ms more\n",
+                 member->id.data, member->warmup_left_ms);
+      else if (strcmp (member->warmup.data, "assumed") == 0)
+        fprintf (out, "%s: backend server is assumed to be cold\n", member->id.data);
+    }
+}
+
 static int
 run_status (fx_admin_client_t *client, const arguments_t *arguments)
 {
@@ -71,7 +88,10 @@
       cmd_print_json (list, arguments->io->out);
     }
   else
-    print_node_statuses (members, arguments->io->out);
+    {
+      print_node_statuses (members, arguments->io->out);
+      print_cold_backends (members, arguments->io->out);
+    }
   g_array_unref (members);
   return CMD_EXIT_OK;
 }
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -60,13 +60,17 @@
   const fb_version_t *version = fn_get_version (distribution);
   const fc_settings_t *settings = fn_get_settings (admin->kernel);
   char digest[FB_DIGEST_HEX_LEN + 1];
+  fb_time_t warmup_left;
+  const char *warmup
+      = fn_describe_warmup (fk_find_service (admin->kernel, FN_BACKEND), &warmup_left);
 
   fb_format_digest (&version->digest, digest);
-  return json_pack ("{s:s,s:s,s:I,s:I,s:s,s:b,s:b,s:s?}", "id", settings->id.data, "zone",
-                    settings->zone.data, "number", (json_int_t)version->number, "revision",
-                    (json_int_t)version->revision, "digest", digest, "reader",
+  return json_pack ("{s:s,s:s,s:I,s:I,s:s,s:b,s:b,s:s?,s:s,s:I}", "id", settings->id.data,
+                    "zone", settings->zone.data, "number", (json_int_t)version->number,
+                    "revision", (json_int_t)version->revision, "digest", digest, "reader",
                     fn_is_reader (distribution), "ready", is_ready (admin), "refused",
-                    fn_get_refusal (distribution));
+                    fn_get_refusal (distribution), "warmup", warmup, "warmup_left_ms",
+                    (json_int_t)(warmup_left / FB_MILLISECOND));
 }
 
 static bool
--- a/packages/node/source/node-backend-crash.c
+++ b/packages/node/source/node-backend-crash.c
@@ -141,8 +141,6 @@
       return;
     }
   backend_call->state = FN_CALL_LOST;
-  /* A server that has ended and started again is cold before its new start is listed. */
-  fn_update_health (backend, true);
   if (!backend->probe)
     backend->probe
         = fh_start_probe (backend->kernel, &settings->backend.address, settings->backend.port,
--- a/packages/node/source/node-backend-health.c
+++ b/packages/node/source/node-backend-health.c
@@ -1,21 +1,20 @@
 /* Backend service: health checks, by which the backend server says whether it is cold. They are
  * sent only for a service with warmup_rate. */
 #include "node-backend.h"
-#include <math.h>
 
 /* Limit of a health check; the server runs on the same host. */
 #define CHECK_TIMEOUT FB_SECOND
 
-/* Least time between two health checks, also of an instance that loses call after call. */
-#define CHECK_SPACING_MIN (100 * FB_MILLISECOND)
+/* Least time between two health checks, also of an instance that gets, or loses, very many
+ * calls.
+ */
+#define CHECK_SPACING_MIN (50 * FB_MILLISECOND)
 
 #define CONNECT_TIMEOUT (250 * FB_MILLISECOND)
 
 /* Largest body of a health response; more is not read. */
 #define RESPONSE_BODY_MAX (64 * 1024)
 
-#define SERVER_ERROR_MIN 500
-
 struct fn_health
 {
   fn_backend_t *backend;
@@ -107,7 +106,7 @@
   health->timer = fk_create_timeout (health->backend->kernel, delay, run_check, health);
 }
 
-/* Sets the gauge and logs a change between cold and warm. */
+/* Sets the gauge and logs a change between cold and warm; not without REASON. */
 static void
 report_state (fn_health_t *health, const char *reason)
 {
@@ -120,7 +119,7 @@
   if (fr_is_assumed_cold (backend->warmup) && service)
     left_ms = service->warmup_ms;
   fb_set_counter (health->left_ms, (uint64_t)left_ms);
-  if (cold == health->was_cold)
+  if (cold == health->was_cold || !reason)
     return;
   health->was_cold = cold;
   FB_LOG (fk_get_log (backend->kernel), FB_LOG_INFO, FN_BACKEND,
@@ -132,32 +131,26 @@
           FB_NUMBER ("waiting", fr_count_waiting (backend->admission)));
 }
 
+static fb_str_t
+find_header (const fh_response_t *response, fb_str_t name)
+{
+  return name.len > 0 ? fh_find_header (response->headers, response->header_count, name)
+                      : (fb_str_t){ NULL, 0 };
+}
+
 /* Returns whether RESPONSE says how long this instance stays cold, and the time in ns in LEFT.
- * A response that names another instance says nothing about it, nor does a failing server that
- * does not name the time. */
+ */
 static bool
 read_response (const fn_health_t *health, const fh_response_t *response, fb_time_t *left)
 {
   const fn_dialect_t *dialect = fn_get_adapter (health->backend->kernel)->dialect;
-  const fb_name_t *instance = &health->backend->local.instance;
-  fb_str_t id = { NULL, 0 };
-  fb_str_t text = { NULL, 0 };
-  double ms;
-
-  if (dialect->instance_id.len > 0)
-    id = fh_find_header (response->headers, response->header_count, dialect->instance_id);
-  if (dialect->warmup_ms.len > 0)
-    text = fh_find_header (response->headers, response->header_count, dialect->warmup_ms);
-  if ((id.data && instance->len > 0 && !fb_equal_str (id, fb_get_name (instance)))
-      || response->status == FN_MISDIRECTED_STATUS)
-    return false;
-  *left = 0;
-  if (!text.data)
-    return response->status < SERVER_ERROR_MIN;
-  if (fr_parse_rate (text, &ms) != FB_OK)
-    return false;
-  *left = (fb_time_t)ceil (ms * FB_MILLISECOND);
-  return true;
+  fr_health_response_t said = { response->status, find_header (response, dialect->instance_id),
+                                find_header (response, dialect->warmup_ms) };
+
+  return response->result == FH_ANSWERED
+         && fr_read_health_response (&said, fb_get_name (&health->backend->local.instance),
+                                     left)
+                == FB_OK;
 }
 
 static void
@@ -174,7 +167,7 @@
       fr_assume_cold (backend->warmup);
       report_state (health, "no connection");
     }
-  else if (response->result == FH_ANSWERED && read_response (health, response, &left))
+  else if (read_response (health, response, &left))
     {
       fr_set_cold_until (backend->warmup, now + left);
       report_state (health, "health response");
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -166,6 +166,9 @@
   else if (error)
     {
       fb_add_counter (backend->unusable_responses, 1);
+      /* A server that has ended and started again is cold before its new start is listed. */
+      if (response->result != FH_ANSWERED)
+        fn_assume_cold_backend (backend->kernel, NULL);
       fn_lose_call (backend_call, error);
       return;
     }
@@ -242,6 +245,8 @@
   fb_observe_time (backend->wait_times, now - backend_call->arrived_at);
   backend_call->state = FN_CALL_RUNNING;
   fb_add_counter (backend->started, 1);
+  if (fr_needs_health_check (backend->warmup))
+    fn_update_health (backend, true);
   backend_call->exchange
       = fh_send_request (backend->client, &outgoing, end_exchange, backend_call);
 }
--- a/packages/node/source/node-services.h
+++ b/packages/node/source/node-services.h
@@ -195,7 +195,8 @@
 size_t fn_count_backend_calls (fn_backend_t *backend);
 
 /* Treats the local backend server as cold until its next health response, and sends a health
- * check at once. REASON, static, goes to the log. No effect without a service with warmup_rate.
+ * check at once. REASON goes to the log; NULL for a cause that may recur with each call, which
+ * is not logged. No effect without a service with warmup_rate.
  */
 void fn_assume_cold_backend (fk_kernel_t *kernel, const char *reason);
 
