--- a/packages/node/source/node-backend-crash.c
+++ b/packages/node/source/node-backend-crash.c
@@ -95,6 +95,7 @@
   GArray *keys = g_array_new (FALSE, FALSE, sizeof (fb_digest_t));
   uint64_t id = make_crash_id ();
 
+  fn_assume_cold_backend (backend->kernel, "backend server has ended");
   fb_add_counter (backend->crashes, 1);
   FB_LOG (fk_get_log (backend->kernel), FB_LOG_WARNING, FN_BACKEND, "backend server has ended",
           FB_TEXT ("instance", backend->local.instance.data),
--- a/packages/node/source/node-backend-evacuation.c
+++ b/packages/node/source/node-backend-evacuation.c
@@ -9,16 +9,6 @@
                                &fn_get_settings (backend->kernel)->zone);
 }
 
-void
-fn_note_evacuation_end (fk_kernel_t *kernel)
-{
-  const fn_backend_t *backend = fk_find_service (kernel, FN_BACKEND);
-
-  FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_BACKEND,
-          "backend server takes calls again after the evacuation of its zone",
-          FB_TEXT ("instance", backend->local.instance.data));
-}
-
 static void
 handle_evacuation (const fb_name_t *zone, bool evacuated, void *user)
 {
@@ -26,9 +16,13 @@
 
   if (!fb_equal_name (zone, &fn_get_settings (backend->kernel)->zone))
     return;
+  fn_suspend_health_checks (backend->kernel, evacuated);
   if (!evacuated)
     {
-      fn_note_evacuation_end (backend->kernel);
+      FB_LOG (fk_get_log (backend->kernel), FB_LOG_INFO, FN_BACKEND,
+              "taking calls: the evacuation of the zone has ended",
+              FB_TEXT ("instance", backend->local.instance.data));
+      fn_assume_cold_backend (backend->kernel, "evacuation of the zone has ended");
       return;
     }
   FB_LOG (fk_get_log (backend->kernel), FB_LOG_INFO, FN_BACKEND,
