--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -47,7 +47,8 @@
 void fr_begin_attempt (fr_picker_t *picker, const fb_name_t *instance);
 
 /* Ends a call in flight with RESULT, LATENCY in ns and the LOAD per 1,000 slots that the answer
- * reported. */
+ * reported. Of a cancelled call, LATENCY is a lower limit of what it would have taken, 0 when
+ * unknown. */
 void fr_report_result (fr_picker_t *picker, const fb_name_t *instance, fr_result_t result,
                        fb_time_t latency, uint32_t load);
 
@@ -64,6 +65,12 @@
                                  fb_time_t latency_target, const fb_name_t *excluded,
                                  size_t excluded_count, fb_name_t *picked);
 
+/* Like fr_pick_for_latency_target, but picks only an alive instance that is not ejected and
+ * whose last reported load is below LOAD_LIMIT per 1,000 slots. */
+bool fr_pick_below_load (fr_picker_t *picker, fb_str_t service, uint32_t rank,
+                         fb_time_t latency_target, uint32_t load_limit,
+                         const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked);
+
 /* Records the times in ns that an answer reported: SERVICE_TIME at the backend server, 0 when
  * the call did not run there, and EXPECTED_WAIT of the next call of RANK. */
 void fr_report_times (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
--- a/packages/call/include/foxtailrun/call/retry.h
+++ b/packages/call/include/foxtailrun/call/retry.h
@@ -28,6 +28,11 @@
  * SERVICE; false when it is used up. Less urgent ranks may use only a fraction. */
 bool fr_withdraw_retry (fr_retry_budget_t *budget, fb_str_t service, uint32_t rank);
 
+/* Withdraws one hedge, a second attempt beside an open first one, like a retry; false when the
+ * budget is used up, or hedges would use more than SHARE, 0 to 1, of what it allows. */
+bool fr_withdraw_hedge (fr_retry_budget_t *budget, fb_str_t service, uint32_t rank,
+                        double share);
+
 /* Charges a retry made regardless of the budget, such as a call by a repeated run. */
 void fr_charge_retry (fr_retry_budget_t *budget, fb_str_t service);
 
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -333,6 +333,35 @@
   return true;
 }
 
+bool
+fr_pick_below_load (fr_picker_t *picker, fb_str_t service_name, uint32_t rank,
+                    fb_time_t latency_target, uint32_t load_limit, const fb_name_t *excluded,
+                    size_t excluded_count, fb_name_t *picked)
+{
+  service_t *service = fr_find_service (picker, service_name);
+  candidates_t candidates;
+  size_t count = 0;
+  instance_t *instance;
+
+  if (service == NULL)
+    return false;
+  collect_candidates (picker, service, DISTANCE_OTHER, FW_ALIVE, false, excluded,
+                      excluded_count, &candidates);
+  for (size_t i = 0; i < candidates.count; i++)
+    if (candidates.instances[i]->load < load_limit)
+      candidates.instances[count++] = candidates.instances[i];
+  candidates.count = count;
+  if (count == 0)
+    return false;
+  instance = fr_pick_by_locality (picker, &candidates, clamp_rank (rank), latency_target,
+                                  excluded_count > 0, fb_read_clock (picker->clock));
+  if (instance == NULL)
+    return false;
+  count_in_flight (instance, rank);
+  *picked = instance->member.id;
+  return true;
+}
+
 bool
 fr_pick_for_rank (fr_picker_t *picker, fb_str_t service_name, uint32_t rank, fb_str_t key,
                   const fb_name_t *excluded, size_t excluded_count, fb_name_t *picked)
@@ -401,6 +430,8 @@
       fr_sample_latency (instance, clamp_rank (rank), latency, result == FR_RESULT_FAILED, now);
       fr_record_attempt (instance, result == FR_RESULT_FAILED, now);
     }
+  if (result == FR_RESULT_CANCELLED && latency > stats->expected_wait)
+    fr_sample_service_time_min (instance, clamp_rank (rank), latency - stats->expected_wait);
   if (result == FR_RESULT_UNREACHABLE)
     fr_eject_unreachable (instance, now);
   if (result == FR_RESULT_ANSWERED || result == FR_RESULT_REFUSED)
--- a/packages/call/source/route-score.c
+++ b/packages/call/source/route-score.c
@@ -63,6 +63,15 @@
       = step_median (instance->service->log_service_times[rank], sample);
 }
 
+void
+fr_sample_service_time_min (instance_t *instance, uint32_t rank, fb_time_t service_time)
+{
+  double median = instance->rank_stats[rank].log_service_time;
+
+  if (median > 0 && log ((double)service_time) > median)
+    fr_sample_service_time (instance, rank, service_time);
+}
+
 bool
 fr_is_full (const instance_t *instance, fb_time_t now)
 {
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -136,6 +136,10 @@
 
 void fr_sample_service_time (instance_t *instance, uint32_t rank, fb_time_t service_time);
 
+/* Adds a sample of a run that was cancelled after SERVICE_TIME ns, if it had already taken
+ * longer than the median: an instance whose slow runs are all cancelled must not look fast. */
+void fr_sample_service_time_min (instance_t *instance, uint32_t rank, fb_time_t service_time);
+
 /* Returns the expected cost of another call of RANK on INSTANCE; lower is better. */
 double fr_score_instance (const instance_t *instance, uint32_t rank, fb_time_t now);
 
--- a/packages/call/tests/test-picker.c
+++ b/packages/call/tests/test-picker.c
@@ -409,6 +409,58 @@
     }
 }
 
+/* Guards against hedges sent to instances that are full, excluded, suspect or ejected, and
+ * against an instance that looks fast because its slow runs are cancelled. */
+static void
+test_below_load (void)
+{
+  static const struct
+  {
+    uint32_t loads[2]; /* of instances 0 and 1 */
+    int excluded;      /* -1 for none */
+    int suspect;
+    int ejected;
+    int cancelled; /* its runs were cancelled after 60 ms */
+    int picked;    /* -1 when there is none */
+  } cases[] = {
+    { { 0, 1000 }, -1, -1, -1, -1, 0 },     { { 1000, 999 }, -1, -1, -1, -1, 1 },
+    { { 1000, 1000 }, -1, -1, -1, -1, -1 }, { { 0, 0 }, 1, -1, -1, -1, 0 },
+    { { 0, 1000 }, 0, -1, -1, -1, -1 },     { { 0, 0 }, -1, 0, -1, -1, 1 },
+    { { 0, 1000 }, -1, 0, -1, -1, -1 },     { { 0, 0 }, -1, -1, 1, -1, 0 },
+    { { 1000, 0 }, -1, -1, 1, -1, -1 },     { { 0, 0 }, -1, -1, -1, 0, 1 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fixture_t fixture = create_fixture (FR_PICK_LOCALITY);
+      fb_name_t excluded = make_id (cases[i].excluded);
+      fb_name_t id = make_id (cases[i].picked);
+      fb_name_t picked;
+
+      add_instances (&fixture, 0, 2, 0);
+      for (int j = 0; j < 2; j++)
+        {
+          fb_name_t instance = make_id (j);
+
+          fr_report_times (fixture.picker, &instance, 0, 10 * FB_MILLISECOND, 0);
+          report_attempt (&fixture, j, FR_RESULT_ANSWERED, FB_MILLISECOND, cases[i].loads[j]);
+          if (cases[i].ejected == j)
+            fr_eject_until (fixture.picker, &instance, 1000 * FB_SECOND);
+          for (int k = 0; k < 5 && cases[i].cancelled == j; k++)
+            report_attempt (&fixture, j, FR_RESULT_CANCELLED, 60 * FB_MILLISECOND, 0);
+          if (cases[i].suspect == j)
+            update_member (&fixture, j, 0, 0, FW_SUSPECT);
+        }
+      fb_advance_clock (fixture.clock, 3 * FB_SECOND);
+      g_assert_cmpint (fr_pick_below_load (fixture.picker, service, 0, FB_SECOND, 1000,
+                                           &excluded, cases[i].excluded >= 0, &picked),
+                       ==, cases[i].picked >= 0);
+      if (cases[i].picked >= 0)
+        g_assert_cmpstr (picked.data, ==, id.data);
+      destroy_fixture (&fixture);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -423,5 +475,6 @@
   g_test_add_func ("/picker/score", test_score);
   g_test_add_func ("/picker/baselines", test_baselines);
   g_test_add_func ("/picker/visit", test_visit);
+  g_test_add_func ("/picker/below-load", test_below_load);
   return g_test_run ();
 }
--- a/packages/call/tests/test-retry.c
+++ b/packages/call/tests/test-retry.c
@@ -106,6 +106,50 @@
     }
 }
 
+/* Guards against hedges that use up the retries of failed calls, that are not charged to the
+ * budget or outlive its window, and against hedges with a share of 0. */
+static void
+test_hedge_share (void)
+{
+  static const struct
+  {
+    int charged; /* retries before */
+    uint32_t rank;
+    double share;
+    int hedges;
+    int retries; /* after the hedges */
+  } cases[] = {
+    { 0, 0, 0, 0, 100 },     { 0, 0, 0.5, 50, 50 }, { 0, 0, 1, 100, 0 },
+    { 0, 0, 0.009, 0, 100 }, { 0, 0, 0.01, 1, 99 }, { 40, 0, 0.5, 50, 10 },
+    { 70, 0, 0.5, 30, 0 },   { 100, 0, 0.5, 0, 0 }, { 0, 1, 0.5, 37, 38 },
+    { 0, 3, 0.5, 12, 13 },   { 130, 0, 1, 0, 0 },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (500 * FB_SECOND);
+      fr_retry_budget_t *budget = fr_create_retry_budget (clock);
+      int hedges = 0;
+
+      fr_set_retry_allowance (budget, 0.2, 0);
+      for (int j = 0; j < 500; j++)
+        fr_deposit_retry (budget, service);
+      for (int j = 0; j < cases[i].charged; j++)
+        fr_charge_retry (budget, service);
+      while (hedges < 1000
+             && fr_withdraw_hedge (budget, service, cases[i].rank, cases[i].share))
+        hedges++;
+      g_assert_cmpint (hedges, ==, cases[i].hedges);
+      g_assert_cmpint (withdraw_all_of_rank (budget, cases[i].rank), ==, cases[i].retries);
+      fb_advance_clock (clock, 10 * FB_SECOND);
+      fr_set_retry_allowance (budget, 0.2, 4);
+      g_assert_cmpint (fr_withdraw_hedge (budget, service, 0, cases[i].share), ==,
+                       cases[i].share >= 0.5);
+      fr_destroy_retry_budget (budget);
+      fb_destroy_clock (clock);
+    }
+}
+
 /* Offers COUNT calls of CUSTOMER at 1,000 per second and returns the number sent. Of every
  * ACCEPT_INTERVAL calls the first is accepted if sent; none when it is 0. */
 static int
@@ -184,6 +228,7 @@
   g_test_add_func ("/retry/safe", test_retry_safe);
   g_test_add_func ("/retry/budget", test_budget);
   g_test_add_func ("/retry/budget-ranks", test_budget_ranks);
+  g_test_add_func ("/retry/hedge-share", test_hedge_share);
   g_test_add_func ("/throttle/rank", test_throttle);
   g_test_add_func ("/throttle/customers", test_throttle_customers);
   return g_test_run ();
