Document field hedge of a route and setting hedge.budget_share

Cause: only routes that ask for it may be hedged, within a share of the retry budget that the node's settings allow. Both are off by default.

Change: schema, check, check of a changed document, diff and the page of settings. The lists of allowed keys and tables in error messages grow by one.

Tests: config-test-document, config-test-settings, config-test-change and foxtailrun-test-commands pass.

--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -23,9 +23,9 @@
 
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
  * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
- * limit_ms; [backend] address, port, limit_burst_ms; [platform] address, port; [seeds] nodes;
- * [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio and
- * shared_retry_floor have no key and are 0 after fc_check_settings. */
+ * limit_ms; [hedge] budget_share; [backend] address, port, limit_burst_ms; [platform] address,
+ * port; [seeds] nodes; [admin] key; [log] level, format. The fields source_poll_interval,
+ * retry_ratio and shared_retry_floor have no key and are 0 after fc_check_settings. */
 typedef struct
 {
   fb_name_t id;
@@ -45,6 +45,7 @@
   double retry_ratio; /* retries per first attempt, with a retry budget shared by the nodes */
   uint32_t shared_retry_floor; /* further retries in 10 s of all nodes together; 0 without
                                   a shared retry budget */
+  double hedge_share;          /* fraction of the retry budget for hedges; 0 for none */
   fb_time_t drain_timeout;     /* after it the calls still open are cut */
   fc_socket_address_t backend;
   fb_time_t limit_burst; /* under the backend server's rate limit, calls of this time at the
--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -53,6 +53,7 @@
   bool repeatable;    /* false: runs at most once */
   bool ticket;        /* a call that is not repeatable requires a ticket from the node that runs
                          it; if false, the entry node sends each request at most once */
+  bool hedge;         /* a second attempt may start beside a slow first one, if repeatable */
   const fc_part_t *parts;
   size_t part_count;
 } fc_route_t;
--- a/packages/config/source/check-change.c
+++ b/packages/config/source/check-change.c
@@ -156,6 +156,7 @@
   add_integer (builder, table, "retries", route->retries);
   prepend_child (builder, table, FC_TOML_BOOLEAN, "repeatable")->integer = route->repeatable;
   prepend_child (builder, table, FC_TOML_BOOLEAN, "ticket")->integer = route->ticket;
+  prepend_child (builder, table, FC_TOML_BOOLEAN, "hedge")->integer = route->hedge;
   add_integer (builder, table, "target_ms", route->target_ms);
   add_weighted_services (builder, table, route);
 }
--- a/packages/config/source/check-route.c
+++ b/packages/config/source/check-route.c
@@ -130,6 +130,7 @@
   route->retries = (uint32_t)fc_get_value (row, "retries")->integer;
   route->repeatable = fc_get_value (row, "repeatable")->integer != 0;
   route->ticket = fc_get_value (row, "ticket")->integer != 0;
+  route->hedge = fc_get_value (row, "hedge")->integer != 0;
   route->target_ms = (uint32_t)fc_get_value (row, "target_ms")->integer;
   check_parts (checker, row, route);
   index_route (checker, row, index, methods);
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -64,6 +64,8 @@
   { "route", "ticket", FC_TYPE_BOOLEAN, "", "true", 0, 0, "true or false",
     "whether a call that is not repeatable requires a ticket; if false, the entry node sends each "
     "request at most once" },
+  { "route", "hedge", FC_TYPE_BOOLEAN, "", "false", 0, 0, "true or false",
+    "whether a second attempt may start beside a slow first one; needs repeatable and retries" },
   { "route", "retries", FC_TYPE_INTEGER, "attempts", "1", 0, 3, NULL,
     "maximum number of attempts after the first" },
 
@@ -112,6 +114,10 @@
   { "drain", "limit_ms", FC_TYPE_INTEGER, "ms", "120000", 1000, 3600000, NULL,
     "time limit of a graceful shutdown; calls still open after it are cut" },
 
+  { "hedge", "budget_share", FC_TYPE_NUMBER, "fraction of the retry budget", "0", 0, 1, NULL,
+    "fraction of the retry budget that second attempts beside slow first ones may use; 0 for "
+    "none" },
+
   { "backend", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the backend server" },
   { "backend", "port", FC_TYPE_INTEGER, "", "0", 1, PORT_MAX, NULL,
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -82,6 +82,15 @@
       = (fb_time_t)fc_get_value (&row, "limit_ms")->integer * FB_MILLISECOND;
 }
 
+static void
+check_hedge (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  fc_row_t row;
+
+  check_section (&row, root, "hedge", problems);
+  settings->hedge_share = fc_get_value (&row, "budget_share")->number;
+}
+
 static void
 check_backend (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
 {
@@ -204,6 +213,7 @@
   fc_check_row (&row, fc_get_settings_schema (), "", "", root, problems);
   check_node (settings, root, problems);
   check_listen (settings, root, problems);
+  check_hedge (settings, root, problems);
   check_backend (settings, root, problems);
   check_platform (settings, root, problems);
   check_seeds (settings, root, problems);
--- a/packages/config/tests/fixture-check.c
+++ b/packages/config/tests/fixture-check.c
@@ -15,7 +15,7 @@
       "[[route]]\nname = \"buy\"\npath = \"/buy\"\nmethods = [\"POST\", \"PUT\"]\n"
       "service = \"shop\"\nrank = \"fast\"\ntimeout_ms = 250\nretries = 0\n"
       "[[route]]\nname = \"stock\"\npath = \"/st\\u006fck\"\nservice = \"stock\"\n"
-      "rank = \"late\"\nrepeatable = true\n"
+      "rank = \"late\"\nrepeatable = true\nhedge = true\n"
       "[[customer]]\nname = \"kilo\"\nweight = 2.5\n"
       "[[objective]]\nservice = \"shop\"\nrank = \"fast\"\ntarget_ms = 80\nratio = 0.99\n";
 
--- a/packages/config/tests/test-change.c
+++ b/packages/config/tests/test-change.c
@@ -18,7 +18,7 @@
       "[[route]]\nname = \"read\"\npath = \"/buy\"\nmethods = [\"GET\"]\n"
       "service = \"price\"\nrank = \"late\"\n"
       "[[route]]\nname = \"stock\"\npath = \"/st\\u006fck\"\nservice = \"stock\"\n"
-      "rank = \"late\"\nrepeatable = true\n"
+      "rank = \"late\"\nrepeatable = true\nhedge = true\n"
       "[[route]]\nname = \"all\"\npath = \"/\"\nmethods = []\nservice = \"shop\"\n"
       "rank = \"late\"\n"
       "[[customer]]\nname = \"kilo\"\nweight = 2.5\n[[customer]]\nname = \"roue\"\n"
@@ -167,10 +167,11 @@
     {
       const fc_route_t *route = fc_get_route (snapshot, i);
 
-      g_string_append_printf (text, "route %s %.*s %.*s %u %u %u %u %d\n", route->name.data,
+      g_string_append_printf (text, "route %s %.*s %.*s %u %u %u %u %d %d\n", route->name.data,
                               (int)route->path.len, route->path.data, (int)route->methods.len,
                               route->methods.data, route->service, route->rank,
-                              route->timeout_ms, route->retries, route->repeatable);
+                              route->timeout_ms, route->retries, route->repeatable,
+                              route->hedge);
     }
   for (size_t i = 0; i < fc_count_customers (snapshot); i++)
     g_string_append_printf (
--- a/packages/config/tests/test-document.c
+++ b/packages/config/tests/test-document.c
@@ -71,7 +71,7 @@
   { "types",
     VERSION RANK SERVICE
     "[[route]]\nname = 1\npath = true\nmethods = \"GET\"\nservice = 1.5\nrank = []\n"
-    "timeout_ms = \"1\"\nrepeatable = 1\nretries = 1.0\n",
+    "timeout_ms = \"1\"\nrepeatable = 1\nretries = 1.0\nhedge = \"yes\"\n",
     "f:10: route[0].name: found 1, allowed: " NAME_TEXT "\n"
     "f:11: route[0].path: found true, allowed: " PATH_TEXT "\n"
     "f:12: route[0].methods: found \"GET\", allowed: " METHODS_TEXT "\n"
@@ -79,7 +79,8 @@
     "f:14: route[0].rank: found an array, allowed: the name of a rank\n"
     "f:15: route[0].timeout_ms: found \"1\", allowed: an integer from 1 to 600000\n"
     "f:16: route[0].repeatable: found 1, allowed: true or false\n"
-    "f:17: route[0].retries: found 1.0, allowed: an integer from 0 to 3\n" },
+    "f:17: route[0].retries: found 1.0, allowed: an integer from 0 to 3\n"
+    "f:18: route[0].hedge: found \"yes\", allowed: true or false\n" },
   { "ranges",
     VERSION "[[rank]]\nname = \"fast\"\norder = 100\ntarget_ms = 0\nworth = -1\n"
             "share = 1.5\n",
@@ -241,12 +242,14 @@
   g_assert_cmpuint (route->timeout_ms, ==, 250);
   g_assert_cmpuint (route->retries, ==, 0);
   g_assert_false (route->repeatable);
+  g_assert_false (route->hedge);
   route = fc_get_route (snapshot, 1);
   g_assert_true (fb_equal_str (route->path, FB_LITERAL ("/stock")));
   g_assert_cmpuint (route->methods.len, ==, 0);
   g_assert_cmpuint (route->timeout_ms, ==, 1000);
   g_assert_cmpuint (route->retries, ==, 1);
   g_assert_true (route->repeatable);
+  g_assert_true (route->hedge);
   g_assert_cmpfloat (fc_get_customer_weight (snapshot, FB_LITERAL ("kilo")), ==, 2.5);
   g_assert_cmpfloat (fc_get_customer_weight (snapshot, FB_LITERAL ("other")), ==, 1);
   g_assert_cmpfloat (fc_get_objective (snapshot, 0)->ratio, ==, 0.99);
--- a/packages/config/tests/test-settings.c
+++ b/packages/config/tests/test-settings.c
@@ -27,7 +27,7 @@
     "f: node.zone: found no value, allowed: " NAME_TEXT "\n" },
   { "unknown", NODE "name = \"x\"\n" LISTEN "[other]\n",
     "f:5: node.name: found an unknown key, allowed: one of id, zone, region, service\n"
-    "f:8: other: found an unknown key, allowed: one of node, listen, drain, backend, platform, seeds, admin, log\n" },
+    "f:8: other: found an unknown key, allowed: one of node, listen, drain, hedge, backend, platform, seeds, admin, log\n" },
   { "section-kind", NODE LISTEN "[[log]]\n",
     "f:7: log: found an array of tables, allowed: one [log] table\n" },
   { "section-value", "node = 1\n" LISTEN,
@@ -68,6 +68,8 @@
   { "backend-burst",
     NODE "service = \"shop\"\n" LISTEN "[backend]\nport = 80\nlimit_burst_ms = 2000\n",
     "f:10: backend.limit_burst_ms: found 2000, allowed: an integer from 0 to 1000\n" },
+  { "hedge-share", NODE LISTEN "[hedge]\nbudget_share = 1.5\n",
+    "f:8: hedge.budget_share: found 1.5, allowed: a number from 0 to 1\n" },
   { "backend-without-service", NODE LISTEN "[backend]\nport = 80\n",
     "f:7: backend: found a table, allowed: [backend] only with node.service\n" },
   { "platform-port", NODE LISTEN "[platform]\n",
@@ -146,6 +148,7 @@
   g_assert_cmpuint (settings.admin_port, ==, 7403);
   g_assert_cmpuint (settings.backend.port, ==, 0);
   g_assert_cmpint (settings.limit_burst, ==, 500 * FB_MILLISECOND);
+  g_assert_cmpfloat (settings.hedge_share, ==, 0);
   g_assert_cmpuint (settings.platform.port, ==, 0);
   g_assert_cmpuint (settings.seed_count, ==, 0);
   g_assert_cmpuint (settings.admin_key.len, ==, 0);
--- a/packages/foxtailrun/source/diff-fields.c
+++ b/packages/foxtailrun/source/diff-fields.c
@@ -309,6 +309,12 @@
              : "a caller that repeats a request may run it twice";
 }
 
+static void
+format_hedge (const fc_snapshot_t *snapshot, size_t index, GString *text)
+{
+  g_string_append (text, fc_get_route (snapshot, index)->hedge ? "true" : "false");
+}
+
 static void
 format_repeatable (const fc_snapshot_t *snapshot, size_t index, GString *text)
 {
@@ -397,6 +403,7 @@
   { "target_ms", format_route_target, NULL, "0" },
   { "repeatable", format_repeatable, assess_repeatable },
   { "ticket", format_ticket, assess_ticket, "true" },
+  { "hedge", format_hedge, NULL, "false" },
   { "retries", format_retries, NULL },
 };
 
--- a/packages/foxtailrun/tests/test-commands.c
+++ b/packages/foxtailrun/tests/test-commands.c
@@ -269,6 +269,8 @@
     FAST_RANK SHOP_SERVICE BUY_ROUTE "repeatable = true\ntimeout_ms = 5\nretries = 0\n",
     "route buy: timeout_ms 1000 -> 5\nroute buy: repeatable false -> true\n"
     "  risk: a call may run more than once\nroute buy: retries 1 -> 0\n" },
+  { FAST_RANK SHOP_SERVICE BUY_ROUTE, FAST_RANK SHOP_SERVICE BUY_ROUTE "hedge = true\n",
+    "route buy: hedge false -> true\n" },
   { FAST_RANK SHOP_SERVICE BUY_ROUTE "repeatable = true\n", FAST_RANK SHOP_SERVICE BUY_ROUTE,
     "route buy: repeatable true -> false\n  risk: callers must send a ticket\n" },
   { FAST_RANK SHOP_SERVICE BUY_ROUTE, FAST_RANK SHOP_SERVICE BUY_ROUTE "methods = [\"GET\"]\n",
