Entry node: hedged requests

Cause: a repeatable call waited for the one instance that was picked, although another one would have answered in time.

Change: the state of an attempt is a struct of its own, and a call holds up to two open ones. On routes with hedge, when hedge.budget_share is above 0, the call's timer is set to the delay after which its attempt counts as slow; then a second attempt starts at another instance with a free slot. The first good answer wins and the other attempt is cancelled; other ends wait for it, and the one that says more decides. The backend stand-in takes a service time for one instance by name and counts cancelled runs.

--- a/packages/foxtailrund/tests/fixture-fleet.c
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -91,7 +91,7 @@
   char *text = g_strdup_printf (
       "[node]\nid = \"node-%zu\"\nzone = \"zone-%c\"\nregion = \"region-1\"\nservice = \"%s\"\n"
       "[listen]\naddress = \"%s\"\ncaller_port = %d\ncall_port = 7002\ncontrol_port = 7001\n"
-      "admin_port = %d\n[backend]\naddress = \"%s\"\nport = %d\n"
+      "admin_port = %d\n[hedge]\nbudget_share = 1\n[backend]\naddress = \"%s\"\nport = %d\n"
       "[platform]\naddress = \"%s\"\nport = %d\n[seeds]\nnodes = [\"%s:7001\", \"%s:7001\"]\n"
       "[admin]\nkey = \"%s\"\n",
       number, number % 2 ? 'a' : 'b', number <= fleet->count / 2 ? "storefront" : "inventory",
@@ -384,6 +384,13 @@
   return response;
 }
 
+void
+fleet_abandon_call (fleet_pending_call_t *call)
+{
+  fh_destroy_client (call->client);
+  g_free (call);
+}
+
 fleet_pending_call_t *
 fleet_begin_call (fleet_t *fleet, size_t number, const char *method, const char *path,
                   const char *ticket)
@@ -393,6 +400,15 @@
   return begin_request (fleet, number, CALLER_PORT, method, path, ticket ? &header : NULL);
 }
 
+fleet_pending_call_t *
+fleet_begin_call_with_id (fleet_t *fleet, size_t number, const char *method, const char *path,
+                          const char *id)
+{
+  fh_header_t header = { FB_LITERAL ("foxtailrun-request-id"), fb_wrap_text (id) };
+
+  return begin_request (fleet, number, CALLER_PORT, method, path, &header);
+}
+
 fleet_response_t
 fleet_call (fleet_t *fleet, size_t number, const char *method, const char *path,
             const char *ticket)
@@ -504,26 +520,46 @@
   g_free (path);
 }
 
-uint64_t
-fleet_count_runs (fleet_t *fleet, const char *path)
+/* Returns the count of PATH in the response of the backend server of node NUMBER to REQUEST. */
+static uint64_t
+read_count (fleet_t *fleet, size_t number, const char *request, const char *path)
 {
   char *line = g_strdup_printf ("%s ", path);
-  uint64_t runs = 0;
+  fleet_response_t response = fleet_finish_call (
+      fleet, begin_request (fleet, number, BACKEND_PORT, "GET", request, NULL));
+  char **lines = g_strsplit (response.body, "\n", -1);
+  uint64_t count = 0;
 
-  for (size_t number = 1; number <= fleet->count; number++)
+  for (char **at = lines; *at; at++)
     {
-      fleet_response_t response = fleet_finish_call (
-          fleet, begin_request (fleet, number, BACKEND_PORT, "GET", "/standin/runs", NULL));
-      char **lines = g_strsplit (response.body, "\n", -1);
-      for (char **at = lines; *at; at++)
-        {
-          if (g_str_has_prefix (*at, line))
-            runs += g_ascii_strtoull (*at + strlen (line), NULL, 10);
-        }
-      g_strfreev (lines);
-      fleet_clear_response (&response);
+      if (g_str_has_prefix (*at, line))
+        count += g_ascii_strtoull (*at + strlen (line), NULL, 10);
     }
+  g_strfreev (lines);
+  fleet_clear_response (&response);
   g_free (line);
+  return count;
+}
+
+uint64_t
+fleet_count_runs_at (fleet_t *fleet, size_t number, const char *path)
+{
+  return read_count (fleet, number, "/standin/runs", path);
+}
+
+uint64_t
+fleet_count_cancelled_at (fleet_t *fleet, size_t number, const char *path)
+{
+  return read_count (fleet, number, "/standin/cancelled", path);
+}
+
+uint64_t
+fleet_count_runs (fleet_t *fleet, const char *path)
+{
+  uint64_t runs = 0;
+
+  for (size_t number = 1; number <= fleet->count; number++)
+    runs += fleet_count_runs_at (fleet, number, path);
   return runs;
 }
 
--- a/packages/foxtailrund/tests/fixture-fleet.h
+++ b/packages/foxtailrund/tests/fixture-fleet.h
@@ -93,6 +93,14 @@
                                         const char *path, const char *ticket);
 fleet_response_t fleet_finish_call (fleet_t *fleet, fleet_pending_call_t *call);
 
+/* Like fleet_begin_call, with the request id ID. */
+fleet_pending_call_t *fleet_begin_call_with_id (fleet_t *fleet, size_t number,
+                                                const char *method, const char *path,
+                                                const char *id);
+
+/* Closes the connection of CALL without waiting and frees it. */
+void fleet_abandon_call (fleet_pending_call_t *call);
+
 /* Sends a request to the administration port of node NUMBER; KEY may be NULL. */
 fleet_response_t fleet_request_admin (fleet_t *fleet, size_t number, const char *method,
                                       const char *path, const char *key);
@@ -103,6 +111,11 @@
 /* Returns how often PATH ran on all backend servers. */
 uint64_t fleet_count_runs (fleet_t *fleet, const char *path);
 
+/* Returns how often PATH ran on the backend server of node NUMBER, and how many of these runs
+ * were cancelled. */
+uint64_t fleet_count_runs_at (fleet_t *fleet, size_t number, const char *path);
+uint64_t fleet_count_cancelled_at (fleet_t *fleet, size_t number, const char *path);
+
 /* Waits until PATH ran on any backend server. */
 void fleet_wait_run (fleet_t *fleet, const char *path);
 
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -1,5 +1,6 @@
 /* Entry: sends attempts of a call to instances and decides on retries. */
 #include "node-entry.h"
+#include <foxtailrun/base/invariant.h>
 #include <foxtailrun/call/once.h>
 
 static fn_backend_t *
@@ -30,20 +31,46 @@
   return fn_find_endpoint (fk_find_service (entry->kernel, FN_DIRECTORY), id);
 }
 
-static fb_str_t
-get_service_name (const fn_entry_call_t *call)
+fb_str_t
+fn_get_call_service (const fn_entry_call_t *call)
 {
   return fb_get_name (&fc_get_service (call->snapshot, call->service_index)->name);
 }
 
-/* Removes the open attempt; returns the name of its instance. */
-static const fb_name_t *
-close_attempt (fn_entry_call_t *call)
+fn_attempt_t *
+fn_find_open_attempt (fn_entry_call_t *call)
 {
-  g_hash_table_remove (call->entry->attempts, &call->attempt_id);
-  call->attempt_id = 0;
-  call->local_handle = 0;
-  return &call->tried_instances[call->attempt_count - 1];
+  for (size_t i = 0; i < FN_OPEN_ATTEMPTS_MAX; i++)
+    if (call->open_attempts[i].id != 0)
+      return &call->open_attempts[i];
+  return NULL;
+}
+
+/* Removes ATTEMPT from the open ones; returns a copy. */
+static fn_attempt_t
+close_attempt (fn_attempt_t *attempt)
+{
+  fn_attempt_t closed = *attempt;
+
+  g_hash_table_remove (attempt->call->entry->attempts, &attempt->id);
+  attempt->id = 0;
+  attempt->local_handle = 0;
+  return closed;
+}
+
+void
+fn_add_tried_instance (fn_entry_call_t *call, const fb_name_t *instance)
+{
+  call->tried_instances[call->attempt_count++] = *instance;
+  call->last_attempt.instance = *instance;
+}
+
+bool
+fn_has_attempt_left (const fn_entry_call_t *call)
+{
+  return call->attempt_count - call->retry_elsewhere_count - call->queue_full_count
+             - call->hedge_refused
+         <= call->route->retries;
 }
 
 static fr_result_t
@@ -58,9 +85,8 @@
   return FR_RESULT_FAILED;
 }
 
-/* Returns whether ANSWER is an error that may not occur on another backend server. */
-static bool
-is_server_failure (const fw_call_t *answer)
+bool
+fn_is_server_failure (const fw_call_t *answer)
 {
   return answer->outcome == FW_ANSWERED
          && (answer->status == 500 || (answer->status >= 502 && answer->status <= 504));
@@ -74,7 +100,7 @@
 {
   const fc_route_t *route = call->route;
   bool retry_elsewhere = answer->outcome == FW_NOT_RUN && answer->retry_elsewhere;
-  fw_outcome_t outcome = is_server_failure (answer) ? FW_FAILED : answer->outcome;
+  fw_outcome_t outcome = fn_is_server_failure (answer) ? FW_FAILED : answer->outcome;
 
   if (outcome == FW_ANSWERED || answer->status == 428 || answer->status == 422
       || answer->quarantine_us > 0)
@@ -92,10 +118,10 @@
       call->queue_full_count++;
       return true;
     }
-  return call->attempt_count - call->retry_elsewhere_count - call->queue_full_count
-             <= route->retries
+  return fn_has_attempt_left (call)
          && (!call->reached_backend
-             || fr_withdraw_retry (call->entry->budget, get_service_name (call), route->rank));
+             || fr_withdraw_retry (call->entry->budget, fn_get_call_service (call),
+                                   route->rank));
 }
 
 /* Records what ANSWER reports of INSTANCE: its rate limit, and whether it leaves. A refusal
@@ -115,26 +141,39 @@
 }
 
 static void
-end_attempt (fn_entry_call_t *call, const fw_call_t *answer)
+end_attempt (fn_attempt_t *open_attempt, const fw_call_t *answer)
 {
+  fn_entry_call_t *call = open_attempt->call;
   fn_entry_t *entry = call->entry;
-  const fb_name_t *instance = close_attempt (call);
+  fn_attempt_t attempt = close_attempt (open_attempt);
+  const fb_name_t *instance = &attempt.instance;
+  uint64_t earlier_crash_id = call->hedged ? call->crash_id : 0;
+  fw_call_t held;
   bool accepted = answer->outcome != FW_NOT_RUN || answer->status == 428;
 
   read_instance_report (entry, instance, answer);
   fn_read_request_report (call, answer);
+  if (call->crash_id == 0)
+    call->crash_id = earlier_crash_id;
   fr_report_times (entry->picker, instance, call->route->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
   fr_report_result_for_rank (entry->picker, instance, call->route->rank,
-                             classify_answer (answer),
-                             read_time (entry) - call->attempt_started_at, answer->load);
-  fr_report_customer (entry->throttle, get_service_name (call), call->route->rank,
+                             classify_answer (answer), read_time (entry) - attempt.started_at,
+                             answer->load);
+  fr_report_customer (entry->throttle, fn_get_call_service (call), call->route->rank,
                       call->customer, accepted);
+  fn_record_attempt_end (&attempt, answer);
   call->may_have_run |= answer->outcome != FW_NOT_RUN;
   call->reached_backend |= answer->reached_backend;
+  call->last_attempt = attempt;
+  if (call->hedged)
+    answer = fn_judge_hedged_answer (call, &attempt, answer, &held);
+  if (!answer)
+    return;
   if (acquire_retry (call, answer))
     {
+      fn_drop_held_answer (call);
       fb_add_counter (entry->retries, 1);
       fn_start_attempt (call);
       return;
@@ -142,10 +181,10 @@
   fn_finish_entry_call (call, answer);
 }
 
-/* Ends the open attempt with an outcome decided here. Its ticket may have been used before:
+/* Ends ATTEMPT with an outcome decided here. Its ticket may have been used before:
  * only the issuer can state that the call was not run. */
 static void
-fail_attempt (fn_entry_call_t *call, fw_outcome_t outcome, uint32_t status, const char *reason)
+fail_attempt (fn_attempt_t *attempt, fw_outcome_t outcome, uint32_t status, const char *reason)
 {
   fw_call_t answer = { .kind = FW_ANSWER,
                        .outcome = outcome,
@@ -154,12 +193,12 @@
                        .retry_elsewhere = outcome == FW_NOT_RUN,
                        .reached_backend = outcome != FW_NOT_RUN };
 
-  if (call->ticket.len > 0)
+  if (attempt->call->ticket.len > 0)
     {
       answer.outcome = FW_UNKNOWN;
       answer.status = 504;
     }
-  end_attempt (call, &answer);
+  end_attempt (attempt, &answer);
 }
 
 static void
@@ -201,15 +240,16 @@
 }
 
 static void
-build_message (fn_entry_call_t *call, const fw_member_t *node, fw_call_t *message)
+build_message (const fn_attempt_t *attempt, const fw_member_t *node, fw_call_t *message)
 {
+  fn_entry_call_t *call = attempt->call;
   const fc_route_t *route = call->route;
 
   *message = (fw_call_t){
     .kind = FW_CALL,
-    .id = call->attempt_id,
-    .remaining_us = (uint64_t)((call->deadline - call->attempt_started_at) / FB_MICROSECOND),
-    .service = get_service_name (call),
+    .id = attempt->id,
+    .remaining_us = (uint64_t)((call->deadline - attempt->started_at) / FB_MICROSECOND),
+    .service = fn_get_call_service (call),
     .rank = fb_get_name (&fc_get_rank (call->snapshot, route->rank)->name),
     .customer = call->customer,
     .method = fh_get_method (call->request),
@@ -217,9 +257,11 @@
     .path = fh_get_path (call->request),
     .at_most_once = !route->repeatable,
     .target_left_us
-    = (uint64_t)(MAX (call->target_time - call->attempt_started_at, 0) / FB_MICROSECOND),
+    = (uint64_t)(MAX (call->target_time - attempt->started_at, 0) / FB_MICROSECOND),
     .is_caller_retry = call->is_caller_retry,
-    .earlier_attempt_arrived = call->reached_backend || call->parent_is_retry,
+    /* The first of two open attempts has probably arrived. */
+    .earlier_attempt_arrived
+    = call->reached_backend || call->parent_is_retry || attempt->is_hedge,
     .ticket = call->ticket,
     .request_id = fb_wrap_text (call->request_id),
     .crash_id = call->crash_id,
@@ -238,28 +280,33 @@
   copy_headers (call, message);
 }
 
-static void
-send_attempt (fn_entry_call_t *call, const fw_member_t *node)
+void
+fn_send_attempt (fn_entry_call_t *call, const fw_member_t *node, bool is_hedge)
 {
   fn_entry_t *entry = call->entry;
+  fn_attempt_t *attempt = &call->open_attempts[call->open_attempts[0].id != 0 ? 1 : 0];
   fw_call_t message;
-  uint64_t attempt_id = ++entry->next_id;
   uint64_t handle;
 
-  call->attempt_id = attempt_id;
-  call->attempt_started_at = read_time (entry);
-  call->is_local = is_local (entry, node);
-  g_hash_table_insert (entry->attempts, &call->attempt_id, call);
-  build_message (call, node, &message);
-  if (!call->is_local)
+  FB_INVARIANT (attempt->id == 0);
+  *attempt = (fn_attempt_t){ .call = call,
+                             .id = ++entry->next_id,
+                             .instance = node->id,
+                             .started_at = read_time (entry),
+                             .is_local = is_local (entry, node),
+                             .is_hedge = is_hedge };
+  call->last_attempt = *attempt;
+  g_hash_table_insert (entry->attempts, &attempt->id, attempt);
+  build_message (attempt, node, &message);
+  if (!attempt->is_local)
     {
       fn_send_call (fk_find_service (entry->kernel, FN_CALLS), node, &message);
       return;
     }
-  handle = fn_serve_call (find_backend (entry), &message, receive_local_answer, call);
+  handle = fn_serve_call (find_backend (entry), &message, receive_local_answer, attempt);
   /* With handle 0 the call was answered already and may have been freed. */
   if (handle != 0)
-    call->local_handle = handle;
+    attempt->local_handle = handle;
 }
 
 /* Sends the attempt to the issuer of the ticket, the only node that may run it. */
@@ -281,16 +328,16 @@
       fn_finish_with_outcome (call, FW_UNKNOWN, 504, "the node that issued the ticket is gone");
       return;
     }
-  call->tried_instances[call->attempt_count++] = ticket.node;
+  fn_add_tried_instance (call, &ticket.node);
   fr_begin_attempt_for_rank (entry->picker, &ticket.node, call->route->rank);
-  send_attempt (call, node);
+  fn_send_attempt (call, node, false);
 }
 
 void
 fn_start_attempt (fn_entry_call_t *call)
 {
   fn_entry_t *entry = call->entry;
-  fb_str_t service = get_service_name (call);
+  fb_str_t service = fn_get_call_service (call);
   fb_name_t instance;
   const fw_member_t *node;
 
@@ -309,7 +356,7 @@
                                   : "no instance of the service is available");
       return;
     }
-  call->tried_instances[call->attempt_count++] = instance;
+  fn_add_tried_instance (call, &instance);
   node = find_node (entry, &instance);
   if (!node)
     {
@@ -318,57 +365,64 @@
       fn_finish_with_outcome (call, FW_NOT_RUN, 503, "the chosen instance has left");
       return;
     }
-  send_attempt (call, node);
+  fn_plan_hedge (call);
+  fn_send_attempt (call, node, false);
 }
 
 void
-fn_abandon_attempt (fn_entry_call_t *call)
+fn_cancel_attempt (fn_attempt_t *open_attempt, fb_time_t min_duration)
 {
+  fn_entry_call_t *call = open_attempt->call;
   fn_entry_t *entry = call->entry;
-  uint64_t attempt_id = call->attempt_id;
-  uint64_t handle = call->local_handle;
-  const fb_name_t *instance;
+  fn_attempt_t attempt = close_attempt (open_attempt);
 
-  if (attempt_id == 0)
-    return;
-  instance = close_attempt (call);
-  fr_report_result_for_rank (entry->picker, instance, call->route->rank, FR_RESULT_CANCELLED, 0,
-                             0);
-  if (call->is_local)
+  call->may_have_run = true;
+  fr_report_result_for_rank (entry->picker, &attempt.instance, call->route->rank,
+                             FR_RESULT_CANCELLED, min_duration, 0);
+  if (attempt.is_local)
     {
-      fn_cancel_call (find_backend (entry), handle);
+      fn_cancel_call (find_backend (entry), attempt.local_handle);
       return;
     }
-  fn_cancel_sent_call (fk_find_service (entry->kernel, FN_CALLS), attempt_id);
+  fn_cancel_sent_call (fk_find_service (entry->kernel, FN_CALLS), attempt.id);
+}
+
+void
+fn_abandon_attempts (fn_entry_call_t *call)
+{
+  fn_attempt_t *attempt;
+
+  while ((attempt = fn_find_open_attempt (call)) != NULL)
+    fn_cancel_attempt (attempt, 0);
 }
 
 void
 fn_end_attempt (fn_entry_t *entry, const fw_call_t *answer)
 {
-  fn_entry_call_t *call = g_hash_table_lookup (entry->attempts, &answer->id);
+  fn_attempt_t *attempt = g_hash_table_lookup (entry->attempts, &answer->id);
 
-  if (!call)
+  if (!attempt)
     {
       fb_add_counter (entry->unmatched_answers, 1);
       return;
     }
-  end_attempt (call, answer);
+  end_attempt (attempt, answer);
 }
 
 void
 fn_fail_unsent_attempt (fn_entry_t *entry, uint64_t id)
 {
-  fn_entry_call_t *call = g_hash_table_lookup (entry->attempts, &id);
+  fn_attempt_t *attempt = g_hash_table_lookup (entry->attempts, &id);
 
-  if (call)
-    fail_attempt (call, FW_NOT_RUN, 503, "no connection to the node");
+  if (attempt)
+    fail_attempt (attempt, FW_NOT_RUN, 503, "no connection to the node");
 }
 
 void
 fn_fail_unanswered_attempt (fn_entry_t *entry, uint64_t id, const char *reason)
 {
-  fn_entry_call_t *call = g_hash_table_lookup (entry->attempts, &id);
+  fn_attempt_t *attempt = g_hash_table_lookup (entry->attempts, &id);
 
-  if (call)
-    fail_attempt (call, FW_UNKNOWN, 504, reason);
+  if (attempt)
+    fail_attempt (attempt, FW_UNKNOWN, 504, reason);
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -102,8 +102,6 @@
 {
   fn_entry_t *entry = call->entry;
   fb_time_t now = fb_read_clock (fk_get_clock (entry->kernel));
-  const char *instance
-      = call->attempt_count > 0 ? call->tried_instances[call->attempt_count - 1].data : "";
 
   if (!is_logged (call, answer))
     return;
@@ -114,12 +112,13 @@
           FB_TEXT ("id", call->request_id), FB_NUMBER ("status", answer->status),
           FB_STR ("reason", answer->reason), FB_TEXT ("route", call->route->name.data),
           FB_NUMBER ("version", fc_get_version_number (call->snapshot)),
-          FB_TEXT ("instance", instance), FB_NUMBER ("attempts", call->attempt_count),
+          FB_TEXT ("instance", call->last_attempt.instance.data),
+          FB_NUMBER ("attempts", call->attempt_count), FB_NUMBER ("hedged", call->hedged),
           FB_NUMBER ("again", call->is_caller_retry),
           FB_NUMBER ("total_ms", (now - call->arrived_at) / FB_MILLISECOND),
           FB_NUMBER ("target_ms", (call->target_time - call->arrived_at) / FB_MILLISECOND),
           FB_NUMBER ("limit_ms", (call->deadline - call->arrived_at) / FB_MILLISECOND),
-          FB_NUMBER ("attempt_ms", (now - call->attempt_started_at) / FB_MILLISECOND),
+          FB_NUMBER ("attempt_ms", (now - call->last_attempt.started_at) / FB_MILLISECOND),
           FB_NUMBER ("service_ms", answer->service_us / 1000),
           FB_NUMBER ("wait_ms", answer->wait_us / 1000), FB_NUMBER ("load", answer->load));
 }
@@ -142,6 +141,8 @@
   fn_count_objective_call (fk_find_service (entry->kernel, FN_BURN), call->snapshot,
                            call->route, &final_answer, call->arrived_at);
   respond (entry, call->request, &final_answer, call->request_id);
+  fn_count_hedge_end (call);
+  fn_drop_held_answer (call);
   fk_destroy_timer (call->timer);
   fc_release_snapshot (call->snapshot);
   entry->open_calls--;
@@ -157,24 +158,36 @@
   fn_finish_entry_call (call, &answer);
 }
 
-/* Ends a call whose deadline has passed; its open attempt may still run. */
+/* Ends a call whose deadline has passed; its open attempts may still run. */
 static void
-expire_call (void *user)
+expire_call (fn_entry_call_t *call)
 {
-  fn_entry_call_t *call = user;
-  bool has_open_attempt = call->attempt_id != 0;
+  bool has_open_attempt = fn_find_open_attempt (call) != NULL;
 
-  fn_abandon_attempt (call);
+  fn_abandon_attempts (call);
+  if (fn_finish_with_held_answer (call))
+    return;
   fn_finish_with_outcome (call, has_open_attempt ? FW_UNKNOWN : FW_NOT_RUN,
                           has_open_attempt ? 504 : 503, "deadline passed");
 }
 
+void
+fn_handle_call_timer (void *user)
+{
+  fn_entry_call_t *call = user;
+
+  if (call->hedge_at > 0)
+    fn_handle_hedge_time (call);
+  else
+    expire_call (call);
+}
+
 static void
 cancel_call (fh_request_t *request, void *user)
 {
   fn_entry_call_t *call = user;
 
-  fn_abandon_attempt (call);
+  fn_abandon_attempts (call);
   fn_finish_with_outcome (call, FW_UNKNOWN, 499, "caller closed the connection");
 }
 
@@ -417,8 +430,8 @@
   call->arrived_at = fh_get_arrival_time (request);
   call->deadline = call->arrived_at + timeout;
   set_target_time (call, caller_timeout);
-  call->timer
-      = fk_create_timeout (entry->kernel, MAX (call->deadline - now, 0), expire_call, call);
+  call->timer = fk_create_timeout (entry->kernel, MAX (call->deadline - now, 0),
+                                   fn_handle_call_timer, call);
   entry->open_calls++;
   return call;
 }
@@ -590,6 +603,7 @@
   fh_destroy_server (entry->server);
   fr_destroy_picker (entry->picker);
   fr_destroy_retry_budget (entry->budget);
+  fr_destroy_hedge (entry->hedge);
   fr_destroy_throttle (entry->throttle);
   fr_destroy_splitter (entry->splitter);
   g_hash_table_destroy (entry->route_timeouts);
@@ -636,6 +650,7 @@
   entry->attempts = g_hash_table_new (g_int64_hash, g_int64_equal);
   entry->next_id = (uint64_t)randombytes_random () << 24;
   create_entry_metrics (entry, fk_get_counters (kernel));
+  fn_create_entry_hedge (entry);
   fn_watch_endpoints (fk_find_service (kernel, FN_DIRECTORY), handle_endpoint_change, entry);
   fk_register_service (kernel, FN_ENTRY, &vtable, entry);
 }
--- a/standins/standin-backend.c
+++ b/standins/standin-backend.c
@@ -4,9 +4,11 @@
  * The answer echoes the request: "name=NAME path=PATH body=BODY runs=N", N counting the runs of
  * the same path. Query parameters: sleep=MS replaces the service time, shed=1 answers 503,
  * crash=MS ends the process after that time in service, size=BYTES appends as many to the
- * answer. With SLOTS requests in service, a further one gets 503 and counts as an overrun. GET
- * /standin/runs returns one line "PATH COUNT" for each path run, GET /standin/overruns the
- * number of overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to
+ * answer. NAME=MS is the service time at the stand-in of that name only; with "fail" after it
+ * the answer is 500. With SLOTS requests in service, a further one gets 503 and counts as an
+ * overrun. GET /standin/runs returns one line "PATH COUNT" for each path run, GET
+ * /standin/cancelled the same for the runs whose caller left, GET /standin/overruns the number
+ * of overruns. GET /standin/header?NAME=VALUE adds a header to all further responses to
  * requests with X-Attempt-Id; without a value it removes the header. GET /standin/spoil?KIND&N
  * spoils one in N of the further responses to requests that were run, by KIND: "no-id",
  * "other-id", "two-ids", "no-signature", "bare" (neither), "coding" (a content coding is named)
@@ -32,8 +34,9 @@
   uint32_t in_use;
   uint64_t overruns;
   fb_time_t service_time;
-  GHashTable *runs;    /* path to run count */
-  GHashTable *headers; /* added to responses: value by name */
+  GHashTable *runs;           /* path to run count */
+  GHashTable *cancelled_runs; /* path to count */
+  GHashTable *headers;        /* added to responses: value by name */
   char *spoil_kind;
   unsigned spoil_interval; /* 0: no response is spoilt */
   unsigned spoil_count;    /* responses since the last one that was spoilt */
@@ -217,6 +220,26 @@
   return text;
 }
 
+/* Returns the text after "NAME=" of this stand-in in PATH, or NULL. */
+static const char *
+find_own_parameter (const backend_t *backend, const char *path)
+{
+  char *key = g_strconcat (backend->name, "=", NULL);
+  const char *at = strstr (path, key);
+
+  at = at ? at + strlen (key) : NULL;
+  g_free (key);
+  return at;
+}
+
+static bool
+is_failing (const backend_t *backend, const char *path)
+{
+  const char *own = find_own_parameter (backend, path);
+
+  return own && g_str_has_prefix (own + strspn (own, "0123456789"), "fail");
+}
+
 static void
 finish_job (void *user)
 {
@@ -230,7 +253,8 @@
       if (is_spoilt (job->backend))
         respond_spoilt (job->backend, job->request, text);
       else
-        respond_text (job->backend, job->request, 200, text);
+        respond_text (job->backend, job->request,
+                      is_failing (job->backend, job->path) ? 500 : 200, text);
       g_free (text);
     }
   fk_destroy_timer (job->timer);
@@ -239,34 +263,36 @@
   g_free (job);
 }
 
+/* Counts PATH in COUNTS; returns its count. */
+static uint64_t
+count_path (GHashTable *counts, const char *path)
+{
+  uint64_t count = GPOINTER_TO_SIZE (g_hash_table_lookup (counts, path)) + 1;
+
+  g_hash_table_insert (counts, g_strdup (path), GSIZE_TO_POINTER (count));
+  return count;
+}
+
 /* Detaches a cancelled request from its job, which keeps its slot until it ends. */
 static void
 detach_request (fh_request_t *request, void *user)
 {
   job_t *job = user;
 
+  count_path (job->backend->cancelled_runs, job->path);
   job->request = NULL;
   respond_text (job->backend, request, 500, "cancelled\n");
 }
 
-static uint64_t
-count_run (backend_t *backend, const char *path)
-{
-  uint64_t count = GPOINTER_TO_SIZE (g_hash_table_lookup (backend->runs, path)) + 1;
-
-  g_hash_table_insert (backend->runs, g_strdup (path), GSIZE_TO_POINTER (count));
-  return count;
-}
-
 static void
-report_runs (backend_t *backend, fh_request_t *request)
+report_counts (backend_t *backend, GHashTable *counts, fh_request_t *request)
 {
   GString *text = g_string_new ("");
   GHashTableIter iter;
   gpointer key;
   gpointer value;
 
-  g_hash_table_iter_init (&iter, backend->runs);
+  g_hash_table_iter_init (&iter, counts);
   while (g_hash_table_iter_next (&iter, &key, &value))
     g_string_append_printf (text, "%s %zu\n", (const char *)key, GPOINTER_TO_SIZE (value));
   respond_text (backend, request, 200, text->str);
@@ -276,8 +302,11 @@
 static fb_time_t
 read_service_time (backend_t *backend, const char *path)
 {
+  const char *own = find_own_parameter (backend, path);
   const char *at = strstr (path, "sleep=");
 
+  if (own)
+    return (fb_time_t)g_ascii_strtoull (own, NULL, 10) * FB_MILLISECOND;
   return at ? (fb_time_t)g_ascii_strtoull (at + strlen ("sleep="), NULL, 10) * FB_MILLISECOND
             : backend->service_time;
 }
@@ -312,7 +341,7 @@
   job->request = request;
   job->path = path;
   job->body = g_strndup ((const char *)body.data, body.len);
-  job->run_count = count_run (backend, path);
+  job->run_count = count_path (backend->runs, path);
   fh_set_cancelled_handler (request, detach_request, job);
   schedule_crash (backend, path);
   job->timer
@@ -330,7 +359,9 @@
   char text[32];
 
   if (strcmp (path, "/standin/runs") == 0)
-    report_runs (backend, request);
+    report_counts (backend, backend->runs, request);
+  else if (strcmp (path, "/standin/cancelled") == 0)
+    report_counts (backend, backend->cancelled_runs, request);
   else if (strcmp (path, "/standin/overruns") == 0)
     {
       snprintf (text, sizeof text, "%" G_GUINT64_FORMAT "\n", backend->overruns);
@@ -384,6 +415,7 @@
   backend.name = argv[3];
   backend.slots = (uint32_t)atoi (argv[4]);
   backend.service_time = atoi (argv[5]) * FB_MILLISECOND;
+  backend.cancelled_runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   backend.runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   backend.headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   if (!fh_create_server (backend.kernel, &address, (uint16_t)atoi (argv[2]), 1024 * 1024,
