Hedging: finer histogram of attempt durations

Cause: both the delay and the expected time of a hedge were rounded up by up to 19 %, which ruled out hedges that could still have met the target.

Change: eight buckets for each doubling instead of four, at most 9 % too high.

Tests: packages call, config, foxtailrund, foxtailrun and the platform's messages and processes, 39 of 39 passed.

--- a/packages/call/source/hedge.c
+++ b/packages/call/source/hedge.c
@@ -10,9 +10,9 @@
 #define EXPECTED_QUANTILE 0.5
 
 /* The upper limit of bucket N is DURATION_MIN * 2 ^ (N / BUCKETS_PER_DOUBLING): estimates are
- * at most 19 % too high. The last bucket begins above a minute. */
-#define BUCKETS_PER_DOUBLING 4
-#define BUCKET_COUNT 72
+ * at most 9 % too high. The last bucket begins above a minute. */
+#define BUCKETS_PER_DOUBLING 8
+#define BUCKET_COUNT 144
 #define DURATION_MIN (500 * FB_MICROSECOND)
 
 /* Parts of the sliding period. */
