Cold instances: check health after a lost call instead of assuming cold

Cause: each call whose connection ended without a response made the serving node take its instance for cold until the next health response, which waits for a slot like any request. With 5 % of the responses lost at an instance that gets 80 calls a second, it was limited to a cold one's 19 calls a second most of the time.

A refused connection, an instance that has ended and a new start still count.

--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -166,9 +166,11 @@
   else if (error)
     {
       fb_add_counter (backend->unusable_responses, 1);
-      /* A server that has ended and started again is cold before its new start is listed. */
+      /* A server that has ended and started again may be cold before its new start is listed.
+       * Not assumed here: most lost calls are not due to that, and the limit of a cold server
+       * would cut a warm one to a fraction of its rate. */
       if (response->result != FH_ANSWERED)
-        fn_assume_cold_backend (backend->kernel, NULL);
+        fn_update_health (backend, true);
       fn_lose_call (backend_call, error);
       return;
     }
