--- a/packages/call/tests/fixture-warmup.c
+++ b/packages/call/tests/fixture-warmup.c
@@ -196,7 +196,7 @@
 run_step (fleet_t *fleet, bool counted)
 {
   GPtrArray *due = g_ptr_array_new ();
-  double requests = REQUESTS_PER_STEP + g_rand_double (fleet->random);
+  int requests = (int)(REQUESTS_PER_STEP + g_rand_double (fleet->random));
 
   fb_advance_clock (fleet->clock, STEP);
   for (size_t i = 0; i < INSTANCES; i++)
@@ -208,7 +208,7 @@
   for (guint i = fleet->requests->len; i > 0; i--)
     if (((request_t *)g_ptr_array_index (fleet->requests, i - 1))->next_try <= get_now (fleet))
       g_ptr_array_add (due, g_ptr_array_remove_index_fast (fleet->requests, i - 1));
-  for (; requests >= 1; requests--)
+  for (; requests > 0; requests--)
     {
       request_t *request = allocate (fleet, sizeof *request);
 
--- a/packages/node/source/node-entry-quarantine.c
+++ b/packages/node/source/node-entry-quarantine.c
@@ -1,11 +1,13 @@
 /* Entry: requests that the quarantine holds back, and what callers are told. */
 #include "node-entry.h"
+#include <foxtailrun/call/admission.h>
 #include <inttypes.h>
 #include <stdio.h>
 
 /* Time after which a refused caller should retry: about two typical calls, to let slots free
  * up. */
 #define RETRY_AFTER_S "0.1"
+#define RETRY_AFTER_MIN_MS 100
 
 static fn_quarantine_t *
 find_quarantine (const fn_entry_call_t *call)
@@ -61,11 +63,26 @@
                    (fb_time_t)answer->quarantine_us * FB_MICROSECOND);
 }
 
+bool
+fn_is_warming_up (const fw_call_t *answer)
+{
+  return answer->outcome == FW_NOT_RUN
+         && fb_equal_str (answer->reason,
+                          fb_wrap_text (fr_describe_refusal (FR_REFUSED_WARMING_UP)));
+}
+
 void
 fn_format_retry_after (const fw_call_t *answer, char text[FN_RETRY_AFTER_LEN])
 {
+  /* After a window, all its starts are free again. */
+  uint64_t wait_ms
+      = CLAMP (answer->wait_us / 1000, RETRY_AFTER_MIN_MS, FR_WARMUP_WINDOW / FB_MILLISECOND);
+
   if (answer->quarantine_us > 0)
     snprintf (text, FN_RETRY_AFTER_LEN, "%" PRIu64, answer->quarantine_us / 1000000 + 1);
+  else if (fn_is_warming_up (answer))
+    snprintf (text, FN_RETRY_AFTER_LEN, "%" PRIu64 ".%" PRIu64, wait_ms / 1000,
+              wait_ms % 1000 / 100);
   else
     g_strlcpy (text, RETRY_AFTER_S, FN_RETRY_AFTER_LEN);
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -37,7 +37,7 @@
                                       fb_wrap_text (fw_describe_outcome (answer->outcome)) };
   if (!fh_find_header (headers, count, dialect->request_id).data)
     headers[count++] = (fh_header_t){ dialect->request_id, fb_wrap_text (request_id) };
-  if (answer->outcome == FW_NOT_RUN && answer->status == 503)
+  if (answer->outcome == FW_NOT_RUN && (answer->status == 503 || fn_is_warming_up (answer)))
     {
       fn_format_retry_after (answer, retry_after);
       headers[count++]
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -99,6 +99,9 @@
  * request's quarantine, or a short time. */
 void fn_format_retry_after (const fw_call_t *answer, char text[FN_RETRY_AFTER_LEN]);
 
+/* Returns whether ANSWER refuses a call for the limit of a cold backend server. */
+bool fn_is_warming_up (const fw_call_t *answer);
+
 /* Starts the next attempt of CALL; if none is possible, answers and frees CALL. */
 void fn_start_attempt (fn_entry_call_t *call);
 
