--- a/packages/node/source/node-entry-hedge.c
+++ b/packages/node/source/node-entry-hedge.c
@@ -19,15 +19,15 @@
   entry->hedges_refused = fb_find_counter (counters, "entry_hedges", "end=\"refused\"");
 }
 
-/* Returns whether slow attempts of CALL may be hedged at all. A call by a repeated run is
- * itself a charge on the budget. A request that a backend server ended under must not reach two
- * at once. */
+/* Returns whether slow attempts of CALL may be hedged at all. A nested call is hedged with its
+ * parent; its own hedge would multiply the load. A request that a backend server ended under must
+ * not reach two at once. */
 static bool
 may_be_hedged (const fn_entry_call_t *call)
 {
   return call->route->hedge && call->route->repeatable
          && fr_is_hedging_enabled (call->entry->hedge) && call->ticket.len == 0
-         && !call->parent_is_retry && call->crash_id == 0 && !call->hedged;
+         && !call->is_nested && call->crash_id == 0 && !call->hedged;
 }
 
 /* Sets the timer of CALL to HEDGE_AT, or to the deadline when that is earlier or HEDGE_AT is 0.
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -471,6 +471,7 @@
 
   if (!parent)
     return;
+  call->is_nested = true;
   call->parent_is_retry = parent->earlier_attempt_arrived;
   route = fc_find_route (call->snapshot, parent->host, parent->method, parent->path);
   if (!route)
--- a/packages/node/source/node-entry.h
+++ b/packages/node/source/node-entry.h
@@ -102,6 +102,7 @@
   bool may_have_run;              /* an attempt ended with another outcome than FW_NOT_RUN */
   bool reached_backend;           /* an attempt reached a backend server or possibly did */
   uint64_t crash_id;              /* crash that the last attempt was running in; 0 for none */
+  bool is_nested;                 /* made by the backend server while it runs another call */
   bool parent_is_retry;           /* sent by a backend server that runs a repeated call */
   fb_name_t tried_instances[FN_ATTEMPTS_MAX];
   fn_attempt_t open_attempts[FN_OPEN_ATTEMPTS_MAX];
