Call messages carry the expected service time and the pace

Cause: the node beside an instance that starts needs to know how long calls usually take, and entry nodes need its pace. Two optional fields after those of the crash, sent only when one of them is set, so that earlier builds can read all messages of nodes without the pace. Tests: wire/test-wire passes.

--- a/packages/wire/include/foxtailrun/wire/call.h
+++ b/packages/wire/include/foxtailrun/wire/call.h
@@ -18,6 +18,9 @@
  * service. */
 #define FW_HEADERS_MAX 65
 
+/* Pace of an instance that is at par. */
+#define FW_PACE_MAX 1000
+
 typedef enum
 {
   FW_CALL = 1,
@@ -77,6 +80,12 @@
   uint64_t crash_id;         /* CALL: crash that the last attempt was running in; ANSWER: crash
                                 that the call was running in; 0 for none */
   uint64_t quarantine_us;    /* ANSWER: time for which the request is not run; 0 for none */
+  /* Optional, sent only where the pace is enabled, as builds that don't know them refuse the
+   * message. */
+  uint64_t expected_service_us; /* CALL: median time that calls of the rank take at the backend
+                                   servers of the service; 0 when unknown */
+  uint32_t pace_permille;       /* ANSWER: slots that the instance may use for now, per 1,000 of
+                                   all, up to FW_PACE_MAX; 0 when not reported */
   size_t header_count;
   fw_header_t headers[FW_HEADERS_MAX];
   fb_bytes_t body;
--- a/packages/wire/source/wire-call.c
+++ b/packages/wire/source/wire-call.c
@@ -12,12 +12,30 @@
  * refuse them during a rolling replacement. */
 #define CALL_FIELDS_WITH_CRASH (CALL_FIELDS + 2)
 
+/* With the pace fields as well; only messages that have one of them, for the same reason. The
+ * fields of the crash may then be 0. */
+#define CALL_FIELDS_WITH_PACE (CALL_FIELDS_WITH_CRASH + 2)
+
 static bool
 has_crash (const fw_call_t *message)
 {
   return message->crash_id > 0 || message->quarantine_us > 0;
 }
 
+static bool
+has_pace (const fw_call_t *message)
+{
+  return message->expected_service_us > 0 || message->pace_permille > 0;
+}
+
+static size_t
+count_fields (const fw_call_t *message)
+{
+  if (has_pace (message))
+    return CALL_FIELDS_WITH_PACE;
+  return has_crash (message) ? CALL_FIELDS_WITH_CRASH : CALL_FIELDS;
+}
+
 uint8_t *
 fw_encode_call (const fw_call_t *message, size_t *length)
 {
@@ -27,7 +45,7 @@
 
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, has_crash (message) ? CALL_FIELDS_WITH_CRASH : CALL_FIELDS);
+  msgpack_pack_array (&packer, count_fields (message));
   msgpack_pack_uint64 (&packer, CALL_FORMAT);
   msgpack_pack_uint64 (&packer, (uint64_t)message->kind);
   msgpack_pack_uint64 (&packer, message->id);
@@ -63,11 +81,16 @@
       fw_pack_str (&packer, message->headers[i].name);
       fw_pack_str (&packer, message->headers[i].value);
     }
-  if (has_crash (message))
+  if (has_crash (message) || has_pace (message))
     {
       msgpack_pack_uint64 (&packer, message->crash_id);
       msgpack_pack_uint64 (&packer, message->quarantine_us);
     }
+  if (has_pace (message))
+    {
+      msgpack_pack_uint64 (&packer, message->expected_service_us);
+      msgpack_pack_uint64 (&packer, message->pace_permille);
+    }
   copy = g_memdup2 (buffer.data, buffer.size);
   *length = buffer.size;
   msgpack_sbuffer_destroy (&buffer);
@@ -76,13 +99,17 @@
 
 /* Reads the fields after the headers, if any. */
 static bool
-read_crash (fw_reader_t *reader, fw_call_t *message)
+read_optional_fields (fw_reader_t *reader, fw_call_t *message)
 {
   if (reader->count == CALL_FIELDS)
     return true;
   message->crash_id = fw_read_u64 (reader, UINT64_MAX);
   message->quarantine_us = fw_read_u64 (reader, INT64_MAX / 1000);
-  return has_crash (message);
+  if (reader->count <= CALL_FIELDS_WITH_CRASH)
+    return has_crash (message);
+  message->expected_service_us = fw_read_u64 (reader, INT64_MAX / 1000);
+  message->pace_permille = (uint32_t)fw_read_u64 (reader, FW_PACE_MAX);
+  return has_pace (message);
 }
 
 static bool
@@ -122,8 +149,8 @@
   message->incarnation = fw_read_u64 (&reader, UINT64_MAX);
   message->rate_limit_milli = fw_read_u64 (&reader, UINT64_MAX);
   headers = fw_start_reader (fw_read_array (&reader, 2 * FW_HEADERS_MAX));
-  if (!read_crash (&reader, message) || !fw_finish_reader (&reader) || message->kind < FW_CALL
-      || headers.count % 2 != 0)
+  if (!read_optional_fields (&reader, message) || !fw_finish_reader (&reader)
+      || message->kind < FW_CALL || headers.count % 2 != 0)
     return false;
   message->header_count = headers.count / 2;
   for (size_t i = 0; i < message->header_count; i++)
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -237,6 +237,49 @@
     }
 }
 
+/* Guards against pace fields that change in transit, that are sent where nobody set them, so
+ * that an earlier build would refuse the message, or that displace those of a crash. */
+static void
+test_call_pace (void)
+{
+  static const struct
+  {
+    uint64_t expected_service_us;
+    uint32_t pace_permille;
+    uint64_t crash_id;
+    size_t fields;
+    fb_status_t status;
+  } cases[] = {
+    { 0, 0, 0, 30, FB_OK },           { 0, 0, 7, 32, FB_OK },
+    { 4000, 0, 0, 34, FB_OK },        { 0, 125, 0, 34, FB_OK },
+    { 0, FW_PACE_MAX, 7, 34, FB_OK }, { 0, FW_PACE_MAX + 1, 0, 34, FB_INVALID },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_call_t sent = make_call ();
+      fw_call_t decoded;
+      size_t length;
+      uint8_t *bytes;
+
+      sent.expected_service_us = cases[i].expected_service_us;
+      sent.pace_permille = cases[i].pace_permille;
+      sent.crash_id = cases[i].crash_id;
+      bytes = fw_encode_call (&sent, &length);
+      g_assert_cmpuint (bytes[2], ==, cases[i].fields);
+      g_assert_cmpint (
+          fw_decode_call ((fb_bytes_t){ bytes, length }, (fb_bytes_t){ NULL, 0 }, &decoded), ==,
+          cases[i].status);
+      if (cases[i].status == FB_OK)
+        {
+          g_assert_cmpuint (decoded.expected_service_us, ==, sent.expected_service_us);
+          g_assert_cmpuint (decoded.pace_permille, ==, sent.pace_permille);
+          g_assert_cmpuint (decoded.crash_id, ==, sent.crash_id);
+        }
+      g_free (bytes);
+    }
+}
+
 static fw_crash_report_t
 make_crash_report (fw_suspect_t suspects[2])
 {
@@ -533,6 +576,7 @@
   g_test_add_func ("/wire/call-round-trip", test_call_round_trip);
   g_test_add_func ("/wire/call-lengths", test_call_lengths);
   g_test_add_func ("/wire/call-crash", test_call_crash);
+  g_test_add_func ("/wire/call-pace", test_call_pace);
   g_test_add_func ("/wire/crash-round-trip", test_crash_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
   g_test_add_func ("/wire/feed-known-position", test_feed_known_position);
