--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -23,8 +23,8 @@
 
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
  * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
- * limit_ms; [backend] address, port, limit_burst_ms; [platform] address, port; [seeds] nodes;
- * [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio and
+ * limit_ms; [backend] address, port, limit_burst_ms, pace; [platform] address, port; [seeds]
+ * nodes; [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio and
  * shared_retry_floor have no key and are 0 after fc_check_settings. */
 typedef struct
 {
@@ -49,6 +49,8 @@
   fc_socket_address_t backend;
   fb_time_t limit_burst; /* under the backend server's rate limit, calls of this time at the
                             limit may start at once */
+  bool pace; /* calls follow the pace (slow start) of a backend server that has started
+                or recovered; also at the entry node */
   fc_socket_address_t platform;
   fc_socket_address_t seeds[FC_SEEDS_MAX];
   size_t seed_count;
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -120,6 +120,9 @@
     0, 1000, NULL,
     "under a rate limit that the backend server names, calls of this time at the limit, at least "
     "one, may start at once after a pause" },
+  { "backend", "pace", FC_TYPE_BOOLEAN, "", "false", 0, 0, "true or false",
+    "whether a backend server that has started or recovered gets calls at the pace that its "
+    "responses allow; only when all nodes run a build that knows this key" },
 
   { "platform", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the platform's configuration service and host list" },
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -92,6 +92,7 @@
   store_name (&settings->backend.address, &row, "address");
   settings->backend.port = get_port (&row, "port");
   settings->limit_burst = fc_get_value (&row, "limit_burst_ms")->integer * FB_MILLISECOND;
+  settings->pace = fc_get_value (&row, "pace")->integer == 1;
   if (settings->service.len > 0 && !fc_find_child (table, "port"))
     fc_add_key_problem (problems, &row, "port", "no value", NULL);
   if (settings->service.len == 0 && table
--- a/packages/config/tests/test-settings.c
+++ b/packages/config/tests/test-settings.c
@@ -68,6 +68,8 @@
   { "backend-burst",
     NODE "service = \"shop\"\n" LISTEN "[backend]\nport = 80\nlimit_burst_ms = 2000\n",
     "f:10: backend.limit_burst_ms: found 2000, allowed: an integer from 0 to 1000\n" },
+  { "backend-pace", NODE "service = \"shop\"\n" LISTEN "[backend]\nport = 80\npace = 1\n",
+    "f:10: backend.pace: found 1, allowed: true or false\n" },
   { "backend-without-service", NODE LISTEN "[backend]\nport = 80\n",
     "f:7: backend: found a table, allowed: [backend] only with node.service\n" },
   { "platform-port", NODE LISTEN "[platform]\n",
@@ -146,6 +148,7 @@
   g_assert_cmpuint (settings.admin_port, ==, 7403);
   g_assert_cmpuint (settings.backend.port, ==, 0);
   g_assert_cmpint (settings.limit_burst, ==, 500 * FB_MILLISECOND);
+  g_assert_false (settings.pace);
   g_assert_cmpuint (settings.platform.port, ==, 0);
   g_assert_cmpuint (settings.seed_count, ==, 0);
   g_assert_cmpuint (settings.admin_key.len, ==, 0);
@@ -160,7 +163,7 @@
   fc_settings_t settings = check_settings (
       "[node]\nid = \"n\"\nzone = \"z\"\nregion = \"r\"\nservice = \"s\"\n"
       "[listen]\naddress = \"fd00::1\"\ncaller_port = 1\ncall_port = 2\ncontrol_port = 3\n"
-      "admin_port = 4\n[backend]\naddress = \"10.0.0.9\"\nport = 5\n"
+      "admin_port = 4\n[backend]\naddress = \"10.0.0.9\"\nport = 5\npace = true\n"
       "[platform]\naddress = \"10.0.0.8\"\nport = 6\n"
       "[seeds]\nnodes = [\"10.0.0.2:7\", \"[fd00::2]:8\"]\n"
       "[admin]\nkey = \"secret-key\"\n[log]\nlevel = \"debug\"\nformat = \"json\"\n");
@@ -173,6 +176,7 @@
   g_assert_cmpuint (settings.admin_port, ==, 4);
   g_assert_cmpstr (settings.backend.address.data, ==, "10.0.0.9");
   g_assert_cmpuint (settings.backend.port, ==, 5);
+  g_assert_true (settings.pace);
   g_assert_cmpstr (settings.platform.address.data, ==, "10.0.0.8");
   g_assert_cmpuint (settings.platform.port, ==, 6);
   g_assert_cmpuint (settings.seed_count, ==, 2);
