Pace of an instance that has started or recovered

The picker draws an instance by the pace that its node reported in the last 3 s, and tries a new one within 1 s when enabled.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -6,6 +6,7 @@
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/counter.h>
 #include <foxtailrun/base/string.h>
+#include <foxtailrun/call/pace.h>
 #include <foxtailrun/call/rate-limit.h>
 
 /* Why a call was refused without being started. */
@@ -59,6 +60,10 @@
 /* Starts no more calls than LIMIT allows; LIMIT is borrowed and outlives ADMISSION. */
 void fr_set_admission_rate_limit (fr_admission_t *admission, fr_rate_limit_t *limit);
 
+/* Uses the limit of PACE as the number of slots in force, and keeps PACE informed of the number
+ * of all slots; PACE is borrowed and outlives ADMISSION. */
+void fr_set_admission_pace (fr_admission_t *admission, fr_pace_t *pace);
+
 /* Frees ADMISSION, dropping waiting calls without a hook; may be NULL. */
 void fr_destroy_admission (fr_admission_t *admission);
 
@@ -101,7 +106,7 @@
 /* Refuses new calls from now on; waiting and started ones continue. */
 void fr_drain_admission (fr_admission_t *admission);
 
-/* Returns slots in use plus calls waiting, per 1,000 slots. */
+/* Returns slots in use plus calls waiting, per 1,000 slots in force. */
 uint32_t fr_get_load (const fr_admission_t *admission);
 
 /* Returns the expected wait in ns of a new call of RANK. */
--- a/packages/call/include/foxtailrun/call/picker.h
+++ b/packages/call/include/foxtailrun/call/picker.h
@@ -69,6 +69,19 @@
 void fr_report_times (fr_picker_t *picker, const fb_name_t *instance, uint32_t rank,
                       fb_time_t service_time, fb_time_t expected_wait);
 
+/* Makes FR_PICK_LOCALITY send each new or returned instance of its zone one call within 1 s, so
+ * that its node can report its pace. Off by default. */
+void fr_try_new_instances (fr_picker_t *picker);
+
+/* Records the pace that an instance's node reported, FR_PACE_PAR at par. While recent it
+ * replaces the time-based weight of the slow start. 0 ends that: the node reports none. */
+void fr_report_pace (fr_picker_t *picker, const fb_name_t *instance, uint32_t permille);
+
+/* Returns the median time in ns that a call of RANK takes at the backend servers of SERVICE, of
+ * all instances that reported one; 0 when unknown. */
+fb_time_t fr_get_expected_service_time (const fr_picker_t *picker, fb_str_t service,
+                                        uint32_t rank);
+
 /* Records the rate limit of INCARNATION of an instance in calls per 1,000 s, 0 for none. */
 void fr_report_rate_limit (fr_picker_t *picker, const fb_name_t *instance, uint64_t incarnation,
                            uint64_t limit_milli);
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -53,7 +53,7 @@
   /* Calls of different length take the same part of a rate limit. */
   if (get_limit (admission, &rate))
     return rank->start_rate < rank->options.share * rate;
-  return rank->usage < rank->options.share * admission->slots;
+  return rank->usage < rank->options.share * fr_get_slots_in_force (admission);
 }
 
 bool
@@ -67,14 +67,14 @@
 static uint32_t
 get_reserve (const fr_admission_t *admission, const rank_t *rank)
 {
-  uint32_t reserve_max = (uint32_t)ceil (admission->slots * RESERVE_FRACTION);
+  uint32_t reserve_max = (uint32_t)ceil (fr_get_slots_in_force (admission) * RESERVE_FRACTION);
   double urgent_usage = 0;
 
-  if (rank->index == 0 || admission->slots < RESERVING_SLOTS_MIN)
+  if (rank->index == 0 || fr_get_slots_in_force (admission) < RESERVING_SLOTS_MIN)
     return 0;
   for (uint32_t i = 0; i < rank->index; i++)
     urgent_usage += ((rank_t *)g_ptr_array_index (admission->ranks, i))->usage;
-  if (urgent_usage < admission->slots * RESERVE_URGENT_USAGE_MIN)
+  if (urgent_usage < fr_get_slots_in_force (admission) * RESERVE_URGENT_USAGE_MIN)
     return 0;
   return reserve_max * rank->index / MAX (admission->ranks->len - 1, 1);
 }
@@ -99,7 +99,8 @@
         urgent = rank;
     }
   if (urgent != NULL
-      && admission->started + get_reserve (admission, urgent) >= admission->slots)
+      && admission->started + get_reserve (admission, urgent)
+             >= fr_get_slots_in_force (admission))
     return NULL;
   return urgent;
 }
@@ -206,11 +207,12 @@
 static double
 estimate_wait_behind (const fr_admission_t *admission, const rank_t *rank, double calls_ahead)
 {
-  if (admission->started < admission->slots && admission->waiting == 0)
+  if (admission->started < fr_get_slots_in_force (admission) && admission->waiting == 0)
     return 0;
   return (calls_ahead + 1) * rank->service_time_ns
-         / (admission->slots
-            * get_available_fraction (admission, rank, admission->slots, get_usage));
+         / (fr_get_slots_in_force (admission)
+            * get_available_fraction (admission, rank, fr_get_slots_in_force (admission),
+                                      get_usage));
 }
 
 /* Returns the expected wait in ns for the rate limit of a call with CALLS_AHEAD calls of RANK
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -76,6 +76,7 @@
   uint32_t slots;
   const fb_clock_t *clock;
   fr_rate_limit_t *rate_limit; /* borrowed; NULL for none */
+  fr_pace_t *pace;             /* borrowed; NULL for none */
   fr_admission_hooks_t hooks;
   GPtrArray *ranks;    /* rank_t, most urgent first */
   GHashTable *entries; /* id -> entry_t */
@@ -156,6 +157,11 @@
 /* Returns whether the rate limit, if any, lets a call start now. */
 bool fr_can_start_by_limit (const fr_admission_t *admission);
 
+/* admission.c */
+
+/* Returns the slots that calls may use now: all, or as many as the pace allows. */
+uint32_t fr_get_slots_in_force (const fr_admission_t *admission);
+
 /* admission-limit.c */
 
 /* Updates the limit of FR_POLICY_ADAPTIVE after a call; LATENCY is since its arrival. */
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -122,7 +122,7 @@
 static void
 start_entry (fr_admission_t *admission, entry_t *entry, fb_time_t now)
 {
-  FB_INVARIANT (admission->started < admission->slots);
+  FB_INVARIANT (admission->started < fr_get_slots_in_force (admission));
   fr_remove_entry (entry);
   fr_charge_start (entry);
   entry->started_at = now;
@@ -140,8 +140,8 @@
   fb_time_t now = fb_read_clock (admission->clock);
   rank_t *rank;
 
-  while (admission->started < admission->slots && fr_can_start_by_limit (admission)
-         && (rank = fr_choose_rank (admission)) != NULL)
+  while (admission->started < fr_get_slots_in_force (admission)
+         && fr_can_start_by_limit (admission) && (rank = fr_choose_rank (admission)) != NULL)
     {
       entry_t *entry = fr_peek_entry (rank);
 
@@ -209,6 +209,21 @@
   admission->rate_limit = limit;
 }
 
+void
+fr_set_admission_pace (fr_admission_t *admission, fr_pace_t *pace)
+{
+  admission->pace = pace;
+  if (pace != NULL)
+    fr_set_pace_slots (pace, admission->slots);
+}
+
+uint32_t
+fr_get_slots_in_force (const fr_admission_t *admission)
+{
+  return admission->pace == NULL ? admission->slots
+                                 : MIN (fr_get_pace_limit (admission->pace), admission->slots);
+}
+
 void
 fr_destroy_admission (fr_admission_t *admission)
 {
@@ -233,6 +248,8 @@
   FB_INVARIANT (slots > 0);
   fr_update_usage (admission);
   admission->slots = slots;
+  if (admission->pace != NULL)
+    fr_set_pace_slots (admission->pace, slots);
   set_ranks (admission, ranks, rank_count);
   last_rank = g_ptr_array_index (admission->ranks, rank_count - 1);
   for (size_t i = rank_count; i < admission->ranks->len; i++)
@@ -466,7 +483,8 @@
 uint32_t
 fr_get_load (const fr_admission_t *admission)
 {
-  return (uint32_t)((admission->started + admission->waiting) * 1000 / admission->slots);
+  return (uint32_t)((admission->started + admission->waiting) * 1000
+                    / fr_get_slots_in_force (admission));
 }
 
 size_t
--- a/packages/call/source/route-locality.c
+++ b/packages/call/source/route-locality.c
@@ -1,6 +1,7 @@
 /* Locality policy: an instance of the same zone, unless another saves more time than its detour
  * cost. */
 #include "route-state.h"
+#include <foxtailrun/call/pace.h>
 #include <math.h>
 
 /* Fraction of the latency target that an instance of another zone, or of another region,
@@ -23,6 +24,40 @@
 /* Fraction of the service time added per call of this node in flight. */
 #define IN_FLIGHT_PENALTY_FRACTION 0.05
 
+/* A new instance is tried by each node of its zone within this time, at a moment that differs
+ * between the nodes. */
+#define TRIAL_SPREAD (800 * FB_MILLISECOND)
+
+void
+fr_try_new_instances (fr_picker_t *picker)
+{
+  picker->tries_new_instances = true;
+}
+
+void
+fr_report_pace (fr_picker_t *picker, const fb_name_t *name, uint32_t permille)
+{
+  instance_t *instance = g_hash_table_lookup (picker->instances, name->data);
+
+  if (instance == NULL)
+    return;
+  instance->pace_permille = MIN (permille, FR_PACE_PAR);
+  instance->pace_reported_at = fb_read_clock (picker->clock);
+}
+
+fb_time_t
+fr_get_expected_service_time (const fr_picker_t *picker, fb_str_t service_name, uint32_t rank)
+{
+  fb_name_t key;
+  const service_t *service = fb_set_name (&key, service_name)
+                                 ? g_hash_table_lookup (picker->services, key.data)
+                                 : NULL;
+  double log_time
+      = service == NULL ? 0 : service->log_service_times[MIN (rank, FC_RANKS_MAX - 1)];
+
+  return log_time > 0 ? (fb_time_t)exp (log_time) : 0;
+}
+
 void
 fr_report_times (fr_picker_t *picker, const fb_name_t *name, uint32_t rank,
                  fb_time_t service_time, fb_time_t expected_wait)
@@ -47,7 +82,11 @@
   double default_log_service_time = instance->service->log_service_times[rank];
   double service_time
       = exp (stats->log_service_time > 0 ? stats->log_service_time : default_log_service_time);
-  double time = service_time / fr_get_slow_start_weight (instance, now);
+  /* A reported pace decides how often the instance is drawn instead: a longer time would leave
+   * it without calls while others are idle. */
+  double time = fr_has_pace (instance, now)
+                    ? service_time
+                    : service_time / fr_get_slow_start_weight (instance, now);
   fb_time_t age = now - stats->wait_reported_at;
 
   if (age < REPORT_FADE_TIME)
@@ -72,6 +111,43 @@
     }
 }
 
+/* Returns whether INSTANCE, drawn at random, gets no call because of the pace that it reported.
+ */
+static bool
+is_passed_over (fr_picker_t *picker, const instance_t *instance, fb_time_t now)
+{
+  return fr_has_pace (instance, now) && instance->pace_permille < FR_PACE_PAR
+         && g_rand_double (picker->random) >= fr_get_slow_start_weight (instance, now);
+}
+
+/* Returns a new instance of the own zone, or of any if the own has none, that this node has
+ * sent no call and whose trial is due; NULL when there is none. */
+static instance_t *
+find_due_trial (const fr_picker_t *picker, const candidates_t *candidates, fb_time_t now)
+{
+  instance_t *due = NULL;
+  bool due_is_local = false;
+  bool has_local = false;
+
+  for (size_t i = 0; i < candidates->count; i++)
+    {
+      instance_t *instance = candidates->instances[i];
+      bool local = fr_get_distance (picker, instance) == DISTANCE_SAME_ZONE;
+      fb_time_t trial_at = instance->slow_start_begin
+                           + (fb_time_t)(instance->rendezvous_weight % TRIAL_SPREAD);
+
+      has_local = has_local || local;
+      if (!instance->tried && now >= trial_at
+          && now - instance->slow_start_begin < SLOW_START_DURATION
+          && (due == NULL || (local && !due_is_local)))
+        {
+          due = instance;
+          due_is_local = local;
+        }
+    }
+  return has_local && !due_is_local ? NULL : due;
+}
+
 /* Returns the best of a few instances drawn at random from the same zone, or from all
  * others when OWN_ZONE is false; NULL when there is none. Random, so that nodes with the same
  * reports do not all choose the same instance. */
@@ -81,6 +157,7 @@
 {
   candidates_t eligible = { .count = 0 };
   instance_t *best = NULL;
+  instance_t *passed_over = NULL;
   double best_time = 0;
 
   for (size_t i = 0; i < candidates->count; i++)
@@ -95,23 +172,36 @@
 
       /* Moves the drawn instance out of the range of further draws. */
       eligible.instances[index] = eligible.instances[drawn];
+      if (is_passed_over (picker, instance, now))
+        {
+          passed_over = instance;
+          continue;
+        }
       if (best == NULL || time < best_time)
         {
           best = instance;
           best_time = time;
         }
     }
-  return best;
+  return best != NULL ? best : passed_over;
 }
 
 instance_t *
 fr_pick_by_locality (fr_picker_t *picker, const candidates_t *candidates, uint32_t rank,
                      fb_time_t latency_target, bool is_retry, fb_time_t now)
 {
-  instance_t *local = pick_best_drawn (picker, candidates, true, rank, now);
-  instance_t *remote = pick_best_drawn (picker, candidates, false, rank, now);
+  instance_t *trial = picker->tries_new_instances && !is_retry
+                          ? find_due_trial (picker, candidates, now)
+                          : NULL;
+  instance_t *local;
+  instance_t *remote;
   double time;
 
+  if (trial != NULL)
+    return trial;
+  local = pick_best_drawn (picker, candidates, true, rank, now);
+  remote = pick_best_drawn (picker, candidates, false, rank, now);
+
   if (remote == NULL || (local == NULL && !is_retry))
     return remote == NULL ? local : remote;
   time = estimate_time (remote, rank, now);
--- a/packages/call/source/route-outlier.c
+++ b/packages/call/source/route-outlier.c
@@ -67,5 +67,6 @@
       = now + MIN ((fb_time_t)instance->ejections * EJECT_TIME_STEP, EJECT_TIME_MAX);
   /* The instance returns with a slow start, and one failure ejects it again. */
   instance->slow_start_begin = instance->ejected_until;
+  instance->tried = false;
   instance->consecutive_failures = EJECT_FAILURES - 1;
 }
--- a/packages/call/source/route-pick.c
+++ b/packages/call/source/route-pick.c
@@ -109,6 +109,8 @@
   instance->consecutive_unreachable = 0;
   instance->ejected_until = 0;
   instance->slow_start_begin = fb_read_clock (picker->clock);
+  instance->tried = false;
+  instance->pace_permille = 0;
   g_ptr_array_add (instance->service->instances, instance);
   instance->service->subset_stale = true;
 }
@@ -292,6 +294,7 @@
 static void
 count_in_flight (instance_t *instance, uint32_t rank)
 {
+  instance->tried = true;
   instance->in_flight++;
   instance->rank_stats[clamp_rank (rank)].in_flight++;
 }
--- a/packages/call/source/route-score.c
+++ b/packages/call/source/route-score.c
@@ -1,5 +1,6 @@
 /* Score of an instance: the expected cost of another call. */
 #include "route-state.h"
+#include <foxtailrun/call/pace.h>
 #include <math.h>
 
 /* Largest change of a logarithmic latency by one sample. Independent of the sample's size,
@@ -26,6 +27,10 @@
 
 #define SLOW_START_WEIGHT_MIN 0.1
 
+/* Lifetime of a reported pace. An instance that got no call for so long has the time-based
+ * weight again, so that it gets one and reports. */
+#define PACE_REPORT_LIFETIME (3 * FB_SECOND)
+
 /* Returns MEDIAN moved at most one step towards SAMPLE; 0 stands for no sample. */
 static double
 step_median (double median, double sample)
@@ -69,12 +74,20 @@
   return instance->load >= 1000 && now - instance->load_reported_at < LOAD_REPORT_LIFETIME;
 }
 
+bool
+fr_has_pace (const instance_t *instance, fb_time_t now)
+{
+  return instance->pace_permille > 0 && now - instance->pace_reported_at < PACE_REPORT_LIFETIME;
+}
+
 double
 fr_get_slow_start_weight (const instance_t *instance, fb_time_t now)
 {
   double elapsed_fraction
       = (double)(now - instance->slow_start_begin) / (double)SLOW_START_DURATION;
 
+  if (fr_has_pace (instance, now))
+    return (double)instance->pace_permille / FR_PACE_PAR;
   return CLAMP (elapsed_fraction, SLOW_START_WEIGHT_MIN, 1.0);
 }
 
--- a/packages/call/source/route-state.h
+++ b/packages/call/source/route-state.h
@@ -51,6 +51,9 @@
   uint64_t rate_limit_milli;    /* calls per 1,000 s, as last reported; 0 for none */
   uint64_t limited_incarnation; /* that RATE_LIMIT_MILLI is about */
   fb_time_t slow_start_begin;
+  bool tried;             /* a call was sent to it since SLOW_START_BEGIN */
+  uint32_t pace_permille; /* as last reported; 0 for none */
+  fb_time_t pace_reported_at;
   uint32_t consecutive_failures;
   uint32_t ejections; /* since the last successful attempt */
   uint32_t consecutive_unreachable;
@@ -73,6 +76,7 @@
   fr_pick_policy_t policy;
   fb_name_t self;
   fb_name_t zone;
+  bool tries_new_instances;
   fb_name_t region; /* from this node's own member record; empty before */
   const fb_clock_t *clock;
   GRand *random;
@@ -139,7 +143,11 @@
 /* Returns the expected cost of another call of RANK on INSTANCE; lower is better. */
 double fr_score_instance (const instance_t *instance, uint32_t rank, fb_time_t now);
 
-/* Returns the weight of INSTANCE by its slow start, at most 1. */
+/* Returns whether the pace that INSTANCE's node reported is recent enough to be used. */
+bool fr_has_pace (const instance_t *instance, fb_time_t now);
+
+/* Returns the weight of INSTANCE by the pace that its node reported, otherwise by the time of
+ * its slow start; at most 1. */
 double fr_get_slow_start_weight (const instance_t *instance, fb_time_t now);
 
 /* Returns whether INSTANCE recently reported that all its slots are in use. */
