Nodes use the pace of their backend server

Cause: the pace needs the events of the serving node and a way to the entry nodes. The serving node begins a ramp after its start, a new instance, a failed connection and a run of failures; it reports the pace in answers to calls that name the expected service time. Off unless backend.pace is set. Tests: foxtailrund/test-process-config passes; other process tests not run yet.

--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -78,6 +78,7 @@
       = (uint64_t)(fr_get_expected_wait (backend->admission, find_rank (backend_call))
                    / FB_MICROSECOND);
   fn_set_answer_report (backend, answer);
+  fn_set_answer_pace (backend_call, answer);
   if (answer->outcome != FW_ANSWERED)
     log_unanswered (backend_call, answer);
   if (backend_call->answered)
@@ -126,6 +127,7 @@
     fb_add_counter (backend->unknown, 1);
   if (backend_call->has_ticket)
     fn_end_ticket (backend_call, answer);
+  fn_record_paced_call (backend_call, answer, find_rank (backend_call), service);
   fr_finish_call (backend->admission, backend_call->handle);
   fn_answer_backend_call (backend_call, answer);
 }
@@ -138,6 +140,7 @@
           "no connection to the backend server",
           FB_TEXT ("instance", backend->local.instance.data),
           FB_NUMBER ("refusing_ms", RECONNECT_DELAY / FB_MILLISECOND));
+  fn_begin_ramp (backend, FR_PACE_CONNECTION);
 }
 
 static void
@@ -422,6 +425,7 @@
   if (backend_call->has_ticket && !fn_begin_ticket (backend_call))
     return;
   configure_admission (backend, snapshot);
+  fn_note_expected_service (backend_call, find_rank (backend_call));
   fr_offer_call_with_options (backend->admission, backend_call->handle, backend_call,
                               find_rank (backend_call), backend_call->call.customer,
                               fc_get_customer_weight (snapshot, backend_call->call.customer),
@@ -441,6 +445,7 @@
   if (backend->client)
     fh_set_connect_timeout (backend->client, CONNECT_TIMEOUT);
   backend->tick_timer = fk_create_timer (kernel, TICK_PERIOD, tick_backend, backend);
+  fn_start_pace (backend);
   return FB_OK;
 }
 
@@ -472,6 +477,7 @@
 
   fr_destroy_admission (backend->admission);
   fr_destroy_rate_limit (backend->rate_limit);
+  fr_destroy_pace (backend->pace);
   fr_destroy_once (backend->once);
   fc_release_snapshot (backend->admission_snapshot);
   g_hash_table_destroy (backend->calls);
@@ -521,9 +527,10 @@
 fn_set_local_backend (fk_kernel_t *kernel, const fn_local_backend_t *local)
 {
   fn_backend_t *backend = fk_find_service (kernel, FN_BACKEND);
+  bool is_other = !fb_equal_name (&backend->local.instance, &local->instance);
+  bool has_restarted = !is_other && backend->local.incarnation != local->incarnation;
 
-  if (!fb_equal_name (&backend->local.instance, &local->instance)
-      || backend->local.incarnation != local->incarnation)
+  if (is_other || has_restarted)
     {
       backend->said_leaving = false;
       fr_reset_rate_limit (backend->rate_limit);
@@ -531,12 +538,16 @@
     }
   if (backend->local.slots != local->slots)
     g_clear_pointer (&backend->admission_snapshot, fc_release_snapshot);
-  if (!fb_equal_name (&backend->local.instance, &local->instance) && backend->client)
+  if (is_other && backend->client)
     fh_close_idle (backend->client);
   backend->local = *local;
   FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_BACKEND, "backend server description updated",
           FB_TEXT ("instance", local->instance.data), FB_NUMBER ("slots", local->slots),
           FB_NUMBER ("leaving", local->leaving));
+  if (is_other && local->instance.len > 0)
+    fn_begin_ramp_of_other (backend);
+  else if (has_restarted)
+    fn_begin_ramp (backend, FR_PACE_NEW_INSTANCE);
   if (local->leaving || local->instance.len == 0)
     fn_refuse_waiting_calls (backend);
 }
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -7,6 +7,7 @@
 #include <foxtailrun/base/histogram.h>
 #include <foxtailrun/call/admission.h>
 #include <foxtailrun/call/once.h>
+#include <foxtailrun/call/pace.h>
 #include <foxtailrun/call/rate-limit.h>
 #include <foxtailrun/http/client.h>
 #include <foxtailrun/http/probe.h>
@@ -55,6 +56,8 @@
   fk_kernel_t *kernel;
   fr_admission_t *admission;
   fr_rate_limit_t *rate_limit; /* named by the backend server */
+  fr_pace_t *pace;             /* NULL unless enabled */
+  fb_counter_t *pace_gauge;    /* slots in force per 1,000; NULL without PACE */
   fr_once_t *once;
   fh_client_t *client;
   fk_timer_t *tick_timer;
@@ -101,6 +104,28 @@
  * responds to this node. */
 void fn_adopt_reported_limit (fn_backend_t *backend, const fw_call_t *call);
 
+/* Creates the pace of the backend server if the settings enable it, and begins a ramp. */
+void fn_start_pace (fn_backend_t *backend);
+
+/* Begins a ramp of the pace because of CAUSE; does nothing unless the pace is enabled. */
+void fn_begin_ramp (fn_backend_t *backend, fr_pace_cause_t cause);
+
+/* The backend server is another one: begins a ramp without the service times of the former one.
+ */
+void fn_begin_ramp_of_other (fn_backend_t *backend);
+
+/* Records what the entry node of BACKEND_CALL, of RANK, expects. */
+void fn_note_expected_service (const fn_backend_call_t *backend_call, uint32_t rank);
+
+/* Records the end of a call of RANK that ran for SERVICE_TIME in ns. Call before its slot is
+ * freed.
+ */
+void fn_record_paced_call (const fn_backend_call_t *backend_call, const fw_call_t *answer,
+                           uint32_t rank, fb_time_t service_time);
+
+/* Writes the pace into ANSWER for an entry node that knows the field. */
+void fn_set_answer_pace (const fn_backend_call_t *backend_call, fw_call_t *answer);
+
 /* Returns whether the backend server is listed as leaving or said so itself. */
 bool fn_is_backend_leaving (const fn_backend_t *backend);
 
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -126,6 +126,8 @@
   fr_report_times (entry->picker, instance, call->route->rank,
                    (fb_time_t)answer->service_us * FB_MICROSECOND,
                    (fb_time_t)answer->wait_us * FB_MICROSECOND);
+  if (answer->pace_permille > 0)
+    fr_report_pace (entry->picker, instance, answer->pace_permille);
   fr_report_result_for_rank (entry->picker, instance, call->route->rank,
                              classify_answer (answer),
                              read_time (entry) - call->attempt_started_at, answer->load);
@@ -235,6 +237,12 @@
       message->instance = fb_get_name (&node->id);
       message->incarnation = node->incarnation;
     }
+  /* Tells the node also that the pace may be reported here. */
+  if (fn_get_settings (call->entry->kernel)->pace)
+    message->expected_service_us
+        = (uint64_t)(fr_get_expected_service_time (call->entry->picker, message->service,
+                                                   route->rank)
+                     / FB_MICROSECOND);
   copy_headers (call, message);
 }
 
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -629,6 +629,8 @@
   fb_set_log_limit (fk_get_log (kernel), FN_REQUEST, FN_CALL_LOG_LINES_MAX);
   entry->picker = fr_create_picker (FR_PICK_LOCALITY, &settings->id, &settings->zone,
                                     randombytes_random (), fk_get_clock (kernel));
+  if (settings->pace)
+    fr_try_new_instances (entry->picker);
   entry->budget = fr_create_retry_budget (fk_get_clock (kernel));
   entry->splitter = fr_create_splitter (randombytes_random ());
   entry->throttle = fr_create_throttle (randombytes_random (), fk_get_clock (kernel));
