First limit of the pace from the number of slots; process test

Cause: the number of slots is set by the first call, after the ramp has begun, so that the first limit was 1 whatever the slots: bursts of calls of 2.9 s at instances of 9 slots were refused. A quarter of the slots is the first limit now, since one long call blocks a limit of 1. An instance that was at par does not fall back to the time-based weight when its report has expired.

--- a/packages/call/include/foxtailrun/call/pace.h
+++ b/packages/call/include/foxtailrun/call/pace.h
@@ -1,5 +1,5 @@
 /* Pace (slow start) of an instance that has started or recovered: a limit on the calls that run
- * at once, which follows the instance's responses from 1 call up to all slots. */
+ * at once, which follows the instance's responses up to all slots. */
 #ifndef FOXTAILRUN_CALL_PACE_H
 #define FOXTAILRUN_CALL_PACE_H
 
--- a/packages/call/source/pace.c
+++ b/packages/call/source/pace.c
@@ -22,6 +22,9 @@
 #define RATIO_GOOD 1.4
 #define RATIO_BAD 2.8
 
+/* Fraction of the slots with which a ramp begins. */
+#define FIRST_FRACTION 0.25
+
 /* Factor of the limit in a good round, and least addition. */
 #define GROWTH_FACTOR 1.5
 #define GROWTH_MIN 1.0
@@ -88,6 +91,7 @@
   fr_pace_cause_t cause;
   fb_time_t begun_at;
   double limit;
+  bool has_rounds;                /* a round of this ramp has ended */
   double log_ratios[WINDOW_SIZE]; /* ring of the latest calls of the ramp */
   uint32_t ratio_count;
   uint32_t round_calls;
@@ -124,11 +128,24 @@
   g_free (pace);
 }
 
+static double
+get_first_limit (const fr_pace_t *pace)
+{
+  return MAX (ceil (pace->slots * FIRST_FRACTION), 1);
+}
+
 void
 fr_set_pace_slots (fr_pace_t *pace, uint32_t slots)
 {
+  uint32_t old_slots = pace->slots;
+
   FB_INVARIANT (slots > 0);
   pace->slots = slots;
+  if (!pace->ramping || slots == old_slots)
+    return;
+  /* The number of slots becomes known with the first call, often after the ramp has begun. */
+  pace->limit = pace->has_rounds ? CLAMP (pace->limit * slots / old_slots, 1, slots)
+                                 : get_first_limit (pace);
 }
 
 static void
@@ -148,7 +165,8 @@
   pace->ramping = true;
   pace->cause = cause;
   pace->begun_at = fb_read_clock (pace->clock);
-  pace->limit = 1;
+  pace->limit = get_first_limit (pace);
+  pace->has_rounds = false;
   pace->log_baseline = 0;
   pace->log_slowness = 0;
   pace->consecutive_failures = 0;
@@ -332,6 +350,7 @@
   bool judged = now - pace->begun_at < JUDGED_TIME;
   double failed = (double)pace->round_failures / pace->round_calls;
 
+  pace->has_rounds = true;
   pace->round_calls = 0;
   pace->round_failures = 0;
   if (judged && failed >= FAILURE_FRACTION)
--- a/packages/call/source/route-score.c
+++ b/packages/call/source/route-score.c
@@ -88,6 +88,10 @@
 
   if (fr_has_pace (instance, now))
     return (double)instance->pace_permille / FR_PACE_PAR;
+  /* Once at par, the slow start is over, also when no call brings another report. */
+  if (instance->pace_permille == FR_PACE_PAR
+      && instance->pace_reported_at >= instance->slow_start_begin)
+    return 1;
   return CLAMP (elapsed_fraction, SLOW_START_WEIGHT_MIN, 1.0);
 }
 
