--- a/bench/bench-pick.c
+++ b/bench/bench-pick.c
@@ -1,4 +1,5 @@
-/* Compares picking policies, with and without throttle and retries. */
+/* Compares picking policies, with and without throttle and retries, and ways of the slow start.
+ */
 #include "sim-service.h"
 #include <string.h>
 
@@ -67,7 +68,117 @@
     }
 }
 
-/* Arguments: [DEPLOYMENT [SCENARIO]], to run only these. */
+/* Load patterns of instances that return, at 30 x 8 slots. Cold instances take twice as long,
+ * and longer when they run more than 2 calls. */
+#define COLD .cold_time = 3 * FB_SECOND, .cold_slowness = 2, .cold_slots = 2
+
+static const sim_deployment_t fleet = { "fleet", 30, 8 };
+
+static const sim_scenario_t returns[] = {
+  { .name = "one-of-30", .scale = 1.25, .returning = 1, COLD },
+  { .name = "a-third", .scale = 0.85, .returning = 10, COLD },
+  { .name = "all", .scale = 1, .returning = 30, COLD },
+  { .name = "half-speed", .scale = 1, .returning = 1, .slowness = 2 },
+  { .name = "cold-only-slow",
+    .scale = 1,
+    .returning = 1,
+    .cold_time = 3 * FB_SECOND,
+    .cold_slowness = 2,
+    .cold_slots = 8 },
+  { .name = "flapping", .scale = 1, .returning = 1, .flap_time = 1400 * FB_MILLISECOND, COLD },
+  { .name = "long-beside-short",
+    .scale = 1,
+    .returning = 1,
+    .time_scale = { 5, 3, 250.0 / 30, 250.0 / 40 },
+    COLD },
+  { .name = "warm", .scale = 1, .returning = 1 },
+};
+
+static const fr_pace_law_t laws[]
+    = { FR_PACE_AIMD, FR_PACE_GRADIENT, FR_PACE_SHARE, FR_PACE_TIMED };
+
+static const struct
+{
+  const char *name;
+  const fr_pace_law_t *law; /* NULL for the fixed ramp */
+} paces[] = {
+  { "fixed", NULL },        { "timed", &laws[3] }, { "aimd", &laws[0] },
+  { "gradient", &laws[1] }, { "share", &laws[2] },
+};
+
+/* Time of which the calls are compared with the steady share. */
+#define SHARE_BINS 10
+
+/* Bins at the end that show the steady share. */
+#define STEADY_BINS 50
+
+/* Returns the time in s until the returned instances answer 95 % of what they do in the end; -1
+ * if they don't before the last bins. */
+static double
+get_time_to_share (const sim_result_t *result)
+{
+  double steady = 0;
+
+  for (int i = SIM_BINS - STEADY_BINS; i < SIM_BINS; i++)
+    steady += (double)result->answered_by_bin[i] / STEADY_BINS;
+  for (int i = 0; i + SHARE_BINS <= SIM_BINS - STEADY_BINS; i++)
+    {
+      double mean = 0;
+
+      for (int j = i; j < i + SHARE_BINS; j++)
+        mean += (double)result->answered_by_bin[j] / SHARE_BINS;
+      if (mean >= 0.95 * steady)
+        return (double)i * SIM_BIN_TIME / FB_SECOND;
+    }
+  return -1;
+}
+
+static void
+run_return (const sim_scenario_t *scenario, const char *only, uint32_t seed)
+{
+  g_print ("%s\n", scenario->name);
+  for (size_t i = 0; i < G_N_ELEMENTS (paces); i++)
+    {
+      const sim_policy_t policy = { FR_POLICY_SHARES, FR_PICK_LOCALITY, true, paces[i].law };
+      sim_result_t result;
+      uint64_t offered = 0;
+      uint64_t in_target = 0;
+      uint64_t first = 0;
+
+      if (only != NULL && strcmp (only, paces[i].name) != 0)
+        continue;
+      result = sim_run_service (&fleet, scenario, &policy, seed);
+      for (int j = 0; j < SIM_RANKS; j++)
+        {
+          offered += result.ranks[j].offered;
+          in_target += result.ranks[j].in_target;
+        }
+      for (int j = 0; j < SHARE_BINS; j++)
+        first += result.answered_by_bin[j];
+      g_print ("  %-10s | %6.1f %6.1f | %5zu | %7" G_GUINT64_FORMAT
+               " %7.3f | %7" G_GUINT64_FORMAT " %6.3f\n",
+               paces[i].name, get_time_to_share (&result), result.par_time, result.queue_max,
+               result.late, 100 * (1 - (double)in_target / (double)MAX (offered, 1)), first,
+               (double)result.attempts / (double)MAX (offered, 1));
+      sim_clear_result (&result);
+    }
+}
+
+static void
+run_returns (const char *only, const char *only_pace, uint32_t seed)
+{
+  g_print (
+      "fleet (30 x 8 slots), instances that return. Per way of the slow start: s until 95 %% of "
+      "the steady share, s until the pace is at par (0: never or no pace); most calls waiting "
+      "at one; calls late or lost there, %% of all calls late or lost; calls answered there in "
+      "the first s, attempts per call.\n");
+  for (size_t i = 0; i < G_N_ELEMENTS (returns); i++)
+    if (only == NULL || strcmp (only, returns[i].name) == 0)
+      run_return (&returns[i], only_pace, seed);
+}
+
+/* Arguments: [DEPLOYMENT [SCENARIO [SLOW-START [SEED]]]], to run only these; with an empty
+ * SLOW-START, all. SEED applies to the fleet. */
 int
 main (int argc, char **argv)
 {
@@ -79,5 +190,8 @@
       if ((argc <= 1 || strcmp (argv[1], deployments[d].name) == 0)
           && (argc <= 2 || strcmp (argv[2], scenarios[s].name) == 0))
         run_scenario (&deployments[d], &scenarios[s]);
+  if (argc <= 1 || strcmp (argv[1], fleet.name) == 0)
+    run_returns (argc > 2 ? argv[2] : NULL, argc > 3 && argv[3][0] != '\0' ? argv[3] : NULL,
+                 argc > 4 ? (uint32_t)g_ascii_strtoull (argv[4], NULL, 10) : 1);
   return 0;
 }
--- a/bench/sim-service.c
+++ b/bench/sim-service.c
@@ -35,7 +35,9 @@
   EVENT_OFFER,
   EVENT_FINISH,
   EVENT_RESPONSE,
-  EVENT_TICK
+  EVENT_TICK,
+  EVENT_RETURN,
+  EVENT_FLAP
 };
 
 typedef struct
@@ -53,6 +55,9 @@
   fb_time_t service_time; /* on a healthy instance */
   fb_time_t slot_time;    /* time that it occupies a slot */
   uint32_t load;          /* as reported in the response */
+  uint32_t pace;
+  fb_time_t wait;
+  fb_time_t started; /* in a slot; 0 if it was not */
   fr_result_t result;
 } call_t;
 
@@ -68,6 +73,11 @@
   fr_picker_t *picker;
   fr_retry_budget_t *budget;
   fr_throttle_t *throttle;
+  fr_pace_t *pace; /* NULL for none */
+  bool down;
+  fb_time_t down_since;
+  fb_time_t cold_until;
+  fb_time_t par_at; /* first time at par since the return; 0 for not yet */
 } host_t;
 
 struct sim
@@ -86,6 +96,24 @@
   sim_result_t *result;
 };
 
+static double
+get_time_scale (const sim_t *sim, uint32_t rank)
+{
+  return sim->scenario->time_scale[rank] > 0 ? sim->scenario->time_scale[rank] : 1;
+}
+
+static fb_time_t
+scale_time (const sim_t *sim, uint32_t rank, fb_time_t time)
+{
+  return (fb_time_t)((double)time * get_time_scale (sim, rank));
+}
+
+static bool
+is_returned (const sim_t *sim, uint32_t index)
+{
+  return index < sim->scenario->returning;
+}
+
 static const fb_str_t service_name = FB_LITERAL ("service");
 
 static fb_time_t
@@ -111,6 +139,11 @@
 static void
 send_response (sim_t *sim, call_t *call)
 {
+  const host_t *host = &sim->hosts[call->target];
+
+  if (host->pace != NULL)
+    call->pace = fr_get_pace_permille (host->pace);
+  call->wait = fr_get_expected_wait (host->admission, call->rank);
   sim_push_event (&sim->heap, fb_read_clock (sim->clock) + get_delay (sim, call),
                   EVENT_RESPONSE, call);
 }
@@ -123,9 +156,14 @@
   call_t *call = data;
 
   call->result = FR_RESULT_ANSWERED;
+  call->started = fb_read_clock (sim->clock);
   call->slot_time = call->service_time;
   if (host->index == 0 && sim->scenario->slowness > 0)
     call->slot_time = (fb_time_t)((double)call->service_time * sim->scenario->slowness);
+  if (fb_read_clock (sim->clock) < host->cold_until)
+    call->slot_time = (fb_time_t)((double)call->slot_time * sim->scenario->cold_slowness
+                                  * MAX (1, (double)fr_count_started (host->admission)
+                                                / sim->scenario->cold_slots));
   if (host->index == 1 && g_rand_double (sim->random) < sim->scenario->failure)
     {
       call->result = FR_RESULT_FAILED;
@@ -156,9 +194,12 @@
       && !fr_admit_customer (entry->throttle, service_name, call->rank,
                              fb_get_name (&call->customer_name)))
     return false;
-  if (!fr_pick_for_rank (entry->picker, service_name, call->rank, FB_LITERAL (""),
-                         call->attempted, call->attempt_count, &picked))
+  if (!fr_pick_for_latency_target (
+          entry->picker, service_name, call->rank,
+          scale_time (sim, call->rank, SIM_RANK_TABLE[call->rank].target), call->attempted,
+          call->attempt_count, &picked))
     return false;
+  call->started = 0;
   call->attempted[call->attempt_count++] = picked;
   for (uint32_t i = 0; i < sim->deployment->instances; i++)
     if (fb_equal_name (&sim->hosts[i].member.id, &picked))
@@ -175,9 +216,21 @@
 {
   host_t *host = &sim->hosts[call->target];
 
-  fr_offer_call (host->admission, call->id, call, call->rank,
-                 fb_get_name (&call->customer_name), 1,
-                 call->arrived + SIM_RANK_TABLE[call->rank].deadline);
+  if (host->down)
+    {
+      call->result = FR_RESULT_UNREACHABLE;
+      send_response (sim, call);
+      return;
+    }
+  if (host->pace != NULL)
+    fr_note_expected_service (host->pace, call->rank,
+                              fr_get_expected_service_time (sim->hosts[call->entry].picker,
+                                                            service_name, call->rank));
+  fr_offer_call (
+      host->admission, call->id, call, call->rank, fb_get_name (&call->customer_name), 1,
+      call->arrived + scale_time (sim, call->rank, SIM_RANK_TABLE[call->rank].deadline));
+  if (is_measured (sim) && is_returned (sim, host->index))
+    sim->result->queue_max = MAX (sim->result->queue_max, fr_count_waiting (host->admission));
 }
 
 static void
@@ -185,6 +238,18 @@
 {
   host_t *host = &sim->hosts[call->target];
 
+  fb_time_t now = fb_read_clock (sim->clock);
+
+  /* It was running when the instance ended. */
+  if (host->down_since > call->started)
+    call->result = FR_RESULT_FAILED;
+  if (host->pace != NULL)
+    {
+      fr_record_paced_call (host->pace, call->rank, now - call->started,
+                            call->result == FR_RESULT_FAILED);
+      if (host->par_at == 0 && !fr_is_ramping (host->pace))
+        host->par_at = now;
+    }
   fr_finish_call (host->admission, call->id);
   call->load = fr_get_load (host->admission);
   send_response (sim, call);
@@ -199,11 +264,19 @@
   fb_time_t latency = fb_read_clock (sim->clock) - call->arrived;
   double latency_ns = (double)latency;
 
-  if (!is_measured (sim) || latency > rank->deadline)
+  if (!is_measured (sim) || latency > scale_time (sim, call->rank, rank->deadline))
     return;
   result->answered++;
-  if (latency <= rank->target)
+  if (latency <= scale_time (sim, call->rank, rank->target))
     result->in_target++;
+  if (is_returned (sim, call->target))
+    {
+      fb_time_t bin = (fb_read_clock (sim->clock) - WARM_UP_TIME) / SIM_BIN_TIME;
+
+      sim->result->answered_by_bin[MIN (bin, SIM_BINS - 1)]++;
+      if (latency > scale_time (sim, call->rank, rank->target))
+        sim->result->late++;
+    }
   result->slot_time += (double)call->slot_time;
   g_array_append_val (result->latencies, latency_ns);
   if (call->rank == SIM_FLOODED_RANK && call->customer != 0)
@@ -218,6 +291,13 @@
   fb_time_t now = fb_read_clock (sim->clock);
   fw_outcome_t outcome = FW_ANSWERED;
 
+  if (sim->policy->pick == FR_PICK_LOCALITY)
+    {
+      fr_report_times (entry->picker, &sim->hosts[call->target].member.id, call->rank,
+                       call->started > 0 ? call->slot_time : 0, call->wait);
+      if (call->pace > 0)
+        fr_report_pace (entry->picker, &sim->hosts[call->target].member.id, call->pace);
+    }
   fr_report_result_for_rank (entry->picker, &sim->hosts[call->target].member.id, call->rank,
                              call->result, now - call->sent, call->load);
   if (sim->policy->throttle)
@@ -226,12 +306,15 @@
   if (call->result == FR_RESULT_ANSWERED)
     count_response (sim, call);
   else
-    outcome = call->result == FR_RESULT_REFUSED ? FW_NOT_RUN : FW_FAILED;
+    outcome = call->result == FR_RESULT_FAILED ? FW_FAILED : FW_NOT_RUN;
   if (sim->policy->throttle && call->attempt_count <= RETRIES_MAX
-      && now < call->arrived + rank->deadline
+      && now < call->arrived + scale_time (sim, call->rank, rank->deadline)
       && fr_is_retry_safe (outcome, rank->repeatable, false)
       && fr_withdraw_retry (entry->budget, service_name, 0) && send_attempt (sim, call))
     return;
+  if (call->result != FR_RESULT_ANSWERED && is_measured (sim)
+      && is_returned (sim, call->target))
+    sim->result->late++;
   g_free (call);
 }
 
@@ -240,7 +323,7 @@
 add_call (sim_t *sim, GRand *random, uint32_t rank, uint32_t customer)
 {
   call_t *call = g_new0 (call_t, 1);
-  double mean = (double)SIM_RANK_TABLE[rank].service;
+  double mean = (double)SIM_RANK_TABLE[rank].service * get_time_scale (sim, rank);
   char name[16];
 
   g_snprintf (name, sizeof name, "customer-%u", customer);
@@ -267,7 +350,8 @@
 schedule_arrival (sim_t *sim, GRand *random, int kind, uint32_t rank, double load)
 {
   uint32_t slots = sim->deployment->instances * sim->deployment->slots;
-  double mean_interval = (double)SIM_RANK_TABLE[rank].service / (load * slots);
+  double mean_interval
+      = (double)SIM_RANK_TABLE[rank].service * get_time_scale (sim, rank) / (load * slots);
 
   if (load > 0)
     sim_push_event (&sim->heap,
@@ -281,6 +365,42 @@
   return SIM_RANK_TABLE[rank].load * sim->scenario->scale + sim->scenario->flood[rank];
 }
 
+/* Instance HOST starts: it is cold, and its node begins a ramp. */
+static void
+start_instance (sim_t *sim, host_t *host)
+{
+  host->down = false;
+  host->par_at = 0;
+  host->cold_until = fb_read_clock (sim->clock) + sim->scenario->cold_time;
+  if (host->pace != NULL)
+    fr_begin_ramp (host->pace, FR_PACE_NEW_INSTANCE);
+}
+
+static void
+add_returned_instances (sim_t *sim)
+{
+  for (uint32_t i = 0; i < sim->scenario->returning; i++)
+    {
+      start_instance (sim, &sim->hosts[i]);
+      for (uint32_t j = 0; j < sim->deployment->instances; j++)
+        fr_update_instance (sim->hosts[j].picker, &sim->hosts[i].member);
+    }
+}
+
+static void
+flap (sim_t *sim, host_t *host)
+{
+  if (host->down)
+    start_instance (sim, host);
+  else
+    {
+      host->down = true;
+      host->down_since = fb_read_clock (sim->clock);
+    }
+  sim_push_event (&sim->heap, fb_read_clock (sim->clock) + sim->scenario->flap_time, EVENT_FLAP,
+                  host);
+}
+
 static void
 run_event (sim_t *sim, const sim_event_t *event)
 {
@@ -308,6 +428,12 @@
     case EVENT_RESPONSE:
       handle_response (sim, event->data);
       break;
+    case EVENT_RETURN:
+      add_returned_instances (sim);
+      break;
+    case EVENT_FLAP:
+      flap (sim, event->data);
+      break;
     default:
       for (uint32_t i = 0; i < sim->deployment->instances; i++)
         fr_tick_admission (sim->hosts[i].admission);
@@ -342,6 +468,12 @@
       host->admission
           = fr_create_admission (sim->policy->admission, sim->deployment->slots, rank_options,
                                  SIM_RANKS, sim->clock, sim->counters, &hooks);
+      if (sim->policy->pace != NULL)
+        {
+          host->pace
+              = fr_create_pace (*sim->policy->pace, sim->scenario->cold_time, sim->clock, NULL);
+          fr_set_admission_pace (host->admission, host->pace);
+        }
     }
   for (uint32_t i = 0; i < count; i++)
     {
@@ -351,7 +483,9 @@
                                        i + 1, sim->clock);
       host->budget = fr_create_retry_budget (sim->clock);
       host->throttle = fr_create_throttle (i + 1, sim->clock);
-      for (uint32_t j = 0; j < count; j++)
+      if (sim->policy->pace != NULL)
+        fr_try_new_instances (host->picker);
+      for (uint32_t j = sim->scenario->returning; j < count; j++)
         fr_update_instance (host->picker, &sim->hosts[j].member);
     }
 }
@@ -365,6 +499,29 @@
       fr_destroy_picker (sim->hosts[i].picker);
       fr_destroy_retry_budget (sim->hosts[i].budget);
       fr_destroy_throttle (sim->hosts[i].throttle);
+      fr_destroy_pace (sim->hosts[i].pace);
+    }
+}
+
+static fb_time_t
+get_measured_time (const sim_t *sim)
+{
+  return sim->scenario->returning > 0 ? SIM_RETURN_TIME : MEASURED_TIME;
+}
+
+/* Sets the mean time until the returned instances were at par, if all were. */
+static void
+set_par_time (sim_t *sim)
+{
+  for (uint32_t i = 0; i < sim->scenario->returning; i++)
+    {
+      if (sim->hosts[i].pace == NULL || sim->hosts[i].par_at == 0)
+        {
+          sim->result->par_time = 0;
+          return;
+        }
+      sim->result->par_time += (double)(sim->hosts[i].par_at - WARM_UP_TIME) / (double)FB_SECOND
+                               / sim->scenario->returning;
     }
 }
 
@@ -375,7 +532,7 @@
 
   while (sim_pop_event (&sim->heap, &event))
     {
-      if (event.time >= WARM_UP_TIME + MEASURED_TIME)
+      if (event.time >= WARM_UP_TIME + get_measured_time (sim))
         {
           if (event.kind == EVENT_OFFER || event.kind == EVENT_FINISH
               || event.kind == EVENT_RESPONSE)
@@ -400,8 +557,9 @@
   for (uint32_t i = 0; i <= SIM_RANKS; i++)
     sim.arrivals[i] = g_rand_new_with_seed (seed * 100 + i);
   sim.result = &result;
-  result.seconds = (double)MEASURED_TIME / (double)FB_SECOND;
-  result.capacity = (double)MEASURED_TIME * deployment->instances * deployment->slots;
+  result.seconds = (double)get_measured_time (&sim) / (double)FB_SECOND;
+  result.capacity
+      = (double)get_measured_time (&sim) * deployment->instances * deployment->slots;
   for (uint32_t i = 0; i < SIM_RANKS; i++)
     result.ranks[i].latencies = g_array_new (FALSE, FALSE, sizeof (double));
   create_hosts (&sim);
@@ -410,7 +568,12 @@
   schedule_arrival (&sim, sim.arrivals[SIM_RANKS], EVENT_FLOOD, SIM_FLOODED_RANK,
                     scenario->customer_flood);
   sim_push_event (&sim.heap, 0, EVENT_TICK, NULL);
+  if (scenario->returning > 0)
+    sim_push_event (&sim.heap, WARM_UP_TIME, EVENT_RETURN, NULL);
+  if (scenario->flap_time > 0)
+    sim_push_event (&sim.heap, WARM_UP_TIME + scenario->flap_time, EVENT_FLAP, &sim.hosts[0]);
   run_events (&sim);
+  set_par_time (&sim);
   destroy_hosts (&sim);
   sim_clear_heap (&sim.heap);
   for (uint32_t i = 0; i <= SIM_RANKS; i++)
--- a/bench/sim-service.h
+++ b/bench/sim-service.h
@@ -4,12 +4,18 @@
 #define FOXTAILRUN_BENCH_SIM_SERVICE_H
 
 #include <foxtailrun/call/admission.h>
+#include <foxtailrun/call/pace.h>
 #include <foxtailrun/call/picker.h>
 #include <glib.h>
 
 #define SIM_RANKS 4
 #define SIM_CUSTOMERS 20
-#define SIM_INSTANCES_MAX 6
+#define SIM_INSTANCES_MAX 30
+
+/* Bins of the calls that returned instances answer, for SIM_RETURN_TIME after their return. */
+#define SIM_BINS 200
+#define SIM_BIN_TIME (100 * FB_MILLISECOND)
+#define SIM_RETURN_TIME (SIM_BINS * SIM_BIN_TIME)
 
 typedef struct
 {
@@ -27,6 +33,13 @@
   double customer_flood;   /* load that customer 0 adds to SIM_FLOODED_RANK */
   double slowness;         /* service time of instance 0 relative to the others */
   double failure;          /* fraction of its calls that instance 1 fails at once */
+  uint32_t returning;      /* instances 0 and up that are absent until the measurement begins,
+                              which lasts for SIM_RETURN_TIME then; 0 for none */
+  fb_time_t cold_time;     /* for which a returned instance is cold */
+  double cold_slowness;    /* service time of a cold instance relative to the others */
+  uint32_t cold_slots;     /* calls that a cold instance runs without a further delay */
+  fb_time_t flap_time;     /* instance 0 ends and starts at this interval; 0 for never */
+  double time_scale[SIM_RANKS]; /* of service time, target and deadline; 0 stands for 1 */
 } sim_scenario_t;
 
 /* The rank in which customer 0 sends its flood. */
@@ -36,7 +49,8 @@
 {
   fr_policy_t admission;
   fr_pick_policy_t pick;
-  bool throttle; /* the entry nodes throttle and retry */
+  bool throttle;             /* the entry nodes throttle and retry */
+  const fr_pace_law_t *pace; /* NULL for none, the fixed ramp at the entry nodes */
 } sim_policy_t;
 
 typedef struct
@@ -70,6 +84,12 @@
   uint64_t attempts; /* sent to instances */
   double capacity;   /* slot time available, ns */
   double seconds;    /* length of the measurement */
+  /* of the returned instances */
+  uint64_t answered_by_bin[SIM_BINS];
+  uint64_t late;    /* calls sent there last that were not answered within their target */
+  size_t queue_max; /* most calls waiting at one of them */
+  double
+      par_time; /* mean time in s after which the pace was at par; 0 if it was not, or none */
 } sim_result_t;
 
 /* Runs SCENARIO; the result is freed by sim_clear_result. */
