--- a/packages/call/source/pace.c
+++ b/packages/call/source/pace.c
@@ -49,8 +49,8 @@
 #define IMPROVEMENT_FACTOR 0.9
 
 /* Time without an improvement after which the speed is taken for the usual one, and least
- * number of rounds in it. */
-#define SETTLING_TIME (2500 * FB_MILLISECOND)
+ * number of rounds in it. 2.5 s took an instance that is cold for 3 s for a slow one. */
+#define SETTLING_TIME (5 * FB_SECOND)
 #define SETTLING_ROUNDS 3
 
 /* Time of a ramp after which only lasting failures are judged, so that it ends also where the
