--- a/packages/call/tests/test-picker-pace.c
+++ b/packages/call/tests/test-picker-pace.c
@@ -145,6 +145,7 @@
   g_assert_cmpint (expected, >, 15 * FB_MILLISECOND);
   g_assert_cmpint (expected, <, 30 * FB_MILLISECOND);
   g_assert_cmpint (fr_get_expected_service_time (picker, service, 1), ==, 0);
+  g_assert_cmpint (fr_get_expected_service_time (picker, FB_LITERAL ("none"), 0), ==, 0);
   fr_destroy_picker (picker);
   fb_destroy_clock (clock);
 }
