Merge the pace of recovering instances

The pace works with the limit of cold instances: a health response that says warm ends a ramp, one that says cold begins one, and so does the end of an evacuation.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -6,6 +6,7 @@
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/counter.h>
 #include <foxtailrun/base/string.h>
+#include <foxtailrun/call/pace.h>
 #include <foxtailrun/call/rate-limit.h>
 #include <foxtailrun/call/warmup.h>
 
@@ -64,6 +65,9 @@
 /* Starts no more calls than WARMUP allows, and counts them there; WARMUP is borrowed and
  * outlives ADMISSION. */
 void fr_set_admission_warmup (fr_admission_t *admission, fr_warmup_t *warmup);
+/* Uses the limit of PACE as the number of slots in force, and keeps PACE informed of the number
+ * of all slots; PACE is borrowed and outlives ADMISSION. */
+void fr_set_admission_pace (fr_admission_t *admission, fr_pace_t *pace);
 
 /* Frees ADMISSION, dropping waiting calls without a hook; may be NULL. */
 void fr_destroy_admission (fr_admission_t *admission);
@@ -107,7 +111,7 @@
 /* Refuses new calls from now on; waiting and started ones continue. */
 void fr_drain_admission (fr_admission_t *admission);
 
-/* Returns slots in use plus calls waiting, per 1,000 slots. */
+/* Returns slots in use plus calls waiting, per 1,000 slots in force. */
 uint32_t fr_get_load (const fr_admission_t *admission);
 
 /* Returns the expected wait in ns of a new call of RANK. */
--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -28,9 +28,9 @@
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
  * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
  * limit_ms; [hedge] budget_share; [backend] address, port, limit_burst_ms, warmup_overage,
- * warmup_tolerance; [platform] address, port; [seeds] nodes; [admin] key; [log] level, format.
- * The fields source_poll_interval, retry_ratio, shared_retry_floor and evacuation have no key
- * and are 0 after fc_check_settings. */
+ * warmup_tolerance, pace; [platform] address, port; [seeds] nodes; [admin] key; [log] level,
+ * format. The fields source_poll_interval, retry_ratio, shared_retry_floor and evacuation have
+ * no key and are 0 after fc_check_settings. */
 typedef struct
 {
   fb_name_t id;
@@ -59,6 +59,8 @@
   double warmup_overage;   /* factor by which a cold backend server's rate may be exceeded */
   double warmup_tolerance; /* requests a second that may reach a cold backend server beyond that
                               because of delays in transit */
+  bool pace; /* calls follow the pace (slow start) of a backend server that has started
+                or recovered; also at the entry node */
   fc_socket_address_t platform;
   fc_socket_address_t seeds[FC_SEEDS_MAX];
   size_t seed_count;
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -142,6 +142,9 @@
     FC_WARMUP_TOLERANCE_MAX, NULL,
     "requests beyond that which a cold backend server tolerates; left as a margin for delays in "
     "transit" },
+  { "backend", "pace", FC_TYPE_BOOLEAN, "", "false", 0, 0, "true or false",
+    "whether a backend server that has started or recovered gets calls at the pace that its "
+    "responses allow; only when all nodes run a build that knows this key" },
 
   { "platform", "address", FC_TYPE_ADDRESS, "", "127.0.0.1", 0, 0, ADDRESS_TEXT,
     "address of the platform's configuration service and host list" },
--- a/packages/config/tests/test-settings.c
+++ b/packages/config/tests/test-settings.c
@@ -75,6 +75,8 @@
     "f:11: backend.warmup_tolerance: found -1.5, allowed: a number from 0 to 1000000\n" },
   { "hedge-share", NODE LISTEN "[hedge]\nbudget_share = 1.5\n",
     "f:8: hedge.budget_share: found 1.5, allowed: a number from 0 to 1\n" },
+  { "backend-pace", NODE "service = \"shop\"\n" LISTEN "[backend]\nport = 80\npace = 1\n",
+    "f:10: backend.pace: found 1, allowed: true or false\n" },
   { "backend-without-service", NODE LISTEN "[backend]\nport = 80\n",
     "f:7: backend: found a table, allowed: [backend] only with node.service\n" },
   { "platform-port", NODE LISTEN "[platform]\n",
@@ -156,6 +158,7 @@
   g_assert_cmpfloat (settings.warmup_overage, ==, 1);
   g_assert_cmpfloat (settings.warmup_tolerance, ==, 0);
   g_assert_cmpfloat (settings.hedge_share, ==, 0);
+  g_assert_false (settings.pace);
   g_assert_cmpuint (settings.platform.port, ==, 0);
   g_assert_cmpuint (settings.seed_count, ==, 0);
   g_assert_cmpuint (settings.admin_key.len, ==, 0);
@@ -171,7 +174,7 @@
       "[node]\nid = \"n\"\nzone = \"z\"\nregion = \"r\"\nservice = \"s\"\n"
       "[listen]\naddress = \"fd00::1\"\ncaller_port = 1\ncall_port = 2\ncontrol_port = 3\n"
       "admin_port = 4\n[backend]\naddress = \"10.0.0.9\"\nport = 5\n"
-      "warmup_overage = 1.5\nwarmup_tolerance = 8\n"
+      "pace = true\nwarmup_overage = 1.5\nwarmup_tolerance = 8\n"
       "[platform]\naddress = \"10.0.0.8\"\nport = 6\n"
       "[seeds]\nnodes = [\"10.0.0.2:7\", \"[fd00::2]:8\"]\n"
       "[admin]\nkey = \"secret-key\"\n[log]\nlevel = \"debug\"\nformat = \"json\"\n");
@@ -186,6 +189,7 @@
   g_assert_cmpuint (settings.backend.port, ==, 5);
   g_assert_cmpfloat (settings.warmup_overage, ==, 1.5);
   g_assert_cmpfloat (settings.warmup_tolerance, ==, 8);
+  g_assert_true (settings.pace);
   g_assert_cmpstr (settings.platform.address.data, ==, "10.0.0.8");
   g_assert_cmpuint (settings.platform.port, ==, 6);
   g_assert_cmpuint (settings.seed_count, ==, 2);
--- a/packages/node/source/node-backend-evacuation.c
+++ b/packages/node/source/node-backend-evacuation.c
@@ -22,6 +22,7 @@
       FB_LOG (fk_get_log (backend->kernel), FB_LOG_INFO, FN_BACKEND,
               "taking calls: the evacuation of the zone has ended",
               FB_TEXT ("instance", backend->local.instance.data));
+      fn_begin_ramp (backend, FR_PACE_EVACUATION);
       fn_assume_cold_backend (backend->kernel, "evacuation of the zone has ended");
       return;
     }
--- a/packages/node/source/node-backend-health.c
+++ b/packages/node/source/node-backend-health.c
@@ -169,7 +169,10 @@
     }
   else if (read_response (health, response, &left))
     {
+      bool was_cold = fr_is_cold (backend->warmup);
+
       fr_set_cold_until (backend->warmup, now + left);
+      fn_follow_warmup (backend, was_cold);
       report_state (health, "health response");
       fr_tick_admission (backend->admission);
     }
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -78,6 +78,7 @@
       = (uint64_t)(fr_get_expected_wait (backend->admission, find_rank (backend_call))
                    / FB_MICROSECOND);
   fn_set_answer_report (backend, answer);
+  fn_set_answer_pace (backend_call, answer);
   if (answer->outcome != FW_ANSWERED)
     log_unanswered (backend_call, answer);
   if (backend_call->answered)
@@ -126,6 +127,7 @@
     fb_add_counter (backend->unknown, 1);
   if (backend_call->has_ticket)
     fn_end_ticket (backend_call, answer);
+  fn_record_paced_call (backend_call, answer, find_rank (backend_call), service);
   fr_finish_call (backend->admission, backend_call->handle);
   fn_answer_backend_call (backend_call, answer);
 }
@@ -139,6 +141,7 @@
           "no connection to the backend server",
           FB_TEXT ("instance", backend->local.instance.data),
           FB_NUMBER ("refusing_ms", RECONNECT_DELAY / FB_MILLISECOND));
+  fn_begin_ramp (backend, FR_PACE_CONNECTION);
 }
 
 static void
@@ -435,13 +438,14 @@
   fn_backend_t *backend = backend_call->backend;
   fc_snapshot_t *snapshot
       = fn_get_snapshot (fk_find_service (backend->kernel, FN_DISTRIBUTION));
-  fr_call_options_t times = { backend_call->deadline, backend_call->target_time,
-                              backend_call->call.goes_first };
+  fr_call_options_t times
+      = { backend_call->deadline, backend_call->target_time, backend_call->call.goes_first };
 
   fn_adopt_reported_limit (backend, &backend_call->call);
   if (backend_call->has_ticket && !fn_begin_ticket (backend_call))
     return;
   configure_admission (backend, snapshot);
+  fn_note_expected_service (backend_call, find_rank (backend_call));
   fr_offer_call_with_options (backend->admission, backend_call->handle, backend_call,
                               find_rank (backend_call), backend_call->call.customer,
                               fc_get_customer_weight (snapshot, backend_call->call.customer),
@@ -462,6 +466,7 @@
     fh_set_connect_timeout (backend->client, CONNECT_TIMEOUT);
   backend->tick_timer = fk_create_timer (kernel, TICK_PERIOD, tick_backend, backend);
   fn_update_health (backend, false);
+  fn_start_pace (backend);
   return FB_OK;
 }
 
@@ -496,6 +501,7 @@
   fr_destroy_rate_limit (backend->rate_limit);
   fn_destroy_health (backend->health);
   fr_destroy_warmup (backend->warmup);
+  fr_destroy_pace (backend->pace);
   fr_destroy_once (backend->once);
   fc_release_snapshot (backend->admission_snapshot);
   g_hash_table_destroy (backend->calls);
@@ -550,10 +556,10 @@
 fn_set_local_backend (fk_kernel_t *kernel, const fn_local_backend_t *local)
 {
   fn_backend_t *backend = fk_find_service (kernel, FN_BACKEND);
-  bool is_other = !fb_equal_name (&backend->local.instance, &local->instance)
-                  || backend->local.incarnation != local->incarnation;
+  bool is_other = !fb_equal_name (&backend->local.instance, &local->instance);
+  bool has_restarted = !is_other && backend->local.incarnation != local->incarnation;
 
-  if (is_other)
+  if (is_other || has_restarted)
     {
       backend->said_leaving = false;
       fr_reset_rate_limit (backend->rate_limit);
@@ -561,13 +567,17 @@
     }
   if (backend->local.slots != local->slots)
     g_clear_pointer (&backend->admission_snapshot, fc_release_snapshot);
-  if (!fb_equal_name (&backend->local.instance, &local->instance) && backend->client)
+  if (is_other && backend->client)
     fh_close_idle (backend->client);
   backend->local = *local;
   FB_LOG (fk_get_log (kernel), FB_LOG_INFO, FN_BACKEND, "backend server description updated",
           FB_TEXT ("instance", local->instance.data), FB_NUMBER ("slots", local->slots),
           FB_NUMBER ("leaving", local->leaving));
   if (is_other && local->instance.len > 0)
+    fn_begin_ramp_of_other (backend);
+  else if (has_restarted)
+    fn_begin_ramp (backend, FR_PACE_NEW_INSTANCE);
+  if ((is_other || has_restarted) && local->instance.len > 0)
     fn_assume_cold_backend (kernel, "another instance or start is listed");
   fn_update_health (backend, false);
   if (local->leaving || local->instance.len == 0)
