--- a/packages/foxtailrund/tests/fixture-fleet.c
+++ b/packages/foxtailrund/tests/fixture-fleet.c
@@ -8,7 +8,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define CALLER_PORT 8000
+#define CALLER_PORT FLEET_CALLER_PORT
 #define ADMIN_PORT 9000
 #define BACKEND_PORT 9100
 #define PLATFORM_PORT 8500
@@ -23,6 +23,7 @@
   char *publish_folder;
   unsigned subnet[2]; /* second and third byte of IP addresses */
   size_t count;
+  const char *settings; /* appended to the nodes' settings */
   GPid platform;
   GPid nodes[FLEET_NODES_MAX + 1];
   GPid backends[FLEET_NODES_MAX + 1];
@@ -90,13 +91,13 @@
   char *path = g_strdup_printf ("%s/node-%zu.toml", fleet->folder, number);
   char *text = g_strdup_printf (
       "[node]\nid = \"node-%zu\"\nzone = \"zone-%c\"\nregion = \"region-1\"\nservice = \"%s\"\n"
-      "[listen]\naddress = \"%s\"\ncaller_port = %d\ncall_port = 7002\ncontrol_port = 7001\n"
+      "[listen]\naddress = \"%s\"\ncaller_port = %d\ncall_port = %d\ncontrol_port = 7001\n"
       "admin_port = %d\n[backend]\naddress = \"%s\"\nport = %d\n"
       "[platform]\naddress = \"%s\"\nport = %d\n[seeds]\nnodes = [\"%s:7001\", \"%s:7001\"]\n"
-      "[admin]\nkey = \"%s\"\n",
+      "[admin]\nkey = \"%s\"\n%s",
       number, number % 2 ? 'a' : 'b', number <= fleet->count / 2 ? "storefront" : "inventory",
-      address.data, CALLER_PORT, ADMIN_PORT, address.data, BACKEND_PORT, platform.data,
-      PLATFORM_PORT, first.data, second.data, FLEET_ADMIN_KEY);
+      address.data, CALLER_PORT, FLEET_CALL_PORT, ADMIN_PORT, address.data, BACKEND_PORT,
+      platform.data, PLATFORM_PORT, first.data, second.data, FLEET_ADMIN_KEY, fleet->settings);
 
   g_assert_true (g_file_set_contents (path, text, -1, NULL));
   g_free (text);
@@ -172,6 +173,12 @@
 
 fleet_t *
 fleet_start (size_t nodes)
+{
+  return fleet_start_with_settings (nodes, "");
+}
+
+fleet_t *
+fleet_start_with_settings (size_t nodes, const char *settings)
 {
   fleet_t *fleet = g_new0 (fleet_t, 1);
 
@@ -184,6 +191,7 @@
   fleet->subnet[0] = 100 + (unsigned)getpid () / 250 % 150;
   fleet->subnet[1] = 1 + (unsigned)getpid () % 250;
   fleet->count = nodes;
+  fleet->settings = settings;
   fleet_publish (fleet, 1, "");
   start_platform (fleet);
   for (size_t number = 1; number <= nodes; number++)
@@ -288,6 +296,19 @@
   g_free (path);
 }
 
+GPid
+fleet_get_pid (const fleet_t *fleet, size_t number)
+{
+  g_assert_cmpint (waitpid (fleet->nodes[number], NULL, WNOHANG), ==, 0);
+  return fleet->nodes[number];
+}
+
+fb_name_t
+fleet_get_address (const fleet_t *fleet, size_t number)
+{
+  return make_address (fleet, number);
+}
+
 void
 fleet_signal (fleet_t *fleet, size_t number, int signal)
 {
--- a/packages/foxtailrund/tests/fixture-fleet.h
+++ b/packages/foxtailrund/tests/fixture-fleet.h
@@ -14,6 +14,9 @@
 
 #define FLEET_ADMIN_KEY "fleet-test-key"
 
+#define FLEET_CALLER_PORT 8000
+#define FLEET_CALL_PORT 7002
+
 typedef struct fleet fleet_t;
 
 /* A response; free its strings by fleet_clear_response. */
@@ -42,6 +45,9 @@
  * each other alive. */
 fleet_t *fleet_start (size_t nodes);
 
+/* As fleet_start, with TOML text SETTINGS, borrowed, appended to each node's settings. */
+fleet_t *fleet_start_with_settings (size_t nodes, const char *settings);
+
 /* Kills all processes, removes the folder and frees FLEET. */
 void fleet_stop (fleet_t *fleet);
 
@@ -54,6 +60,12 @@
 /* The platform fails all calls while DOWN is set. */
 void fleet_set_platform_outage (fleet_t *fleet, bool down);
 
+/* Returns the process id of node NUMBER, whose process must live. */
+GPid fleet_get_pid (const fleet_t *fleet, size_t number);
+
+/* Returns the IP address of node NUMBER. */
+fb_name_t fleet_get_address (const fleet_t *fleet, size_t number);
+
 /* Sends SIGNAL to node NUMBER, from 1. */
 void fleet_signal (fleet_t *fleet, size_t number, int signal);
 
