--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -15,6 +15,17 @@
 #define FC_PIPELINE_BYTES_DEFAULT 262144
 #define FC_LIMIT_BURST_MS_DEFAULT 500
 
+/* Defaults of [memory]. The times are well above those of callers on slow hosts and on links
+ * that lose packets. */
+#define FC_MEMORY_BUDGET_DEFAULT 67108864
+#define FC_HEADER_TIMEOUT_MS_DEFAULT 10000
+#define FC_BODY_WINDOW_MS_DEFAULT 10000
+#define FC_RESPONSE_WINDOW_MS_DEFAULT 30000
+#define FC_PROGRESS_BYTES_DEFAULT 1024
+
+/* Least number of descriptors that connections can work with. */
+#define FC_DESCRIPTORS_MIN 64
+
 typedef struct
 {
   fb_name_t address; /* numeric IP */
@@ -22,10 +33,12 @@
 } fc_socket_address_t;
 
 /* The TOML tables and keys are [node] id, zone, region, service; [listen] address, caller_port,
- * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [drain]
- * limit_ms; [backend] address, port, limit_burst_ms; [platform] address, port; [seeds] nodes;
- * [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio and
- * shared_retry_floor have no key and are 0 after fc_check_settings. */
+ * call_port, control_port, admin_port, ready_port, pipeline_requests, pipeline_bytes; [memory]
+ * budget_bytes, descriptors, header_timeout_ms, body_window_ms, response_window_ms,
+ * progress_bytes; [drain] limit_ms; [backend] address, port, limit_burst_ms; [platform]
+ * address, port; [seeds] nodes; [admin] key; [log] level, format. The fields
+ * source_poll_interval, retry_ratio and shared_retry_floor have no key and are 0 after
+ * fc_check_settings. */
 typedef struct
 {
   fb_name_t id;
@@ -37,9 +50,15 @@
   uint16_t call_port;
   uint16_t control_port;
   uint16_t admin_port;
-  uint16_t ready_port;            /* HTTP readiness check of the platform; 0 for none */
-  size_t pipeline_requests;       /* unanswered on one caller's connection */
-  size_t pipeline_bytes;          /* held for them and their responses */
+  uint16_t ready_port;       /* HTTP readiness check of the platform; 0 for none */
+  size_t pipeline_requests;  /* unanswered on one caller's connection */
+  size_t pipeline_bytes;     /* held for them and their responses */
+  size_t memory_budget;      /* for requests and responses of all connections */
+  size_t descriptors;        /* for all connections; 0 for those that the system allows */
+  fb_time_t header_timeout;  /* for the head of a request */
+  fb_time_t body_window;     /* in which a body makes progress of PROGRESS_BYTES */
+  fb_time_t response_window; /* in which a response does */
+  size_t progress_bytes;
   fb_time_t source_poll_interval; /* between two reads of the platform's list of
                                       instances; 0 when it has none */
   double retry_ratio; /* retries per first attempt, with a retry budget shared by the nodes */
@@ -62,6 +81,9 @@
 fb_status_t fc_check_settings (fb_bytes_t document, fc_settings_t *settings,
                                fc_problems_t *problems);
 
+/* Sets the fields of [memory] to their defaults. */
+void fc_set_default_memory (fc_settings_t *settings);
+
 /* Parses "IP:PORT" or "[IPv6]:PORT" with a port from 1. */
 bool fc_parse_socket_address (fb_str_t text, fc_socket_address_t *socket_address);
 
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -21,7 +21,7 @@
   { "", "version", FC_TYPE_INTEGER, "", NULL, 1, VERSION_MAX, NULL,
     "version number of the document, increased with each publication" },
   { "", "idle_ms", FC_TYPE_INTEGER, "ms", "10000", 100, 3600000, NULL,
-    "time for which a caller's connection may stay idle, and within which a request must arrive" },
+    "time for which a caller's connection may stay idle" },
 
   { "rank", "name", FC_TYPE_NAME, "", NULL, 0, 0, NAME_TEXT, "name of the rank" },
   { "rank", "order", FC_TYPE_INTEGER, "", NULL, 0, 99, NULL, "urgency; 0 is the most urgent" },
@@ -109,6 +109,25 @@
     "bytes held for the unanswered requests of one caller's connection and their responses; at "
     "the limit it is not read further" },
 
+  { "memory", "budget_bytes", FC_TYPE_INTEGER, "bytes", G_STRINGIFY (FC_MEMORY_BUDGET_DEFAULT),
+    8388608, 1099511627776.0, NULL,
+    "memory for requests and responses of all connections; when it is short, large ones wait, are "
+    "refused or closed" },
+  { "memory", "descriptors", FC_TYPE_INTEGER, "descriptors", "0", 0, 1048576, NULL,
+    "descriptors that connections may use, at least 64; 0 for those that the system allows the "
+    "process" },
+  { "memory", "header_timeout_ms", FC_TYPE_INTEGER, "ms",
+    G_STRINGIFY (FC_HEADER_TIMEOUT_MS_DEFAULT), 100, 3600000, NULL,
+    "time within which the head of a request must arrive, from its first byte on" },
+  { "memory", "body_window_ms", FC_TYPE_INTEGER, "ms", G_STRINGIFY (FC_BODY_WINDOW_MS_DEFAULT),
+    100, 3600000, NULL, "time within which a request body must make progress" },
+  { "memory", "response_window_ms", FC_TYPE_INTEGER, "ms",
+    G_STRINGIFY (FC_RESPONSE_WINDOW_MS_DEFAULT), 100, 3600000, NULL,
+    "time within which the caller must take a part of its response" },
+  { "memory", "progress_bytes", FC_TYPE_INTEGER, "bytes",
+    G_STRINGIFY (FC_PROGRESS_BYTES_DEFAULT), 1, 65536, NULL,
+    "least bytes in such a time that count as progress" },
+
   { "drain", "limit_ms", FC_TYPE_INTEGER, "ms", "120000", 1000, 3600000, NULL,
     "time limit of a graceful shutdown; calls still open after it are cut" },
 
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -82,6 +82,39 @@
       = (fb_time_t)fc_get_value (&row, "limit_ms")->integer * FB_MILLISECOND;
 }
 
+void
+fc_set_default_memory (fc_settings_t *settings)
+{
+  settings->memory_budget = FC_MEMORY_BUDGET_DEFAULT;
+  settings->descriptors = 0;
+  settings->header_timeout = FC_HEADER_TIMEOUT_MS_DEFAULT * FB_MILLISECOND;
+  settings->body_window = FC_BODY_WINDOW_MS_DEFAULT * FB_MILLISECOND;
+  settings->response_window = FC_RESPONSE_WINDOW_MS_DEFAULT * FB_MILLISECOND;
+  settings->progress_bytes = FC_PROGRESS_BYTES_DEFAULT;
+}
+
+static void
+check_memory (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
+{
+  fc_row_t row;
+
+  check_section (&row, root, "memory", problems);
+  settings->memory_budget = (size_t)fc_get_value (&row, "budget_bytes")->integer;
+  settings->descriptors = (size_t)fc_get_value (&row, "descriptors")->integer;
+  settings->header_timeout = fc_get_value (&row, "header_timeout_ms")->integer * FB_MILLISECOND;
+  settings->body_window = fc_get_value (&row, "body_window_ms")->integer * FB_MILLISECOND;
+  settings->response_window
+      = fc_get_value (&row, "response_window_ms")->integer * FB_MILLISECOND;
+  settings->progress_bytes = (size_t)fc_get_value (&row, "progress_bytes")->integer;
+  if (settings->descriptors > 0 && settings->descriptors < FC_DESCRIPTORS_MIN)
+    {
+      char *found = g_strdup_printf ("%zu", settings->descriptors);
+
+      fc_add_key_problem (problems, &row, "descriptors", found, "0, or 64 and more");
+      g_free (found);
+    }
+}
+
 static void
 check_backend (fc_settings_t *settings, const fc_toml_t *root, fc_problems_t *problems)
 {
@@ -204,6 +237,7 @@
   fc_check_row (&row, fc_get_settings_schema (), "", "", root, problems);
   check_node (settings, root, problems);
   check_listen (settings, root, problems);
+  check_memory (settings, root, problems);
   check_backend (settings, root, problems);
   check_platform (settings, root, problems);
   check_seeds (settings, root, problems);
--- a/packages/foxtailrund/source/main.c
+++ b/packages/foxtailrund/source/main.c
@@ -4,6 +4,7 @@
 #include <foxtailrun/node/node.h>
 #include <foxtailrun/platform/platform.h>
 #include <glib.h>
+#include <malloc.h>
 #include <sodium.h>
 #include <stdio.h>
 
@@ -41,6 +42,9 @@
 }
 
 /* State of the process, input of a reload. */
+/* Size in bytes from which a block has its own mapping and is returned when it is freed. */
+#define MMAP_THRESHOLD (128 * 1024)
+
 typedef struct
 {
   const char *path;
@@ -88,9 +92,13 @@
   fb_stdout_sink_t output = { 0 };
   fb_log_t *log = fb_create_log (clock, settings->log_format, settings->log_level,
                                  fb_write_stdout, &output);
-  fk_kernel_t *kernel = fk_create_kernel (log);
+  fk_kernel_t *kernel;
   int status = EXIT_FAILURE;
 
+  /* The default threshold rises to the largest block freed, after which bodies come from the
+   * heap and leave holes that stay resident. */
+  mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD);
+  kernel = fk_create_kernel (log);
   node->log = log;
   fk_watch_reload (kernel, reload_settings, node);
   fn_register_node (kernel, settings, adapter);
--- a/packages/foxtailrund/tests/test-process-crowd.c
+++ b/packages/foxtailrund/tests/test-process-crowd.c
@@ -17,7 +17,7 @@
 #define DESCRIPTORS_MAX 256
 
 /* Limits of the nodes under test. */
-#define SETTINGS ""
+#define SETTINGS "[memory]\nbudget_bytes = 16777216\ndescriptors = 256\n"
 
 #define CHUNK_BYTES 65536
 #define RESPONSE_BYTES "4000000"
--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -40,6 +40,28 @@
 /* Sets the time limit in ns for receiving a request and for idle connections. */
 void fh_set_idle_timeout (fh_server_t *server, fb_time_t timeout);
 
+/* Limits of a connection's transfers; times in ns. */
+typedef struct
+{
+  fb_time_t header_timeout;  /* for a head from its first byte on */
+  fb_time_t body_window;     /* in which a body must make progress */
+  fb_time_t response_window; /* in which a response must make progress */
+  size_t progress_bytes;     /* least progress in a window */
+} fh_timeouts_t;
+
+/* Sets the time limits of transfers; the defaults are FH_TIMEOUTS_DEFAULT. */
+void fh_set_timeouts (fh_server_t *server, const fh_timeouts_t *timeouts);
+
+#define FH_TIMEOUTS_DEFAULT                                                                    \
+  ((fh_timeouts_t){ 10 * FB_SECOND, 10 * FB_SECOND, 30 * FB_SECOND, 1024 })
+
+/* Sets how many connections may be open; 0 for no limit, the default. At the limit the longest
+ * idle one is closed for a new one, and without an idle one none is accepted. */
+void fh_set_connections_max (fh_server_t *server, size_t connections_max);
+
+/* Makes the account of memory count what SERVER holds as administration. */
+void fh_set_admin (fh_server_t *server);
+
 /* Returns the number of requests not yet answered. */
 size_t fh_count_requests (const fh_server_t *server);
 
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -1,8 +1,7 @@
-#include "http-response.h"
-#include <glib.h>
-#include <netinet/in.h>
+#include "http-client-state.h"
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* Shorter than the idle timeout of common servers, so that the client closes first. */
@@ -21,10 +20,6 @@
  * bodies without end reach the limit of each response at about the same time. */
 #define BUFFERED_BODIES_MAX 2
 
-/* Responses without the echoed header in a row after which a server that has repeated it is
- * taken for one that does not: it may have been replaced by another version. */
-#define UNIDENTIFIED_RESPONSES_MAX 8
-
 /* Responses to other requests that an exchange drops. A server in trouble may send them without
  * end. */
 #define OTHER_RESPONSES_MAX 16
@@ -32,63 +27,6 @@
 /* Close when sent bytes stay unacknowledged for this long. */
 #define USER_TIMEOUT_MS 3000
 
-typedef struct connection connection_t;
-
-struct fh_client
-{
-  fk_kernel_t *kernel;
-  struct sockaddr_storage server_address;
-  fb_name_t address;
-  uint16_t port;
-  size_t idle_max;
-  size_t body_max;
-  uint64_t io_timeout_ms;
-  uint64_t connect_timeout_ms;
-  size_t buffered_bytes;   /* of incomplete responses */
-  bool server_echoes;      /* the server has repeated the echoed header */
-  unsigned unidentified;   /* responses without the echoed header since */
-  GQueue idle_connections; /* connection_t, most recently used first */
-  GQueue exchanges;        /* fh_exchange_t in progress */
-};
-
-struct connection
-{
-  uv_tcp_t stream;
-  uv_timer_t timer;
-  uv_connect_t connect_request;
-  fh_client_t *client;
-  fh_exchange_t *exchange; /* NULL while idle */
-  fh_reader_t *reader;
-  size_t buffered_bytes;    /* share of the client's */
-  size_t pending_writes;    /* writes not yet passed to the operating system */
-  uint64_t idle_timeout_ms; /* close the connection when idle for longer */
-  bool reused;
-  bool out_of_sync; /* a response to another request arrived; do not reuse the connection */
-  unsigned other_responses; /* dropped since */
-  bool closing;
-  int open_handles;
-  GList link; /* in idle_connections of the client */
-};
-
-struct fh_exchange
-{
-  fh_client_t *client;
-  connection_t *connection;
-  fh_done_fn_t done;
-  void *user;
-  GString *request_text;
-  fh_header_t echoed_header; /* views of echoed_header_text */
-  char *echoed_header_text;
-  uint64_t io_timeout_ms;
-  bool is_head;
-  bool requires_echo;
-  bool repeatable;
-  bool allows_close_delimited;
-  bool sent;
-  bool resent; /* sent before on a connection that then closed */
-  GList link;  /* in exchanges of the client */
-};
-
 typedef struct
 {
   uv_write_t write;
@@ -97,6 +35,9 @@
 } write_t;
 
 static void start_exchange (fh_exchange_t *exchange, bool new_connection);
+static void fail_connection (connection_t *connection, fh_result_t result, const char *error);
+static void allocate_buffer (uv_handle_t *handle, size_t size, uv_buf_t *buffer);
+static void receive_bytes (uv_stream_t *stream, ssize_t length, const uv_buf_t *buffer);
 
 static void
 free_connection (uv_handle_t *handle)
@@ -109,12 +50,57 @@
   g_free (connection);
 }
 
+static fb_time_t
+read_time (const connection_t *connection)
+{
+  return fb_read_clock (fk_get_clock (connection->client->kernel));
+}
+
 /* Sets the bytes that CONNECTION holds for an incomplete response. */
 static void
 set_buffered_bytes (connection_t *connection, size_t bytes)
 {
   connection->client->buffered_bytes += bytes - connection->buffered_bytes;
   connection->buffered_bytes = bytes;
+  fb_hold (&connection->holder, FB_HELD_ANSWER, bytes);
+}
+
+static connection_t *
+get_connection (const fb_holder_t *holder)
+{
+  return (connection_t *)(void *)((char *)holder - offsetof (connection_t, holder));
+}
+
+static void
+set_paused (fb_holder_t *holder, bool paused)
+{
+  connection_t *connection = get_connection (holder);
+
+  if (connection->closing || !uv_is_readable ((uv_stream_t *)&connection->stream))
+    return;
+  if (paused)
+    uv_read_stop ((uv_stream_t *)&connection->stream);
+  else
+    uv_read_start ((uv_stream_t *)&connection->stream, allocate_buffer, receive_bytes);
+}
+
+static bool
+has_input (const fb_holder_t *holder)
+{
+  uv_os_fd_t descriptor;
+  int length = 0;
+
+  return uv_fileno ((const uv_handle_t *)&get_connection (holder)->stream, &descriptor) == 0
+         && ioctl (descriptor, FIONREAD, &length) == 0 && length > 0;
+}
+
+static void
+close_holder (fb_holder_t *holder)
+{
+  connection_t *connection = get_connection (holder);
+
+  connection->reused = false; /* the request must not be sent again at once */
+  fail_connection (connection, FH_TOO_LARGE, "the memory budget is short");
 }
 
 static void
@@ -124,6 +110,7 @@
     return;
   connection->closing = true;
   set_buffered_bytes (connection, 0);
+  fb_remove_holder (&connection->holder);
   if (connection->link.data)
     {
       g_queue_unlink (&connection->client->idle_connections, &connection->link);
@@ -227,6 +214,7 @@
 
   connection->exchange = NULL;
   set_buffered_bytes (connection, 0);
+  fb_hold (&connection->holder, FB_HELD_CALL, 0);
   if (client->idle_connections.length >= client->idle_max || connection->idle_timeout_ms == 0)
     {
       close_connection (connection);
@@ -238,79 +226,6 @@
   start_timer (connection, connection->idle_timeout_ms);
 }
 
-/* Which request a response answers, by the echoed header. */
-typedef enum
-{
-  ANSWERS_REQUEST,       /* that of the exchange */
-  ANSWERS_OTHER_REQUEST, /* another one, such as an earlier one of the connection */
-  ANSWERS_NO_REQUEST     /* it names none, or several */
-} response_target_t;
-
-/* Returns whether the server repeats the header of EXCHANGE in RESPONSE. If not, the next
- * response on the connection could not be told from an earlier one. */
-static bool
-has_echo (const fh_exchange_t *exchange, const fh_response_t *response)
-{
-  fb_str_t name = exchange->echoed_header.name;
-
-  return name.len == 0 || fh_find_header (response->headers, response->header_count, name).data;
-}
-
-/* Returns whether a response without the echoed header may answer EXCHANGE: the first one on a
- * connection to a server that is not known to repeat the header. */
-static bool
-accepts_missing_echo (const fh_exchange_t *exchange)
-{
-  return !exchange->requires_echo && !exchange->client->server_echoes
-         && !exchange->connection->reused && !exchange->connection->out_of_sync;
-}
-
-static response_target_t
-find_response_target (const fh_exchange_t *exchange, const fh_response_t *response)
-{
-  const fh_header_t *echo = &exchange->echoed_header;
-  size_t own = 0;
-  size_t others = 0;
-
-  if (echo->name.len == 0)
-    return ANSWERS_REQUEST;
-  if (!has_echo (exchange, response))
-    return accepts_missing_echo (exchange) ? ANSWERS_REQUEST : ANSWERS_NO_REQUEST;
-  for (size_t i = 0; i < response->header_count; i++)
-    {
-      const fh_header_t *header = &response->headers[i];
-
-      if (!fb_equal_str (header->name, echo->name))
-        continue;
-      if (header->value.len == 0)
-        return ANSWERS_NO_REQUEST;
-      if (fb_equal_str (header->value, echo->value))
-        own++;
-      else
-        others++;
-    }
-  if (own > 0 && others > 0)
-    return ANSWERS_NO_REQUEST;
-  return own > 0 ? ANSWERS_REQUEST : ANSWERS_OTHER_REQUEST;
-}
-
-/* Records whether the server repeats the header of EXCHANGE. */
-static void
-record_echo (const fh_exchange_t *exchange, const fh_response_t *response)
-{
-  fh_client_t *client = exchange->client;
-
-  if (exchange->echoed_header.name.len == 0)
-    return;
-  if (has_echo (exchange, response))
-    {
-      client->server_echoes = true;
-      client->unidentified = 0;
-    }
-  else if (client->server_echoes && ++client->unidentified >= UNIDENTIFIED_RESPONSES_MAX)
-    client->server_echoes = false;
-}
-
 static void
 complete_response (connection_t *connection, bool reusable)
 {
@@ -320,7 +235,7 @@
   fh_view_response (connection->reader, &response);
   connection->idle_timeout_ms = parse_idle_timeout (&response);
   reusable = reusable && connection->pending_writes == 0 && !connection->out_of_sync
-             && has_echo (exchange, &response) && fh_should_keep_alive (connection->reader);
+             && fh_has_echo (exchange, &response) && fh_should_keep_alive (connection->reader);
   /* The response views the reader's memory: reset only after the callback. */
   connection->exchange = NULL;
   exchange->connection = NULL;
@@ -349,6 +264,8 @@
   set_buffered_bytes (connection, fh_get_reader_bytes (connection->reader));
   if (client->buffered_bytes > client->body_max * BUFFERED_BODIES_MAX)
     fail_connection (connection, FH_TOO_LARGE, "incomplete responses over a limit");
+  else
+    fb_check_pause (&connection->holder);
 }
 
 static void
@@ -378,8 +295,8 @@
         return;
       bytes = (fb_bytes_t){ bytes.data + consumed, bytes.len - consumed };
       fh_view_response (connection->reader, &response);
-      record_echo (connection->exchange, &response);
-      switch (find_response_target (connection->exchange, &response))
+      fh_record_echo (connection->exchange, &response);
+      switch (fh_find_response_target (connection->exchange, &response))
         {
         case ANSWERS_REQUEST:
           complete_response (connection, bytes.len == 0);
@@ -411,8 +328,8 @@
       && fh_parse_end (connection->reader) == FH_READ_COMPLETE)
     {
       fh_view_response (connection->reader, &response);
-      record_echo (exchange, &response);
-      switch (find_response_target (exchange, &response))
+      fh_record_echo (exchange, &response);
+      switch (fh_find_response_target (exchange, &response))
         {
         case ANSWERS_REQUEST:
           complete_response (connection, false);
@@ -436,8 +353,10 @@
 allocate_buffer (uv_handle_t *handle, size_t size, uv_buf_t *buffer)
 {
   static char bytes[64 * 1024];
+  const connection_t *connection = handle->data;
+  size_t length = fb_get_read_size (fk_get_account (connection->client->kernel));
 
-  *buffer = uv_buf_init (bytes, sizeof bytes);
+  *buffer = uv_buf_init (bytes, (unsigned)MIN (length, sizeof bytes));
 }
 
 static void
@@ -455,6 +374,13 @@
   else
     {
       start_timer (connection, connection->exchange->io_timeout_ms);
+      if (connection->holder.total > FB_HELD_SMALL)
+        {
+          fb_time_t now = read_time (connection);
+
+          fb_set_peer_turn (&connection->holder, true, now);
+          fb_count_progress (&connection->holder, (size_t)length, now);
+        }
       parse_bytes (connection, (fb_bytes_t){ (const uint8_t *)buffer->base, (size_t)length });
     }
 }
@@ -475,16 +401,23 @@
 write_request (connection_t *connection)
 {
   fh_exchange_t *exchange = connection->exchange;
-  write_t *write = g_new0 (write_t, 1);
-  uv_buf_t buffer;
+  const GString *text = exchange->request_text;
+  uv_buf_t buffer = uv_buf_init (text->str, (unsigned)text->len);
+  int sent = uv_try_write ((uv_stream_t *)&connection->stream, &buffer, 1);
+  size_t rest = text->len - (size_t)MAX (sent, 0);
+  write_t *write;
 
-  write->connection = connection;
-  write->bytes
-      = g_string_new_len (exchange->request_text->str, (gssize)exchange->request_text->len);
-  buffer = uv_buf_init (write->bytes->str, (unsigned)write->bytes->len);
   exchange->sent = true;
-  connection->pending_writes++;
   start_timer (connection, exchange->io_timeout_ms);
+  fb_set_peer_turn (&connection->holder, false, 0);
+  fb_hold (&connection->holder, FB_HELD_CALL, text->len + rest);
+  if (rest == 0)
+    return;
+  write = g_new0 (write_t, 1);
+  write->connection = connection;
+  write->bytes = g_string_new_len (text->str + text->len - rest, (gssize)rest);
+  buffer = uv_buf_init (write->bytes->str, (unsigned)rest);
+  connection->pending_writes++;
   if (uv_write (&write->write, (uv_stream_t *)&connection->stream, &buffer, 1, complete_write)
       != 0)
     complete_write (&write->write, UV_EIO);
@@ -526,13 +459,15 @@
     }
   uv_tcp_nodelay (&connection->stream, 1);
   detect_dead_peer (connection);
-  uv_read_start ((uv_stream_t *)&connection->stream, allocate_buffer, receive_bytes);
+  if (!connection->holder.paused)
+    uv_read_start ((uv_stream_t *)&connection->stream, allocate_buffer, receive_bytes);
   write_request (connection);
 }
 
 static void
 open_connection (fh_exchange_t *exchange)
 {
+  static const fb_holder_class_t class = { set_paused, has_input, close_holder };
   fh_client_t *client = exchange->client;
   connection_t *connection = g_new0 (connection_t, 1);
   uv_loop_t *loop = fk_get_loop (client->kernel);
@@ -540,6 +475,8 @@
   connection->client = client;
   connection->exchange = exchange;
   connection->reader = fh_create_reader (client->body_max);
+  fb_add_holder (fk_get_account (client->kernel), &connection->holder, &class, 0,
+                 read_time (connection));
   fh_reset_reader (connection->reader, exchange->is_head);
   uv_tcp_init (loop, &connection->stream);
   uv_timer_init (loop, &connection->timer);
@@ -579,39 +516,6 @@
   write_request (connection);
 }
 
-static void
-append_header (GString *text, fb_str_t name, fb_str_t value)
-{
-  g_string_append_len (text, name.data, (gssize)name.len);
-  g_string_append (text, ": ");
-  g_string_append_len (text, value.data, (gssize)value.len);
-  g_string_append (text, "\r\n");
-}
-
-static GString *
-format_request (const fh_client_t *client, const fh_client_request_t *request)
-{
-  GString *text = g_string_sized_new (512 + request->body.len);
-
-  g_string_append_len (text, request->method.data, (gssize)request->method.len);
-  g_string_append_c (text, ' ');
-  g_string_append_len (text, request->path.data, (gssize)request->path.len);
-  g_string_append (text, " HTTP/1.1\r\n");
-  if (request->host.len > 0)
-    append_header (text, FB_LITERAL ("host"), request->host);
-  else
-    g_string_append_printf (text, "host: %s:%u\r\n", client->address.data, client->port);
-  g_string_append_printf (text, "content-length: %zu\r\n", request->body.len);
-  for (size_t i = 0; i < request->header_count; i++)
-    {
-      if (!fh_is_hop_header (request->headers[i].name))
-        append_header (text, request->headers[i].name, request->headers[i].value);
-    }
-  g_string_append (text, "\r\n");
-  g_string_append_len (text, (const char *)request->body.data, (gssize)request->body.len);
-  return text;
-}
-
 fh_client_t *
 fh_create_client (fk_kernel_t *kernel, const fb_name_t *address, uint16_t port, size_t idle_max,
                   size_t body_max, fb_time_t io_timeout)
@@ -667,7 +571,7 @@
   exchange->client = client;
   exchange->done = done;
   exchange->user = user;
-  exchange->request_text = format_request (client, request);
+  exchange->request_text = fh_format_request (client, request);
   exchange->io_timeout_ms = request->io_timeout > 0
                                 ? (uint64_t)(request->io_timeout / FB_MILLISECOND)
                                 : client->io_timeout_ms;
--- a/packages/http/source/http-connection.c
+++ b/packages/http/source/http-connection.c
@@ -1,81 +1,28 @@
 /* HTTP/1 connection of a caller: reads requests, hands them to the server's handler, several at
  * once where the server allows it, and sends the responses in the order of the requests. */
-#include "http-server-state.h"
+#include "http-connection-state.h"
 #include <string.h>
 
-/* Time in which a caller may close a connection after its last response. Closing first, with
- * bytes of the caller unread, would reset the connection and may destroy that response. */
-#define LINGER_MS 1000
-
 #define CONTINUE_TEXT "HTTP/1.1 100 Continue\r\n\r\n"
 
-struct fh_connection
-{
-  fh_server_t *server;
-  fh_stream_t *stream; /* NULL once closed or handed over */
-  fh_request_reader_t *reader;
-  fh_pipeline_t pipeline;
-  GByteArray *input; /* received but not parsed, while the pipeline is full */
-  size_t unsent_bytes;
-  bool running;       /* advance_connection is running */
-  bool paused;        /* not read because of a limit */
-  bool read_ended;    /* no further request is accepted */
-  bool continue_sent; /* for the request being read */
-  bool is_lingering;
-  uv_shutdown_t shutdown;
-  uint64_t waiting_since; /* in ms, while in one of the server's queues */
-  GQueue *queue;          /* of the server, NULL when in none */
-  GList link;             /* in connections of the server */
-  GList queue_link;       /* in QUEUE */
-};
-
 /* A write that the operating system has not taken in full. */
 typedef struct
 {
   uv_write_t write;
   fh_connection_t *connection;
-  GString *bytes;
+  size_t length;
+  size_t held;     /* bytes of the responses, also of the parts that are sent */
+  GQueue requests; /* fh_request_t whose responses are written */
 } write_t;
 
 static void advance_connection (fh_connection_t *connection, fb_bytes_t bytes);
 
-static uint64_t
-read_loop_time (const fh_server_t *server)
-{
-  return uv_now (fk_get_loop (server->kernel));
-}
-
-static void
-start_expiry (fh_server_t *server, uint64_t delay_ms)
-{
-  if (!uv_is_active ((uv_handle_t *)&server->expiry)
-      || uv_timer_get_due_in (&server->expiry) > delay_ms)
-    uv_timer_start (&server->expiry, fh_expire_connections, delay_ms, 0);
-}
-
-static void
-leave_queue (fh_connection_t *connection)
-{
-  if (connection->queue)
-    g_queue_unlink (connection->queue, &connection->queue_link);
-  connection->queue = NULL;
-}
-
-static void
-enter_queue (fh_connection_t *connection, GQueue *queue, uint64_t timeout_ms)
-{
-  leave_queue (connection);
-  connection->queue = queue;
-  connection->waiting_since = read_loop_time (connection->server);
-  g_queue_push_tail_link (queue, &connection->queue_link);
-  start_expiry (connection->server, timeout_ms);
-}
-
 void
 fh_destroy_connection (fh_connection_t *connection)
 {
   fh_slot_t *slot;
 
+  fb_remove_holder (&connection->holder);
   while ((slot = fh_take_slot (&connection->pipeline)))
     fh_destroy_request (slot->data);
   fh_destroy_request_reader (connection->reader);
@@ -89,6 +36,7 @@
 {
   fh_stream_t *stream = (fh_stream_t *)handle;
 
+  fh_count_closed_stream (stream->server);
   if (stream->connection)
     fh_destroy_connection (stream->connection);
   else
@@ -119,13 +67,13 @@
 static void
 detach_connection (fh_connection_t *connection)
 {
-  leave_queue (connection);
+  fh_leave_queue (connection);
   g_queue_unlink (&connection->server->connections, &connection->link);
   drop_requests (connection);
 }
 
-static void
-close_connection (fh_connection_t *connection)
+void
+fh_close_connection (fh_connection_t *connection)
 {
   if (uv_is_closing ((uv_handle_t *)connection->stream))
     return;
@@ -133,64 +81,72 @@
   detach_connection (connection);
 }
 
-static bool
-is_closing (const fh_connection_t *connection)
+bool
+fh_is_connection_closing (const fh_connection_t *connection)
 {
   return !connection->stream || uv_is_closing ((uv_handle_t *)connection->stream);
 }
 
+static void
+free_write (write_t *write)
+{
+  write->connection->unsent_bytes -= write->length;
+  write->connection->unsent_held -= write->held;
+  g_queue_clear_full (&write->requests, (GDestroyNotify)fh_destroy_request);
+  g_free (write);
+}
+
 static void
 complete_write (uv_write_t *request, int status)
 {
   write_t *write = (write_t *)request;
   fh_connection_t *connection = write->connection;
 
-  connection->unsent_bytes -= write->bytes->len;
-  g_string_free (write->bytes, TRUE);
-  g_free (write);
-  if (is_closing (connection))
+  free_write (write);
+  if (fh_is_connection_closing (connection))
     return;
   if (status != 0)
-    close_connection (connection);
+    fh_close_connection (connection);
   else
     advance_connection (connection, (fb_bytes_t){ NULL, 0 });
 }
 
-/* Queues the bytes of BUFFERS behind the first SENT ones. */
+/* Writes BUFFERS, parts of the responses of REQUESTS, which are moved. */
 static void
-queue_write (fh_connection_t *connection, const uv_buf_t *buffers, size_t count, size_t sent)
+write_buffers (fh_connection_t *connection, uv_buf_t *buffers, size_t count, GQueue *requests)
 {
-  write_t *write = g_new0 (write_t, 1);
-  uv_buf_t rest;
+  uv_stream_t *stream = (uv_stream_t *)connection->stream;
+  int result = uv_try_write (stream, buffers, (unsigned)count);
+  size_t sent = result > 0 ? (size_t)result : 0; /* the queued write reports a lasting error */
+  write_t *write;
 
+  while (count > 0 && sent >= buffers->len)
+    {
+      sent -= buffers->len;
+      buffers++;
+      count--;
+    }
+  if (count == 0)
+    {
+      g_queue_clear_full (requests, (GDestroyNotify)fh_destroy_request);
+      return;
+    }
+  *buffers = uv_buf_init (buffers->base + sent, (unsigned)(buffers->len - sent));
+  write = g_new0 (write_t, 1);
   write->connection = connection;
-  write->bytes = g_string_new (NULL);
+  write->requests = *requests;
+  g_queue_init (requests);
   for (size_t i = 0; i < count; i++)
-    g_string_append_len (write->bytes, buffers[i].base, (gssize)buffers[i].len);
-  g_string_erase (write->bytes, 0, (gssize)sent);
-  rest = uv_buf_init (write->bytes->str, (unsigned)write->bytes->len);
-  connection->unsent_bytes += write->bytes->len;
-  if (uv_write (&write->write, (uv_stream_t *)connection->stream, &rest, 1, complete_write)
-      == 0)
+    write->length += buffers[i].len;
+  for (GList *link = write->requests.head; link; link = link->next)
+    write->held += ((fh_request_t *)link->data)->response->len;
+  connection->unsent_bytes += write->length;
+  connection->unsent_held += write->held;
+  connection->queued_bytes += write->length;
+  if (uv_write (&write->write, stream, buffers, (unsigned)count, complete_write) == 0)
     return;
-  connection->unsent_bytes -= write->bytes->len;
-  g_string_free (write->bytes, TRUE);
-  g_free (write);
-  close_connection (connection);
-}
-
-static void
-write_buffers (fh_connection_t *connection, uv_buf_t *buffers, size_t count)
-{
-  size_t total = 0;
-  int sent = uv_try_write ((uv_stream_t *)connection->stream, buffers, (unsigned)count);
-
-  for (size_t i = 0; i < count; i++)
-    total += buffers[i].len;
-  if (sent < 0)
-    sent = 0; /* a lasting error is reported by the queued write */
-  if ((size_t)sent < total)
-    queue_write (connection, buffers, count, (size_t)sent);
+  free_write (write);
+  fh_close_connection (connection);
 }
 
 static void
@@ -211,6 +167,21 @@
   advance_connection (connection, (fb_bytes_t){ NULL, 0 });
 }
 
+/* Finishes REQUEST of CONNECTION, of which nothing is passed on, with STATUS. */
+static void
+refuse (fh_connection_t *connection, fh_request_t *request, uint32_t status, bool closes)
+{
+  static const fh_header_t retry_after = { FB_LITERAL ("retry-after"), FB_LITERAL ("1") };
+  fh_reply_t reply = { .status = status,
+                       .headers = &retry_after,
+                       .header_count = status == 503 ? 1 : 0,
+                       .has_length = true };
+
+  fh_format_response (request, &reply);
+  fh_clear_message (&request->message);
+  fh_finish_slot (&connection->pipeline, &request->slot, request->response->len, closes);
+}
+
 static void
 add_request (fh_connection_t *connection)
 {
@@ -220,24 +191,41 @@
   fh_take_message (connection->reader, &request->message);
   connection->continue_sent = false;
   connection->read_ended = !request->message.keep_alive;
+  if (connection->phase == FH_PHASE_HEAD || connection->phase == FH_PHASE_BODY)
+    {
+      /* The limits of the next request begin with its own bytes. */
+      fh_leave_queue (connection);
+      connection->phase = FH_PHASE_NONE;
+    }
   if (!fh_is_pipeline_empty (&connection->pipeline))
     fb_add_counter (connection->server->pipelined, 1);
   fh_add_slot (&connection->pipeline, &request->slot, bytes, request);
+  if (!fb_must_refuse (fk_get_account (connection->server->kernel), bytes))
+    return;
+  fb_add_counter (connection->server->refused, 1);
+  FB_LOG (fk_get_log (connection->server->kernel), FB_LOG_WARNING, "http",
+          "refused a request for lack of memory", FB_NUMBER ("bytes", bytes));
+  refuse (connection, request, 503, connection->read_ended);
 }
 
 /* Answers bytes that cannot be read as a request, once the requests before them are. */
 static void
-add_rejection (fh_connection_t *connection)
+add_rejection (fh_connection_t *connection, uint32_t status)
 {
   fh_request_t *request = fh_create_request (connection->server, finish_request, connection);
-  fh_reply_t reply
-      = { .status = fh_get_reject_status (connection->reader), .has_length = true };
 
-  fb_add_counter (connection->server->rejected, 1);
   connection->read_ended = true;
+  fh_discard_request (connection->reader);
   fh_add_slot (&connection->pipeline, &request->slot, 0, request);
-  fh_format_response (request, &reply);
-  fh_finish_slot (&connection->pipeline, &request->slot, request->response->len, true);
+  refuse (connection, request, status, true);
+}
+
+void
+fh_reject_incomplete (fh_connection_t *connection, uint32_t status)
+{
+  g_byte_array_set_size (connection->input, 0);
+  add_rejection (connection, status);
+  advance_connection (connection, (fb_bytes_t){ NULL, 0 });
 }
 
 static void
@@ -252,6 +240,7 @@
   g_byte_array_append (bytes, rest.data, (guint)rest.len);
   uv_read_stop ((uv_stream_t *)stream);
   detach_connection (connection);
+  fb_remove_holder (&connection->holder);
   connection->stream = NULL;
   stream->connection = NULL;
   fh_start_http2 (server, stream, (fb_bytes_t){ bytes->data, bytes->len }, upgrade);
@@ -284,7 +273,10 @@
       if (result == FH_REQUEST_COMPLETE)
         add_request (connection);
       else if (result == FH_REQUEST_REJECTED)
-        add_rejection (connection);
+        {
+          fb_add_counter (connection->server->rejected, 1);
+          add_rejection (connection, fh_get_reject_status (connection->reader));
+        }
       else if (result != FH_REQUEST_INCOMPLETE)
         {
           hand_over (connection, rest, result == FH_REQUEST_UPGRADE);
@@ -299,7 +291,7 @@
 static bool
 may_open (const fh_connection_t *connection)
 {
-  return !is_closing (connection)
+  return !fh_is_connection_closing (connection)
          && !(connection->server->keep_alive_disabled
               && fh_has_opened_slot (&connection->pipeline));
 }
@@ -321,7 +313,7 @@
         {
           fb_add_counter (connection->server->closed_before_read, 1);
           fh_finish_slot (&connection->pipeline, slot, 0, true);
-          close_connection (connection);
+          fh_close_connection (connection);
           return true;
         }
       opened = true;
@@ -336,9 +328,9 @@
   connection->is_lingering = true;
   connection->read_ended = true;
   g_byte_array_set_size (connection->input, 0);
-  enter_queue (connection, &connection->server->lingering, LINGER_MS);
+  fh_update_phase (connection);
   if (uv_shutdown (&connection->shutdown, (uv_stream_t *)connection->stream, NULL) != 0)
-    close_connection (connection);
+    fh_close_connection (connection);
 }
 
 /* Sends the responses whose turn it is; returns whether there were any. */
@@ -368,10 +360,9 @@
     }
   if (!buffers)
     return false;
-  write_buffers (connection, (uv_buf_t *)(void *)buffers->data, buffers->len);
+  write_buffers (connection, (uv_buf_t *)(void *)buffers->data, buffers->len, &sent);
   g_array_free (buffers, TRUE);
-  g_queue_clear_full (&sent, (GDestroyNotify)fh_destroy_request);
-  if (closes && !is_closing (connection))
+  if (closes && !fh_is_connection_closing (connection))
     {
       drop_requests (connection);
       begin_linger (connection);
@@ -382,66 +373,43 @@
 static void
 send_continue (fh_connection_t *connection)
 {
-  uv_buf_t text = uv_buf_init (CONTINUE_TEXT, strlen (CONTINUE_TEXT));
+  static char text[] = CONTINUE_TEXT;
+  uv_buf_t buffer = uv_buf_init (text, strlen (text));
+  GQueue no_requests = G_QUEUE_INIT;
 
   if (connection->continue_sent || !fh_expects_continue (connection->reader)
       || !fh_is_pipeline_empty (&connection->pipeline))
     return;
   connection->continue_sent = true;
-  write_buffers (connection, &text, 1);
+  write_buffers (connection, &buffer, 1, &no_requests);
 }
 
-static void
-allocate_buffer (uv_handle_t *handle, size_t size, uv_buf_t *buffer)
-{
-  static char bytes[64 * 1024];
-
-  *buffer = uv_buf_init (bytes, sizeof bytes);
-}
-
-static void
-receive_bytes (uv_stream_t *handle, ssize_t length, const uv_buf_t *buffer)
+void
+fh_receive_bytes (uv_stream_t *handle, ssize_t length, const uv_buf_t *buffer)
 {
   fh_connection_t *connection = ((fh_stream_t *)handle)->connection;
 
   if (length < 0)
-    close_connection (connection);
+    fh_close_connection (connection);
   else if (length > 0 && !connection->is_lingering)
-    advance_connection (connection,
-                        (fb_bytes_t){ (const uint8_t *)buffer->base, (size_t)length });
+    {
+      connection->received_bytes += (uint64_t)length;
+      advance_connection (connection,
+                          (fb_bytes_t){ (const uint8_t *)buffer->base, (size_t)length });
+    }
 }
 
-/* Stops to read while a limit is reached, and starts again when there is room. */
+/* Stops to read while a limit of the pipeline is reached. */
 static void
-update_reading (fh_connection_t *connection)
+update_paused (fh_connection_t *connection)
 {
   size_t held = connection->pipeline.bytes + connection->input->len + connection->unsent_bytes;
   bool pause = !connection->is_lingering && is_full (connection)
                && held >= connection->server->limits.bytes_max;
 
-  if (pause == connection->paused)
-    return;
+  if (pause && !connection->paused)
+    fb_add_counter (connection->server->paused, 1);
   connection->paused = pause;
-  if (pause)
-    {
-      fb_add_counter (connection->server->paused, 1);
-      uv_read_stop ((uv_stream_t *)connection->stream);
-    }
-  else
-    uv_read_start ((uv_stream_t *)connection->stream, allocate_buffer, receive_bytes);
-}
-
-static void
-update_waiting (fh_connection_t *connection)
-{
-  bool is_waiting = fh_is_pipeline_empty (&connection->pipeline);
-
-  if (connection->is_lingering || is_waiting == (connection->queue != NULL))
-    return;
-  if (is_waiting)
-    enter_queue (connection, &connection->server->waiting, connection->server->idle_timeout_ms);
-  else
-    leave_queue (connection);
 }
 
 /* Parses, hands over and answers requests until nothing more can be done now. */
@@ -451,19 +419,20 @@
   size_t parsed = 0;
   bool progress = true;
 
-  while (progress && !is_closing (connection))
+  while (progress && !fh_is_connection_closing (connection))
     {
       size_t before = parsed;
 
       parsed += parse_requests (connection,
                                 (fb_bytes_t){ bytes.data + parsed, bytes.len - parsed });
-      if (is_closing (connection))
+      if (fh_is_connection_closing (connection))
         return;
       progress = parsed > before;
       progress = open_requests (connection) || progress;
-      progress = (!is_closing (connection) && send_responses (connection)) || progress;
+      progress
+          = (!fh_is_connection_closing (connection) && send_responses (connection)) || progress;
     }
-  if (is_closing (connection) || connection->is_lingering)
+  if (fh_is_connection_closing (connection) || connection->is_lingering)
     return;
   if (bytes.data == connection->input->data)
     {
@@ -479,7 +448,7 @@
 static void
 advance_connection (fh_connection_t *connection, fb_bytes_t bytes)
 {
-  if (connection->running || is_closing (connection))
+  if (connection->running || fh_is_connection_closing (connection))
     return;
   connection->running = true;
   if (connection->input->len > 0)
@@ -494,10 +463,11 @@
       fh_destroy_connection (connection);
       return;
     }
-  if (is_closing (connection))
+  if (fh_is_connection_closing (connection))
     return;
-  update_waiting (connection);
-  update_reading (connection);
+  update_paused (connection);
+  fh_update_phase (connection);
+  fh_update_holder (connection);
 }
 
 static bool
@@ -522,8 +492,9 @@
   fh_init_pipeline (&connection->pipeline, may_overlap, connection);
   stream->connection = connection;
   g_queue_push_tail_link (&server->connections, &connection->link);
-  update_waiting (connection);
-  uv_read_start ((uv_stream_t *)stream, allocate_buffer, receive_bytes);
+  fh_add_connection_holder (connection);
+  fh_update_phase (connection);
+  fh_update_reading (connection);
 }
 
 void
@@ -531,34 +502,5 @@
 {
   if (fh_is_pipeline_empty (&connection->pipeline) && connection->unsent_bytes == 0
       && !connection->is_lingering && fh_is_between_requests (connection->reader))
-    close_connection (connection);
-}
-
-/* Closes the connections that were in QUEUE for TIMEOUT_MS; returns the time in ms until the
- * next one is, or UINT64_MAX. */
-static uint64_t
-expire_queue (GQueue *queue, uint64_t timeout_ms, uint64_t now)
-{
-  while (queue->head)
-    {
-      fh_connection_t *connection = queue->head->data;
-      uint64_t expires_at = connection->waiting_since + timeout_ms;
-
-      if (expires_at > now)
-        return expires_at - now;
-      close_connection (connection);
-    }
-  return UINT64_MAX;
-}
-
-void
-fh_expire_connections (uv_timer_t *timer)
-{
-  fh_server_t *server = timer->data;
-  uint64_t now = read_loop_time (server);
-  uint64_t next = MIN (expire_queue (&server->waiting, server->idle_timeout_ms, now),
-                       expire_queue (&server->lingering, LINGER_MS, now));
-
-  if (next != UINT64_MAX)
-    start_expiry (server, next);
+    fh_close_connection (connection);
 }
--- a/packages/http/source/http-pipeline.c
+++ b/packages/http/source/http-pipeline.c
@@ -65,6 +65,7 @@
   slot->state = FH_SLOT_DONE;
   slot->closes = closes;
   pipeline->bytes += bytes - slot->bytes;
+  pipeline->done_bytes += bytes;
   slot->bytes = bytes;
 }
 
@@ -76,6 +77,8 @@
   if (slot->state == FH_SLOT_OPEN)
     pipeline->open_count--;
   pipeline->bytes -= slot->bytes;
+  if (slot->state == FH_SLOT_DONE)
+    pipeline->done_bytes -= slot->bytes;
   return slot;
 }
 
--- a/packages/http/source/http-pipeline.h
+++ b/packages/http/source/http-pipeline.h
@@ -45,7 +45,8 @@
 {
   GQueue slots; /* fh_slot_t in order of arrival */
   size_t open_count;
-  size_t bytes; /* of all slots */
+  size_t bytes;      /* of all slots */
+  size_t done_bytes; /* of responses */
   fh_overlap_fn_t may_overlap;
   void *user;
 } fh_pipeline_t;
--- a/packages/http/source/http-reply.c
+++ b/packages/http/source/http-reply.c
@@ -13,6 +13,8 @@
       return "Bad Request";
     case 404:
       return "Not Found";
+    case 408:
+      return "Request Timeout";
     case 413:
       return "Payload Too Large";
     case 414:
--- a/packages/http/source/http-request.c
+++ b/packages/http/source/http-request.c
@@ -7,6 +7,9 @@
  * length fit. */
 #define HEAD_BYTES_MAX (400 * 1024)
 
+/* Memory of a longer head is released with its request. */
+#define HEAD_BYTES_KEPT (16 * 1024)
+
 #define HTTP2_PREFACE_HEAD "PRI * HTTP/2.0\r\n\r\n"
 
 struct fh_request_reader
@@ -154,6 +157,11 @@
   http_parser_init (&reader->parser, HTTP_REQUEST);
   reader->parser.data = reader;
   reader->line_state = FH_LINE_FIRST;
+  if (reader->head->len > HEAD_BYTES_KEPT)
+    {
+      g_byte_array_free (reader->head, TRUE);
+      reader->head = g_byte_array_new ();
+    }
   g_byte_array_set_size (reader->head, 0);
   reader->head_complete = false;
   reader->complete = false;
@@ -477,8 +485,35 @@
   return (fb_bytes_t){ reader->head->data, reader->head->len };
 }
 
+size_t
+fh_get_head_size (const fh_request_reader_t *reader)
+{
+  return reader->head->len;
+}
+
+size_t
+fh_get_body_size (const fh_request_reader_t *reader)
+{
+  return reader->message.body ? reader->message.body->len : 0;
+}
+
 size_t
 fh_get_reader_size (const fh_request_reader_t *reader)
 {
-  return reader->head->len + (reader->message.body ? reader->message.body->len : 0);
+  return fh_get_head_size (reader) + fh_get_body_size (reader);
+}
+
+bool
+fh_has_head (const fh_request_reader_t *reader)
+{
+  return reader->head_complete;
+}
+
+void
+fh_discard_request (fh_request_reader_t *reader)
+{
+  reader->message.headers = NULL;
+  fh_clear_message (&reader->message);
+  g_byte_array_free (reader->head, TRUE);
+  reader->head = g_byte_array_new ();
 }
--- a/packages/http/source/http-request.h
+++ b/packages/http/source/http-request.h
@@ -58,7 +58,15 @@
 /* Returns the raw bytes of the head; borrowed until the next call with READER. */
 fb_bytes_t fh_get_head (const fh_request_reader_t *reader);
 
-/* Returns the bytes held for the request being parsed. */
+/* Return the bytes held for the request being parsed: all, of its head and of its body. */
 size_t fh_get_reader_size (const fh_request_reader_t *reader);
+size_t fh_get_head_size (const fh_request_reader_t *reader);
+size_t fh_get_body_size (const fh_request_reader_t *reader);
+
+/* Returns whether the head of the request being parsed is complete. */
+bool fh_has_head (const fh_request_reader_t *reader);
+
+/* Frees what was parsed of an incomplete request; nothing more may be parsed. */
+void fh_discard_request (fh_request_reader_t *reader);
 
 #endif
--- a/packages/http/source/http-server-state.h
+++ b/packages/http/source/http-server-state.h
@@ -15,7 +15,17 @@
 typedef struct
 {
   uv_tcp_t handle;
+  fh_server_t *server;
   fh_connection_t *connection; /* NULL with HTTP/2 */
+  fb_holder_t holder;          /* HTTP/2 only, as are the fields below */
+  int descriptor;
+  uint64_t received;     /* bytes */
+  uint64_t acknowledged; /* bytes that the peer has taken */
+  uint64_t credited;     /* of RECEIVED: not held any more, or in HANDLED_BYTES */
+  size_t handled_bytes;  /* held for complete requests and their responses */
+  bool can_pause;
+  uv_alloc_cb allocate; /* callbacks of h2o */
+  uv_read_cb receive;
 } fh_stream_t;
 
 struct fh_server
@@ -24,6 +34,11 @@
   size_t body_max;
   fh_pipeline_limits_t limits;
   uint64_t idle_timeout_ms;
+  fh_timeouts_t timeouts;
+  size_t connections_max; /* 0 for no limit */
+  size_t stream_count;    /* connections whose descriptor is open */
+  bool accept_pending;    /* a connection waits to be accepted */
+  bool is_admin;
   uv_tcp_t listener;
   bool listening;
   bool keep_alive_disabled; /* close connections after their next response, so that the process
@@ -33,9 +48,10 @@
   void *user;
   fh_http2_t *http2;    /* NULL before the first HTTP/2 connection */
   GQueue connections;   /* fh_connection_t */
-  GQueue waiting;       /* fh_connection_t without a request being handled, longest first */
+  GQueue waiting;       /* fh_connection_t without a request, longest first */
+  GQueue transfers;     /* fh_connection_t that send a request or receive a response */
   GQueue lingering;     /* fh_connection_t that only waits for the caller to close */
-  uv_timer_t expiry;    /* of the first one in WAITING or LINGERING */
+  uv_timer_t expiry;    /* of the next check of these queues */
   size_t request_count; /* not yet answered */
   time_t date_time;     /* that DATE tells */
   char date[32];        /* value of the header date */
@@ -43,6 +59,11 @@
   fb_counter_t *pipelined;          /* requests behind an unanswered one of their connection */
   fb_counter_t *paused;             /* connections not read further because of a limit */
   fb_counter_t *rejected;           /* connections closed for bytes that are no request */
+  fb_counter_t *refused;            /* requests refused for lack of memory */
+  fb_counter_t *slow_heads;         /* connections closed for slow heads */
+  fb_counter_t *slow_bodies;        /* connections closed for slow bodies */
+  fb_counter_t *slow_readers;       /* connections closed for responses without progress */
+  fb_counter_t *displaced;          /* idle connections closed for others */
 };
 
 typedef struct
@@ -88,6 +109,9 @@
 /* Returns whether the caller has closed its end of the connection with DESCRIPTOR. */
 bool fh_is_caller_disconnected (int descriptor);
 
+/* Counts a connection whose descriptor was closed, and accepts one that waits. */
+void fh_count_closed_stream (fh_server_t *server);
+
 /* http-reply.c */
 
 /* Stores the response of REQUEST but for its prefix. */
@@ -97,6 +121,11 @@
  * sending. CLOSES tells the caller that the connection ends after it. */
 void fh_format_prefix (fh_request_t *request, bool closes);
 
+/* http-holder.c */
+
+/* Returns a number for the address of STREAM's peer, 0 if it is the host's own. */
+uint64_t fh_get_client_number (const fh_server_t *server, const fh_stream_t *stream);
+
 /* http-connection.c */
 
 /* Starts to read requests from STREAM, which the connection owns from now on. */
@@ -108,7 +137,9 @@
 /* Frees CONNECTION, whose handle is closed. */
 void fh_destroy_connection (fh_connection_t *connection);
 
-/* Closes the connections of SERVER that waited or lingered for too long. */
+/* http-expiry.c */
+
+/* Closes the connections whose time limit has passed. */
 void fh_expire_connections (uv_timer_t *timer);
 
 /* http-http2.c */
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -2,8 +2,8 @@
 #include "http-server-state.h"
 #include <sys/socket.h>
 
-/* Default time to receive a complete request; slower callers are disconnected. */
-#define REQUEST_TIMEOUT_MS 10000
+/* Default time for which a connection may stay idle. */
+#define IDLE_TIMEOUT_MS 10000
 
 /* Default limits of the requests of one connection that are not answered yet. */
 #define PIPELINE_REQUESTS_MAX 32
@@ -58,24 +58,54 @@
 }
 
 static void
-accept_connection (uv_stream_t *listener, int status)
+accept_connection (fh_server_t *server)
 {
-  fh_server_t *server = listener->data;
-  fh_stream_t *stream;
+  fh_stream_t *stream = g_new0 (fh_stream_t, 1);
 
-  if (status != 0)
-    return;
-  stream = g_new0 (fh_stream_t, 1);
-  uv_tcp_init (listener->loop, &stream->handle);
-  if (uv_accept (listener, (uv_stream_t *)stream) != 0)
+  server->accept_pending = false;
+  uv_tcp_init (server->listener.loop, &stream->handle);
+  if (uv_accept ((uv_stream_t *)&server->listener, (uv_stream_t *)stream) != 0)
     {
       uv_close ((uv_handle_t *)stream, (uv_close_cb)g_free);
       return;
     }
+  stream->server = server;
+  server->stream_count++;
   uv_tcp_nodelay (&stream->handle, 1);
   fh_start_connection (server, stream);
 }
 
+/* Accepts a connection that waits if one more may be open; closes an idle one for it. */
+static void
+make_room (fh_server_t *server)
+{
+  if (server->connections_max == 0 || server->stream_count < server->connections_max)
+    {
+      accept_connection (server);
+      return;
+    }
+  server->accept_pending = true;
+  if (!server->waiting.head)
+    return;
+  fb_add_counter (server->displaced, 1);
+  fh_close_idle_connection (server->waiting.head->data);
+}
+
+static void
+handle_incoming (uv_stream_t *listener, int status)
+{
+  if (status == 0)
+    make_room (listener->data);
+}
+
+void
+fh_count_closed_stream (fh_server_t *server)
+{
+  server->stream_count--;
+  if (server->accept_pending && server->listening)
+    make_room (server);
+}
+
 static int
 start_listener (fh_server_t *server, const fb_name_t *address, uint16_t port)
 {
@@ -89,7 +119,7 @@
       || uv_ip6_addr (address->data, port, (struct sockaddr_in6 *)&bind_address) == 0)
     error = uv_tcp_bind (&server->listener, (struct sockaddr *)&bind_address, 0);
   if (error == 0)
-    error = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG, accept_connection);
+    error = uv_listen ((uv_stream_t *)&server->listener, LISTEN_BACKLOG, handle_incoming);
   return error;
 }
 
@@ -102,6 +132,11 @@
   server->pipelined = fb_find_counter (counters, "http_pipelined_requests", "");
   server->paused = fb_find_counter (counters, "http_paused_connections", "");
   server->rejected = fb_find_counter (counters, "http_malformed_requests", "");
+  server->refused = fb_find_counter (counters, "memory_refused_requests", "");
+  server->slow_heads = fb_find_counter (counters, "http_closed", "cause=\"head\"");
+  server->slow_bodies = fb_find_counter (counters, "http_closed", "cause=\"body\"");
+  server->slow_readers = fb_find_counter (counters, "http_closed", "cause=\"response\"");
+  server->displaced = fb_find_counter (counters, "http_closed", "cause=\"descriptors\"");
 }
 
 fh_server_t *
@@ -114,7 +149,8 @@
   server->kernel = kernel;
   server->body_max = body_max;
   server->limits = (fh_pipeline_limits_t){ PIPELINE_REQUESTS_MAX, PIPELINE_BYTES_MAX };
-  server->idle_timeout_ms = REQUEST_TIMEOUT_MS;
+  server->idle_timeout_ms = IDLE_TIMEOUT_MS;
+  server->timeouts = FH_TIMEOUTS_DEFAULT;
   server->handler = handler;
   server->user = user;
   find_counters (server);
@@ -167,6 +203,24 @@
   server->idle_timeout_ms = (uint64_t)(timeout / FB_MILLISECOND);
 }
 
+void
+fh_set_timeouts (fh_server_t *server, const fh_timeouts_t *timeouts)
+{
+  server->timeouts = *timeouts;
+}
+
+void
+fh_set_connections_max (fh_server_t *server, size_t connections_max)
+{
+  server->connections_max = connections_max;
+}
+
+void
+fh_set_admin (fh_server_t *server)
+{
+  server->is_admin = true;
+}
+
 size_t
 fh_count_requests (const fh_server_t *server)
 {
--- a/packages/kernel/include/foxtailrun/kernel/kernel.h
+++ b/packages/kernel/include/foxtailrun/kernel/kernel.h
@@ -2,6 +2,7 @@
 #ifndef FOXTAILRUN_KERNEL_KERNEL_H
 #define FOXTAILRUN_KERNEL_KERNEL_H
 
+#include <foxtailrun/base/account.h>
 #include <foxtailrun/base/clock.h>
 #include <foxtailrun/base/counter.h>
 #include <foxtailrun/base/log.h>
@@ -47,6 +48,7 @@
 uv_loop_t *fk_get_loop (fk_kernel_t *kernel);
 const fb_clock_t *fk_get_clock (fk_kernel_t *kernel);
 fb_counters_t *fk_get_counters (fk_kernel_t *kernel);
+fb_account_t *fk_get_account (fk_kernel_t *kernel); /* settled by the kernel */
 fb_log_t *fk_get_log (fk_kernel_t *kernel);
 
 typedef void (*fk_callback_fn_t) (void *user);
--- a/packages/kernel/source/kernel.c
+++ b/packages/kernel/source/kernel.c
@@ -1,8 +1,12 @@
 #include <foxtailrun/base/invariant.h>
 #include <foxtailrun/kernel/kernel.h>
 #include <glib.h>
+#include <malloc.h>
 #include <signal.h>
 
+/* Budget of the account unless the settings give another one. */
+#define BUDGET_DEFAULT ((size_t)64 * 1024 * 1024)
+
 typedef struct
 {
   char *name;
@@ -16,6 +20,9 @@
   uv_loop_t loop;
   fb_clock_t *clock;
   fb_counters_t *counters;
+  fb_account_t *account;
+  uv_timer_t settle_timer; /* active while the account is short */
+  uint64_t closed_count;   /* of the account, as of the last log line */
   fb_log_t *log;
   GPtrArray *services;
   uv_signal_t termination_signals[2];
@@ -55,6 +62,43 @@
   kernel->reload_callback (kernel->reload_user);
 }
 
+/* Logs what the account did; the log's own limit bounds the lines. */
+static void
+log_shortage (fk_kernel_t *kernel)
+{
+  uint64_t closed = fb_get_closed_count (kernel->account);
+
+  if (closed == kernel->closed_count)
+    return;
+  FB_LOG (kernel->log, FB_LOG_WARNING, "memory", "closed connections for the memory they hold",
+          FB_NUMBER ("closed", closed - kernel->closed_count),
+          FB_NUMBER ("held_bytes", fb_get_held_total (kernel->account)),
+          FB_NUMBER ("budget_bytes", fb_get_account_budget (kernel->account)));
+  kernel->closed_count = closed;
+}
+
+static void
+settle_account (uv_timer_t *timer)
+{
+  fk_kernel_t *kernel = timer->data;
+
+  if (fb_settle_account (kernel->account, fb_read_clock (kernel->clock)))
+    uv_timer_start (timer, settle_account, FB_SETTLE_INTERVAL / FB_MILLISECOND, 0);
+  else
+    /* The peak would otherwise stay resident. */
+    malloc_trim (0);
+  log_shortage (kernel);
+}
+
+static void
+start_settling (void *user)
+{
+  fk_kernel_t *kernel = user;
+
+  if (!uv_is_closing ((uv_handle_t *)&kernel->settle_timer))
+    uv_timer_start (&kernel->settle_timer, settle_account, 0, 0);
+}
+
 fk_kernel_t *
 fk_create_kernel (fb_log_t *log)
 {
@@ -63,6 +107,10 @@
   FB_INVARIANT (uv_loop_init (&kernel->loop) == 0);
   kernel->clock = fb_create_clock (read_loop_clock, NULL);
   kernel->counters = fb_create_counters ();
+  kernel->account = fb_create_account (BUDGET_DEFAULT, start_settling, kernel);
+  uv_timer_init (&kernel->loop, &kernel->settle_timer);
+  kernel->settle_timer.data = kernel;
+  uv_unref ((uv_handle_t *)&kernel->settle_timer);
   kernel->log = log;
   kernel->services = g_ptr_array_new ();
   /* A write to a closed connection must report an error, not terminate the process. */
@@ -95,6 +143,7 @@
     }
   g_ptr_array_free (kernel->services, TRUE);
   fb_destroy_log (kernel->log);
+  fb_destroy_account (kernel->account);
   fb_destroy_counters (kernel->counters);
   fb_destroy_clock (kernel->clock);
   g_free (kernel);
@@ -178,6 +227,12 @@
   return kernel->counters;
 }
 
+fb_account_t *
+fk_get_account (fk_kernel_t *kernel)
+{
+  return kernel->account;
+}
+
 fb_log_t *
 fk_get_log (fk_kernel_t *kernel)
 {
--- a/packages/node/source/node-admin.c
+++ b/packages/node/source/node-admin.c
@@ -1,5 +1,6 @@
 /* Admin service: HTTP API for operators and metrics. */
 #include "node-explain.h"
+#include "node-limits.h"
 #include "node-services.h"
 #include <foxtailrun/http/server.h>
 #include <foxtailrun/node/node.h>
@@ -147,6 +148,7 @@
       = { FB_LITERAL ("content-type"), FB_LITERAL ("text/plain; version=0.0.4") };
   GString *text = g_string_new ("");
 
+  fn_update_memory_metrics (admin->kernel);
   fb_visit_counters (fk_get_counters (admin->kernel), append_counter, text);
   fh_respond (request, 200, &type, 1, (fb_bytes_t){ (const uint8_t *)text->str, text->len });
   g_string_free (text, TRUE);
@@ -289,7 +291,10 @@
     }
   admin->server = fh_create_server (kernel, &settings->address, settings->admin_port,
                                     ADMIN_BODY_MAX_BYTES, handle_request, admin);
-  return admin->server ? FB_OK : FB_IO;
+  if (!admin->server)
+    return FB_IO;
+  fn_limit_server (kernel, admin->server, FN_SHARE_ADMIN);
+  return FB_OK;
 }
 
 static void
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -1,5 +1,6 @@
 /* Calls between entry nodes and nodes on backend hosts, each one HTTP exchange, so that
  * closing its connection cancels it. */
+#include "node-limits.h"
 #include "node-services.h"
 #include <foxtailrun/http/client.h>
 #include <foxtailrun/http/server.h>
@@ -176,7 +177,9 @@
   if (response->result == FH_ANSWERED)
     outgoing->peer->last_received_at = read_time (calls);
   g_hash_table_remove (calls->outgoing, &id);
-  if (response->result == FH_NOT_SENT)
+  /* A node's server refuses for lack of memory before it passes the call on. */
+  if (response->result == FH_NOT_SENT
+      || (response->result == FH_ANSWERED && response->status == 503))
     fn_fail_unsent_attempt (entry, id);
   else if (response->result == FH_ANSWERED && response->status == 200
            && decode_call (calls, response->body, &answer) && answer.kind == FW_ANSWER)
@@ -378,6 +381,8 @@
   calls->server
       = fh_create_server (kernel, &settings->address, settings->call_port,
                           FW_REQUEST_BODY_MAX + HEADER_MAX_BYTES, receive_request, calls);
+  if (calls->server)
+    fn_limit_server (kernel, calls->server, FN_SHARE_NODES);
   calls->check_timer = fk_create_timer (kernel, PEER_CHECK_INTERVAL, check_peers, calls);
   return calls->server ? FB_OK : FB_IO;
 }
--- a/packages/node/source/node-entry.c
+++ b/packages/node/source/node-entry.c
@@ -1,5 +1,6 @@
 /* Entry: accepts callers' requests and answers them. */
 #include "node-entry.h"
+#include "node-limits.h"
 #include <inttypes.h>
 #include <sodium.h>
 #include <stdio.h>
@@ -571,6 +572,7 @@
                                     FW_REQUEST_BODY_MAX, handle_request, entry);
   if (!entry->server)
     return FB_IO;
+  fn_limit_server (kernel, entry->server, FN_SHARE_CALLERS);
   fh_set_pipeline (entry->server, settings->pipeline_requests, settings->pipeline_bytes,
                    may_overlap);
   return FB_OK;
--- a/packages/node/source/node-ready.c
+++ b/packages/node/source/node-ready.c
@@ -1,4 +1,5 @@
 /* Readiness endpoint on a separate port, for health checks of a platform. */
+#include "node-limits.h"
 #include "node-services.h"
 #include <foxtailrun/http/server.h>
 #include <glib.h>
@@ -31,7 +32,10 @@
     return FB_OK;
   ready->server = fh_create_server (kernel, &settings->address, settings->ready_port,
                                     READY_BODY_MAX_BYTES, handle_request, ready);
-  return ready->server ? FB_OK : FB_IO;
+  if (!ready->server)
+    return FB_IO;
+  fn_limit_server (kernel, ready->server, FN_SHARE_READY);
+  return FB_OK;
 }
 
 static void
--- a/packages/node/source/node.c
+++ b/packages/node/source/node.c
@@ -39,6 +39,7 @@
   service->settings = *settings;
   service->adapter = *adapter;
   randombytes_buf (&service->start_id, sizeof service->start_id);
+  fb_set_account_budget (fk_get_account (kernel), settings->memory_budget);
   fk_register_service (kernel, FN_SETTINGS, &vtable, service);
 }
 
