--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -59,6 +59,10 @@
  * idle one is closed for a new one, and without an idle one none is accepted. */
 void fh_set_connections_max (fh_server_t *server, size_t connections_max);
 
+/* Tells how often the owner of SERVER holds the body of a request that it handles, for the
+ * account of memory; the default is once, by the request itself. */
+void fh_set_request_copies (fh_server_t *server, size_t copies);
+
 /* Makes the account of memory count what SERVER holds as administration. */
 void fh_set_admin (fh_server_t *server);
 
--- a/packages/http/source/http-holder.c
+++ b/packages/http/source/http-holder.c
@@ -116,7 +116,8 @@
 {
   fb_holder_t *holder = &connection->holder;
   const fh_pipeline_t *pipeline = &connection->pipeline;
-  size_t requests = pipeline->bytes - pipeline->done_bytes;
+  size_t requests
+      = (pipeline->bytes - pipeline->done_bytes) * connection->server->request_copies;
   size_t responses = pipeline->done_bytes + connection->unsent_held;
 
   if (connection->server->is_admin)
--- a/packages/http/source/http-server-state.h
+++ b/packages/http/source/http-server-state.h
@@ -38,6 +38,7 @@
   size_t connections_max; /* 0 for no limit */
   size_t stream_count;    /* connections whose descriptor is open */
   bool accept_pending;    /* a connection waits to be accepted */
+  size_t request_copies;  /* of a request that is being handled */
   bool is_admin;
   uv_tcp_t listener;
   bool listening;
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -151,6 +151,7 @@
   server->limits = (fh_pipeline_limits_t){ PIPELINE_REQUESTS_MAX, PIPELINE_BYTES_MAX };
   server->idle_timeout_ms = IDLE_TIMEOUT_MS;
   server->timeouts = FH_TIMEOUTS_DEFAULT;
+  server->request_copies = 1;
   server->handler = handler;
   server->user = user;
   find_counters (server);
@@ -215,6 +216,12 @@
   server->connections_max = connections_max;
 }
 
+void
+fh_set_request_copies (fh_server_t *server, size_t copies)
+{
+  server->request_copies = copies;
+}
+
 void
 fh_set_admin (fh_server_t *server)
 {
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -382,7 +382,11 @@
       = fh_create_server (kernel, &settings->address, settings->call_port,
                           FW_REQUEST_BODY_MAX + HEADER_MAX_BYTES, receive_request, calls);
   if (calls->server)
-    fn_limit_server (kernel, calls->server, FN_SHARE_NODES);
+    {
+      fn_limit_server (kernel, calls->server, FN_SHARE_NODES);
+      /* A call that waits or runs is held by the request and by the backend service. */
+      fh_set_request_copies (calls->server, 2);
+    }
   calls->check_timer = fk_create_timer (kernel, PEER_CHECK_INTERVAL, check_peers, calls);
   return calls->server ? FB_OK : FB_IO;
 }
