Connections at the share of descriptors: end transfers without progress for others

Without an idle connection, a crowd of unfinished requests at the share of descriptors kept everyone else out until its time limit of 10 s. A transfer without progress for 2 s is now closed for a new connection.

The crowd test does not check the peak in builds with the address sanitizer, whose quarantine of freed memory counts to it; 12 of its cases ran there, each up to this check (peaks 68 to 323 MB), without a report of the sanitizers. http tests http, limits and pipeline pass there.

Tests: http/test-limits passes, foxtailrund/test-process-crowd passes in one run of all 20 cases (102 s).

--- a/packages/foxtailrund/tests/test-process-crowd.c
+++ b/packages/foxtailrund/tests/test-process-crowd.c
@@ -19,6 +19,14 @@
 /* Limits of the nodes under test. */
 #define SETTINGS "[memory]\nbudget_bytes = 16777216\ndescriptors = 256\n"
 
+/* The address sanitizer keeps freed memory in a quarantine of up to 256 MB, so that the peak of
+ * its builds tells nothing. */
+#ifdef __SANITIZE_ADDRESS__
+static const bool peak_is_bounded = false;
+#else
+static const bool peak_is_bounded = true;
+#endif
+
 #define CHUNK_BYTES 65536
 #define RESPONSE_BYTES "4000000"
 
@@ -236,7 +244,8 @@
 
       g_test_message ("node %zu: peak %" G_GUINT64_FORMAT " kB, %zu descriptors", number,
                       peak_kb, descriptors);
-      g_assert_cmpuint (peak_kb, <=, PEAK_MAX_KB);
+      if (peak_is_bounded)
+        g_assert_cmpuint (peak_kb, <=, PEAK_MAX_KB);
       g_assert_cmpuint (descriptors, <=, DESCRIPTORS_MAX);
     }
 }
--- a/packages/http/include/foxtailrun/http/server.h
+++ b/packages/http/include/foxtailrun/http/server.h
@@ -56,7 +56,8 @@
   ((fh_timeouts_t){ 10 * FB_SECOND, 10 * FB_SECOND, 30 * FB_SECOND, 1024 })
 
 /* Sets how many connections may be open; 0 for no limit, the default. At the limit the longest
- * idle one is closed for a new one, and without an idle one none is accepted. */
+ * idle one is closed for a new one, or one without progress for 2 s; without either none is
+ * accepted. */
 void fh_set_connections_max (fh_server_t *server, size_t connections_max);
 
 /* Tells how often the owner of SERVER holds the body of a request that it handles, for the
--- a/packages/http/source/http-expiry.c
+++ b/packages/http/source/http-expiry.c
@@ -6,6 +6,10 @@
  * bytes of the caller unread, would reset the connection and may destroy that response. */
 #define LINGER_MS 1000
 
+/* Time without progress after which a transfer may be ended for a new connection. Longer than
+ * the retransmission of a lost segment takes, also twice in a row. */
+#define SLOW_MS 2000
+
 /* Time between two checks of the connections in a transfer. */
 #define TRANSFER_CHECK_MS 500
 
@@ -196,7 +200,8 @@
 static uint64_t
 check_transfers (fh_server_t *server, uint64_t now)
 {
-  /* A check may take connections out of the queue, but only the one that it checks. */
+  /* A check may move other connections to other queues, where a check does nothing or the loop
+   * ends early; none is freed within it. */
   for (GList *link = server->transfers.head, *next; link; link = next)
     {
       next = link->next;
@@ -205,6 +210,28 @@
   return server->transfers.head ? TRANSFER_CHECK_MS : UINT64_MAX;
 }
 
+bool
+fh_close_slow_connection (fh_server_t *server)
+{
+  uint64_t now = read_loop_time (server);
+
+  for (GList *link = server->transfers.head; link; link = link->next)
+    {
+      fh_connection_t *connection = link->data;
+      uint64_t since = connection->phase == FH_PHASE_HEAD ? connection->phase_since
+                                                          : connection->window_since;
+      bool moves = connection->phase != FH_PHASE_HEAD
+                   && get_progress (connection) - connection->window_mark
+                          >= server->timeouts.progress_bytes;
+
+      if (now - since < SLOW_MS || moves)
+        continue;
+      fh_close_connection (connection);
+      return true;
+    }
+  return false;
+}
+
 void
 fh_expire_connections (uv_timer_t *timer)
 {
@@ -214,6 +241,7 @@
                        expire_queue (&server->lingering, LINGER_MS, now));
 
   next = MIN (next, check_transfers (server, now));
+  fh_accept_pending (server);
   if (next != UINT64_MAX)
     start_expiry (server, next);
 }
--- a/packages/http/source/http-server-state.h
+++ b/packages/http/source/http-server-state.h
@@ -110,6 +110,9 @@
 /* Returns whether the caller has closed its end of the connection with DESCRIPTOR. */
 bool fh_is_caller_disconnected (int descriptor);
 
+/* Accepts a connection that waits, if there is room for one. */
+void fh_accept_pending (fh_server_t *server);
+
 /* Counts a connection whose descriptor was closed, and accepts one that waits. */
 void fh_count_closed_stream (fh_server_t *server);
 
@@ -140,6 +143,9 @@
 
 /* http-expiry.c */
 
+/* Closes a connection whose transfer makes no progress; returns whether there was one. */
+bool fh_close_slow_connection (fh_server_t *server);
+
 /* Closes the connections whose time limit has passed. */
 void fh_expire_connections (uv_timer_t *timer);
 
--- a/packages/http/source/http-server.c
+++ b/packages/http/source/http-server.c
@@ -75,7 +75,8 @@
   fh_start_connection (server, stream);
 }
 
-/* Accepts a connection that waits if one more may be open; closes an idle one for it. */
+/* Accepts a connection that waits if one more may be open; closes an idle one for it, or a slow
+ * one. */
 static void
 make_room (fh_server_t *server)
 {
@@ -85,10 +86,18 @@
       return;
     }
   server->accept_pending = true;
-  if (!server->waiting.head)
+  if (server->waiting.head)
+    fh_close_idle_connection (server->waiting.head->data);
+  else if (!fh_close_slow_connection (server))
     return;
   fb_add_counter (server->displaced, 1);
-  fh_close_idle_connection (server->waiting.head->data);
+}
+
+void
+fh_accept_pending (fh_server_t *server)
+{
+  if (server->accept_pending && server->listening)
+    make_room (server);
 }
 
 static void
@@ -102,8 +111,7 @@
 fh_count_closed_stream (fh_server_t *server)
 {
   server->stream_count--;
-  if (server->accept_pending && server->listening)
-    make_room (server);
+  fh_accept_pending (server);
 }
 
 static int
--- a/packages/http/tests/test-limits.c
+++ b/packages/http/tests/test-limits.c
@@ -268,6 +268,39 @@
   tear_down (&fixture);
 }
 
+/* Guards against unfinished requests that keep others out until their time limit. */
+static void
+test_slow_heads (void)
+{
+  static const fh_timeouts_t timeouts
+      = { 60 * FB_SECOND, 60 * FB_SECOND, 60 * FB_SECOND, 1024 };
+  fixture_t fixture;
+  caller_t slow[2];
+  caller_t caller;
+
+  set_up (&fixture);
+  fh_set_timeouts (fixture.server, &timeouts);
+  fh_set_connections_max (fixture.server, 2);
+  for (size_t i = 0; i < G_N_ELEMENTS (slow); i++)
+    {
+      connect_caller (&fixture, &slow[i], 0);
+      send_text (&slow[i], "GET / HTTP/1.1\r\n", 16);
+      run (&fixture);
+    }
+  connect_caller (&fixture, &caller, 0);
+  send_text (&caller, "GET / HTTP/1.1\r\nhost: a\r\n\r\n", 27);
+  for (unsigned step = 0; step < STEPS_MAX && caller.received->len == 0; step++)
+    {
+      run (&fixture);
+      receive_some (&caller, 4096);
+    }
+  g_assert_true (g_str_has_prefix (caller.received->str, "HTTP/1.1 200 "));
+  for (size_t i = 0; i < G_N_ELEMENTS (slow); i++)
+    close_caller (&slow[i]);
+  close_caller (&caller);
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -275,5 +308,6 @@
   g_test_add_func ("/http/limits/uploads", test_uploads);
   g_test_add_func ("/http/limits/downloads", test_downloads);
   g_test_add_func ("/http/limits/connections-max", test_connections_max);
+  g_test_add_func ("/http/limits/slow-heads", test_slow_heads);
   return g_test_run ();
 }
