--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -36,6 +36,9 @@
   double share;              /* guaranteed fraction of the slots, 0 to 1 */
   fb_time_t latency_target;  /* ns */
   uint32_t queue_length_max; /* limit of waiting calls; 0 for the default */
+  bool can_wait;         /* its calls can wait for a slot: at most one is left free for them */
+  bool plans_for_spread; /* calls are refused unless most service times end in time, not only
+                            the average one */
 } fr_rank_options_t;
 
 typedef struct
--- a/packages/call/include/foxtailrun/call/nested.h
+++ b/packages/call/include/foxtailrun/call/nested.h
@@ -22,6 +22,10 @@
   uint32_t target_ms;  /* latency target of its route, at least 1 */
 } fr_parent_t;
 
+/* Returns whether a route with TIMEOUT_MS and TARGET_MS, at least 1, has so much time after its
+ * latency target that late answers are of use. */
+bool fr_accepts_late_answers (uint32_t timeout_ms, uint32_t target_ms);
+
 /* Returns the urgency of a nested call whose own is OWN and which ends at DEADLINE (absolute).
  * A parent whose answer is of no use after its target leaves OWN unchanged. */
 fr_urgency_t fr_inherit_urgency (const fr_urgency_t *own, fb_time_t deadline,
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -92,13 +92,23 @@
 {
   uint32_t reserve_max = (uint32_t)ceil (fr_get_slots_in_force (admission) * RESERVE_FRACTION);
   double urgent_usage = 0;
+  double prompt_usage = 0;
 
   if (rank->index == 0 || fr_get_slots_in_force (admission) < RESERVING_SLOTS_MIN)
     return 0;
   for (uint32_t i = 0; i < rank->index; i++)
-    urgent_usage += ((rank_t *)g_ptr_array_index (admission->ranks, i))->usage;
+    {
+      const rank_t *urgent = g_ptr_array_index (admission->ranks, i);
+
+      urgent_usage += urgent->usage;
+      if (!urgent->options.can_wait)
+        prompt_usage += urgent->usage;
+    }
   if (urgent_usage < fr_get_slots_in_force (admission) * RESERVE_URGENT_USAGE_MIN)
     return 0;
+  /* Calls that can wait need only the next slot that becomes free. */
+  if (prompt_usage < fr_get_slots_in_force (admission) * RESERVE_URGENT_USAGE_MIN)
+    reserve_max = MIN (reserve_max, 1);
   return reserve_max * rank->index / MAX (admission->ranks->len - 1, 1);
 }
 
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -56,10 +56,13 @@
   double virtual_time;
   size_t waiting;
   uint32_t started;
-  double usage;           /* decaying average of slots in use */
-  double start_rate;      /* decaying average of starts per second */
-  double service_time_ns; /* moving average; 0 before the first sample */
-  uint64_t last_flow;     /* unused */
+  double usage;                     /* decaying average of slots in use */
+  double start_rate;                /* decaying average of starts per second */
+  double service_time_ns;           /* moving average; 0 before the first sample */
+  double log_long_service_times[2]; /* logarithm of the time in ns within which most calls end,
+                                       of the others and of those that go first; 0 before the
+                                       first sample */
+  uint64_t last_flow;               /* unused */
 };
 
 /* A pending hook call; hooks are called when the state is consistent. */
@@ -164,6 +167,14 @@
 /* Returns the slots that calls may use now: all, or as many as the pace allows. */
 uint32_t fr_get_slots_in_force (const fr_admission_t *admission);
 
+/* admission-time.c */
+
+/* Adds the SERVICE_TIME of a call of RANK that has ended; GOES_FIRST as when it was offered. */
+void fr_sample_call_time (rank_t *rank, fb_time_t service_time, bool goes_first);
+
+/* Returns the service time in ns by which a new call of RANK is planned. */
+double fr_get_planned_time (const rank_t *rank, bool goes_first);
+
 /* admission-limit.c */
 
 /* Updates the limit of FR_POLICY_ADAPTIVE after a call; LATENCY is since its arrival. */
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -78,14 +78,11 @@
          && (double)(entry->deadline - now) < rank->service_time_ns;
 }
 
-/* Upper estimate of a call's service time relative to the average; covers the usual spread. */
-#define SERVICE_TIME_MARGIN 1.25
-
 /* Returns whether a call of RANK that starts at START is expected to end after TARGET_TIME. */
 static bool
-misses_target_time (const rank_t *rank, fb_time_t start, fb_time_t target_time)
+misses_target_time (const rank_t *rank, fb_time_t start, fb_time_t target_time, bool goes_first)
 {
-  return (double)start + rank->service_time_ns * SERVICE_TIME_MARGIN > (double)target_time;
+  return (double)start + fr_get_planned_time (rank, goes_first) > (double)target_time;
 }
 
 /* Returns whether ENTRY, next in a rank over its share, would miss its target, so that the
@@ -99,7 +96,7 @@
 
   if (entry->target_time > 0)
     return admission->policy == FR_POLICY_SHARES && rank->waiting > 1
-           && misses_target_time (rank, now, entry->target_time)
+           && misses_target_time (rank, now, entry->target_time, entry->is_caller_retry)
            && !fr_is_below_share (admission, rank);
   return admission->policy == FR_POLICY_SHARES && rank->options.latency_target > 0
          && rank->started > 0 && !entry->within_fair_share
@@ -117,7 +114,7 @@
 
   return admission->policy == FR_POLICY_SHARES && entry->target_time > 0
          && !entry->is_caller_retry && admission->waiting > 1
-         && misses_target_time (rank, now, entry->target_time)
+         && misses_target_time (rank, now, entry->target_time, entry->is_caller_retry)
          && !fr_is_below_share (admission, rank);
 }
 
@@ -326,7 +323,8 @@
   if (wait + rank->service_time_ns > (double)(times->deadline - now))
     return true;
   return times->target_time > 0 && !fr_is_below_share (admission, rank)
-         && misses_target_time (rank, now + (fb_time_t)wait, times->target_time);
+         && misses_target_time (rank, now + (fb_time_t)wait, times->target_time,
+                                times->is_caller_retry);
 }
 
 static bool
@@ -355,7 +353,9 @@
         return true;
       *refusal = FR_REFUSED_QUEUE_FULL;
       if (times->target_time > 0)
-        return wait > 0 && misses_target_time (rank, now + (fb_time_t)wait, times->target_time)
+        return wait > 0
+               && misses_target_time (rank, now + (fb_time_t)wait, times->target_time,
+                                      times->is_caller_retry)
                && !fr_is_below_share (admission, rank);
       /* Calls over the guaranteed share are refused when they would exceed the latency target;
        * calls within it are served late. */
@@ -418,17 +418,12 @@
   entry_t *entry = g_hash_table_lookup (admission->entries, &id);
   fb_time_t now = fb_read_clock (admission->clock);
   rank_t *rank;
-  double service_time;
 
   FB_INVARIANT (entry != NULL && entry->link.data == NULL);
   fr_update_usage (admission);
   rank = entry->flow->rank;
-  service_time = (double)(now - entry->started_at);
   fr_charge_finish (entry, now - entry->started_at);
-  rank->service_time_ns
-      = rank->service_time_ns > 0
-            ? rank->service_time_ns + (service_time - rank->service_time_ns) * SERVICE_TIME_GAIN
-            : service_time;
+  fr_sample_call_time (rank, now - entry->started_at, entry->is_caller_retry);
   if (admission->policy == FR_POLICY_ADAPTIVE)
     fr_update_concurrency_limit (admission, now - entry->arrived_at, now - entry->started_at);
   admission->started--;
--- a/packages/call/source/nested.c
+++ b/packages/call/source/nested.c
@@ -7,10 +7,16 @@
  * anyway. */
 #define LATE_ANSWER_RATIO 3
 
+bool
+fr_accepts_late_answers (uint32_t timeout_ms, uint32_t target_ms)
+{
+  return timeout_ms / LATE_ANSWER_RATIO >= target_ms;
+}
+
 fr_urgency_t
 fr_inherit_urgency (const fr_urgency_t *own, fb_time_t deadline, const fr_parent_t *parent)
 {
-  if (parent->timeout_ms / LATE_ANSWER_RATIO < parent->target_ms)
+  if (!fr_accepts_late_answers (parent->timeout_ms, parent->target_ms))
     return *own;
   /* A refusal would waste what the parent has done so far; a late answer would not. */
   return (fr_urgency_t){ .rank = MIN (own->rank, parent->rank),
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -286,32 +286,6 @@
   fn_answer_backend_call (backend_call, &answer);
 }
 
-/* Sets the ranks and slots of SNAPSHOT in the admission unless already set. */
-static void
-configure_admission (fn_backend_t *backend, fc_snapshot_t *snapshot)
-{
-  fr_rank_options_t rank_options[FC_RANKS_MAX];
-  const fc_settings_t *settings = fn_get_settings (backend->kernel);
-  const fc_service_t *service
-      = fc_find_service (snapshot, fb_get_name (&settings->service), NULL);
-  size_t count = fc_count_ranks (snapshot);
-
-  if (!service || backend->admission_snapshot == snapshot)
-    return;
-  fc_release_snapshot (backend->admission_snapshot);
-  backend->admission_snapshot = fc_retain_snapshot (snapshot);
-  for (size_t i = 0; i < count; i++)
-    {
-      const fc_rank_t *rank = fc_get_rank (snapshot, i);
-      rank_options[i]
-          = (fr_rank_options_t){ .share = rank->share,
-                                 .latency_target = rank->target_ms * FB_MILLISECOND };
-    }
-  fr_configure_admission (backend->admission,
-                          backend->local.slots > 0 ? backend->local.slots : service->slots,
-                          rank_options, count);
-}
-
 void
 fn_abort_running_call (fn_backend_call_t *backend_call, uint32_t status, const char *reason)
 {
@@ -444,7 +418,7 @@
   fn_adopt_reported_limit (backend, &backend_call->call);
   if (backend_call->has_ticket && !fn_begin_ticket (backend_call))
     return;
-  configure_admission (backend, snapshot);
+  fn_configure_backend_admission (backend, snapshot);
   fn_note_expected_service (backend_call, find_rank (backend_call));
   fr_offer_call_with_options (backend->admission, backend_call->handle, backend_call,
                               find_rank (backend_call), backend_call->call.customer,
--- a/packages/node/source/node-backend.h
+++ b/packages/node/source/node-backend.h
@@ -92,6 +92,9 @@
   fb_histogram_t *service_times; /* at the backend server */
 };
 
+/* Sets the ranks and slots of SNAPSHOT in the admission unless already set. */
+void fn_configure_backend_admission (fn_backend_t *backend, fc_snapshot_t *snapshot);
+
 /* Answers and frees a call. */
 void fn_answer_backend_call (fn_backend_call_t *backend_call, fw_call_t *answer);
 
