--- a/packages/call/source/warmup.c
+++ b/packages/call/source/warmup.c
@@ -21,7 +21,7 @@
 
 /* A warm backend server may become cold at any moment. A health check goes out early when it
  * got this part of the limit since the last one. */
-#define UNCHECKED_PART_MAX 0.5
+#define UNCHECKED_PART_MAX 0.25
 
 /* Status of a server that is not the expected instance, and the least one of a failing server.
  */
--- a/packages/call/tests/test-warmup.c
+++ b/packages/call/tests/test-warmup.c
@@ -60,7 +60,7 @@
   { "check-place", "a window full of calls delays a health check", "c10,1 k9000 g q", "8 0 " },
   { "check-early",
     "a server that becomes cold under load gets too many calls until the next check",
-    "c10,1 k0 s4 n s1 n h1 n s5 n k9000 n", "4 0 1 1 0 5 1 0 " },
+    "c10,1 k0 s2 n s1 n h1 n s3 n k9000 n", "2 0 1 1 0 3 1 0 " },
   { "check-warm", "health checks of a warm server wait", "c1,1 k0 s q", "99 0 " },
 };
 
