--- a/packages/node/source/node-entry-hedge.c
+++ b/packages/node/source/node-entry-hedge.c
@@ -20,8 +20,8 @@
 }
 
 /* Returns whether slow attempts of CALL may be hedged at all. A nested call is hedged with its
- * parent; its own hedge would multiply the load. A request that a backend server ended under must
- * not reach two at once. */
+ * parent; its own hedge would multiply the load. A request that a backend server ended under
+ * must not reach two at once. */
 static bool
 may_be_hedged (const fn_entry_call_t *call)
 {
