--- a/packages/http/source/http-client-state.h
+++ b/packages/http/source/http-client-state.h
@@ -84,6 +84,12 @@
 /* Records whether the server repeats the header of EXCHANGE. */
 void fh_record_echo (const fh_exchange_t *exchange, const fh_response_t *response);
 
+/* http-client-idle.c */
+
+/* Returns the allowed idle time in ms, from RESPONSE's "Keep-Alive: timeout=SECONDS" and the
+ * client's own. */
+uint64_t fh_parse_idle_timeout (const fh_response_t *response);
+
 /* http-client-request.c */
 
 /* Returns the text of REQUEST; free with g_string_free. */
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -4,13 +4,6 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-/* Shorter than the idle timeout of common servers, so that the client closes first. */
-#define IDLE_TIMEOUT_MS 4000
-
-/* Fraction of the server's announced idle timeout after which the client closes; the margin
- * keeps requests off a connection that the server is closing. */
-#define KEEP_ALIVE_FRACTION 0.8
-
 /* TCP keep-alive probes: detect an unresponsive server within 3 s. */
 #define PROBE_IDLE_S 1
 #define PROBE_INTERVAL_S 1
@@ -188,24 +181,6 @@
   uv_timer_start (&connection->timer, expire_connection, timeout_ms, 0);
 }
 
-/* Returns the allowed idle time in ms, from RESPONSE's "Keep-Alive: timeout=SECONDS" and
- * IDLE_TIMEOUT_MS. */
-static uint64_t
-parse_idle_timeout (const fh_response_t *response)
-{
-  fb_str_t value
-      = fh_find_header (response->headers, response->header_count, FB_LITERAL ("keep-alive"));
-  char *text = g_ascii_strdown (value.data ? value.data : "", (gssize)value.len);
-  const char *parameter = strstr (text, "timeout=");
-  uint64_t timeout_ms = IDLE_TIMEOUT_MS;
-
-  if (parameter)
-    timeout_ms = MIN (timeout_ms, (uint64_t)((double)g_ascii_strtoull (parameter + 8, NULL, 10)
-                                             * 1000 * KEEP_ALIVE_FRACTION));
-  g_free (text);
-  return timeout_ms;
-}
-
 /* Makes CONNECTION available for reuse, or closes it if enough are idle. */
 static void
 release_connection (connection_t *connection)
@@ -233,7 +208,7 @@
   fh_response_t response = { .result = FH_ANSWERED };
 
   fh_view_response (connection->reader, &response);
-  connection->idle_timeout_ms = parse_idle_timeout (&response);
+  connection->idle_timeout_ms = fh_parse_idle_timeout (&response);
   reusable = reusable && connection->pending_writes == 0 && !connection->out_of_sync
              && fh_has_echo (exchange, &response) && fh_should_keep_alive (connection->reader);
   /* The response views the reader's memory: reset only after the callback. */
