Faults found in review: paused clients, answers of short nodes, waiting connections

- A peer paused for its client's share below three quarters of the budget was read no more: only a shortage started the settling of the account.
Pausing does so too now (base/test-account /account/paused-share, red before).
- A node's 503 for lack of memory to a repeatable call that was sent again says nothing of the first copy: it counts as unanswered.
Calls that run at most once are never sent again, and stay 'not run'.
- A connection that waits at the share of descriptors is accepted as soon as another one becomes idle, not at the next close.
- The throttle counts a nested call in one rank, that of its route.

--- a/packages/base/source/account.c
+++ b/packages/base/source/account.c
@@ -96,6 +96,17 @@
   g_queue_push_tail_link (&account->holders, &holder->link);
 }
 
+/* Has the account settled from now on, until nobody needs to be paused. */
+static void
+begin_shortage (fb_account_t *account)
+{
+  if (account->is_short)
+    return;
+  account->is_short = true;
+  if (account->short_callback)
+    account->short_callback (account->user);
+}
+
 void
 fb_hold (fb_holder_t *holder, fb_held_kind_t kind, size_t bytes)
 {
@@ -110,11 +121,8 @@
   account->total += delta;
   if (holder->client)
     holder->client->bytes += delta;
-  if (account->total < get_threshold (account) || account->is_short)
-    return;
-  account->is_short = true;
-  if (account->short_callback)
-    account->short_callback (account->user);
+  if (account->total >= get_threshold (account))
+    begin_shortage (account);
 }
 
 void
@@ -292,8 +300,11 @@
 void
 fb_check_pause (fb_holder_t *holder)
 {
-  if (!holder->paused && !holder->closing && must_pause (holder->account, holder))
-    set_paused (holder, true);
+  if (holder->paused || holder->closing || !must_pause (holder->account, holder))
+    return;
+  set_paused (holder, true);
+  /* A client over its share is paused before the account is short. */
+  begin_shortage (holder->account);
 }
 
 static void
--- a/packages/base/tests/test-account.c
+++ b/packages/base/tests/test-account.c
@@ -362,6 +362,27 @@
   tear_down (&fixture);
 }
 
+/* Guards against a peer that is paused for its client's share, before the account is short, and
+ * is never read again: nobody settles the account. */
+static void
+test_paused_share (void)
+{
+  fixture_t fixture;
+  peer_t *peer;
+
+  set_up (&fixture);
+  peer = add_peer (&fixture, 0, 7, 5 * MB);
+  add_peer (&fixture, 1, 8, 9 * MB / 2);
+  g_assert_cmpuint (fixture.shortages, ==, 0);
+  fb_check_pause (&peer->holder);
+  g_assert_true (peer->paused);
+  g_assert_cmpuint (fixture.shortages, ==, 1);
+  fb_remove_holder (&fixture.peers[1].holder);
+  pass (&fixture, 0);
+  g_assert_false (peer->paused);
+  tear_down (&fixture);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -374,6 +395,7 @@
   g_test_add_func ("/account/no-deadlock", test_no_deadlock);
   g_test_add_func ("/account/end-of-pressure", test_end_of_pressure);
   g_test_add_func ("/account/shares", test_shares);
+  g_test_add_func ("/account/paused-share", test_paused_share);
   g_test_add_func ("/account/random", test_random);
   return g_test_run ();
 }
--- a/packages/foxtailrund/source/main.c
+++ b/packages/foxtailrund/source/main.c
@@ -41,10 +41,10 @@
   return is_valid;
 }
 
-/* State of the process, input of a reload. */
 /* Size in bytes from which a block has its own mapping and is returned when it is freed. */
 #define MMAP_THRESHOLD (128 * 1024)
 
+/* State of the process, input of a reload. */
 typedef struct
 {
   const char *path;
--- a/packages/http/source/http-expiry.c
+++ b/packages/http/source/http-expiry.c
@@ -91,7 +91,8 @@
   if (phase == FH_PHASE_IDLE)
     {
       connection->queue = &server->waiting;
-      start_expiry (server, server->idle_timeout_ms);
+      /* An idle connection makes room for one that waits to be accepted. */
+      start_expiry (server, server->accept_pending ? 0 : server->idle_timeout_ms);
     }
   else if (phase == FH_PHASE_LINGER)
     {
--- a/packages/node/source/node-calls.c
+++ b/packages/node/source/node-calls.c
@@ -177,9 +177,10 @@
   if (response->result == FH_ANSWERED)
     outgoing->peer->last_received_at = read_time (calls);
   g_hash_table_remove (calls->outgoing, &id);
-  /* A node's server refuses for lack of memory before it passes the call on. */
+  /* A node's server refuses for lack of memory before it passes the call on. A repeatable call
+   * may have been sent before, on a kept connection that ended. */
   if (response->result == FH_NOT_SENT
-      || (response->result == FH_ANSWERED && response->status == 503))
+      || (response->result == FH_ANSWERED && response->status == 503 && outgoing->at_most_once))
     fn_fail_unsent_attempt (entry, id);
   else if (response->result == FH_ANSWERED && response->status == 200
            && decode_call (calls, response->body, &answer) && answer.kind == FW_ANSWER)
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -162,8 +162,8 @@
     fr_report_pace (entry->picker, instance, answer->pace_permille);
   fr_report_result_for_rank (entry->picker, instance, call->rank, classify_answer (answer),
                              read_time (entry) - attempt.started_at, answer->load);
-  fr_report_customer (entry->throttle, fn_get_call_service (call), call->rank, call->customer,
-                      accepted);
+  fr_report_customer (entry->throttle, fn_get_call_service (call), call->route->rank,
+                      call->customer, accepted);
   fn_record_attempt_end (&attempt, answer);
   call->may_have_run |= answer->outcome != FW_NOT_RUN;
   call->reached_backend |= answer->reached_backend;
