Admission: name calls that go first for what they are

Since nested calls go first too, is_caller_retry named only one of the two kinds. No change of behaviour; call tests pass.

--- a/packages/call/include/foxtailrun/call/admission.h
+++ b/packages/call/include/foxtailrun/call/admission.h
@@ -91,11 +91,11 @@
   fb_time_t deadline;    /* absolute, ns */
   fb_time_t target_time; /* absolute time until which an answer counts as in time; 0 for the
                             latency target of the rank */
-  bool is_caller_retry;  /* the caller is assumed to have been refused before; queued before the
-                            other calls of its customer */
+  bool goes_first; /* a caller retry or a nested call: queued before the other calls of its
+                      customer, and not refused for its target time while it waits */
 } fr_call_options_t;
 
-/* Like fr_offer_call, for a call with its own target time or a caller retry. */
+/* Like fr_offer_call, for a call with its own target time or one that goes first. */
 void fr_offer_call_with_options (fr_admission_t *admission, uint64_t id, void *call,
                                  uint32_t rank, fb_str_t customer, double weight,
                                  const fr_call_options_t *times);
--- a/packages/call/source/admission-queue.c
+++ b/packages/call/source/admission-queue.c
@@ -92,8 +92,8 @@
 
   entry->within_fair_share = was_empty && flow->virtual_start <= flow->rank->virtual_time;
   entry->link.data = entry;
-  if (entry->is_caller_retry)
-    g_queue_push_nth_link (&flow->waiting, (gint)flow->retries_waiting++, &entry->link);
+  if (entry->goes_first)
+    g_queue_push_nth_link (&flow->waiting, (gint)flow->first_waiting++, &entry->link);
   else
     g_queue_push_tail_link (&flow->waiting, &entry->link);
   flow->rank->waiting++;
@@ -121,8 +121,8 @@
   FB_INVARIANT (entry->link.data == entry);
   g_queue_unlink (&flow->waiting, &entry->link);
   entry->link.data = NULL;
-  if (entry->is_caller_retry)
-    flow->retries_waiting--;
+  if (entry->goes_first)
+    flow->first_waiting--;
   flow->rank->waiting--;
   if (g_queue_is_empty (&flow->waiting))
     unschedule_flow (flow);
@@ -239,7 +239,7 @@
           g_queue_unlink (&flow->waiting, &entry->link);
           g_queue_push_tail_link (&merged_flow->waiting, &entry->link);
           entry->flow = merged_flow;
-          entry->is_caller_retry = false;
+          entry->goes_first = false;
         }
       schedule_flow (merged_flow);
     }
--- a/packages/call/source/admission-share.c
+++ b/packages/call/source/admission-share.c
@@ -332,24 +332,23 @@
 
 /* A caller retry is queued before the other calls of its customer. */
 static double
-count_calls_ahead (const flow_t *flow, bool is_caller_retry)
+count_calls_ahead (const flow_t *flow, bool goes_first)
 {
-  return is_caller_retry ? flow->retries_waiting : fr_count_calls_ahead (flow);
+  return goes_first ? flow->first_waiting : fr_count_calls_ahead (flow);
 }
 
 double
-fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow, bool is_caller_retry)
+fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow, bool goes_first)
 {
-  return estimate_wait_behind (admission, flow->rank,
-                               count_calls_ahead (flow, is_caller_retry));
+  return estimate_wait_behind (admission, flow->rank, count_calls_ahead (flow, goes_first));
 }
 
 double
-fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow,
-                        bool is_caller_retry, fr_refusal_t *refusal)
+fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow, bool goes_first,
+                        fr_refusal_t *refusal)
 {
   return estimate_limit_wait_behind (admission, flow->rank,
-                                     count_calls_ahead (flow, is_caller_retry), refusal);
+                                     count_calls_ahead (flow, goes_first), refusal);
 }
 
 fb_time_t
--- a/packages/call/source/admission-state.h
+++ b/packages/call/source/admission-state.h
@@ -25,7 +25,7 @@
   double virtual_start; /* virtual start time of its next call: charged slot time in ns divided
                            by weight */
   GQueue waiting;       /* entry_t, oldest first */
-  uint32_t retries_waiting; /* caller retries at the head of waiting */
+  uint32_t first_waiting; /* calls that go first, at the head of waiting */
   uint32_t started;
   GSequenceIter *position; /* in the rank's backlogged_flows; NULL when no call waits */
 } flow_t;
@@ -39,7 +39,7 @@
   fb_time_t arrived_at;
   fb_time_t deadline;
   fb_time_t target_time; /* 0 for the latency target of the rank */
-  bool is_caller_retry;
+  bool goes_first;
   fb_time_t started_at;   /* valid when link.data is NULL */
   bool within_fair_share; /* on arrival its customer had no waiting call and no charge ahead of
                              the virtual time */
@@ -62,7 +62,6 @@
   double log_long_service_times[2]; /* logarithm of the time in ns within which most calls end,
                                        of the others and of those that go first; 0 before the
                                        first sample */
-  uint64_t last_flow;               /* unused */
 };
 
 /* A pending hook call; hooks are called when the state is consistent. */
@@ -151,13 +150,12 @@
 
 /* Returns the expected wait in ns of a new call of FLOW for a slot; a caller retry waits only
  * for the retries before it. */
-double fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow,
-                         bool is_caller_retry);
+double fr_estimate_wait (const fr_admission_t *admission, const flow_t *flow, bool goes_first);
 
 /* Like fr_estimate_wait, for the limits of the starts; 0 without one. Sets REFUSAL to the
  * reason for which a call is refused that would wait too long. */
 double fr_estimate_limit_wait (const fr_admission_t *admission, const flow_t *flow,
-                               bool is_caller_retry, fr_refusal_t *refusal);
+                               bool goes_first, fr_refusal_t *refusal);
 
 /* Returns whether the limits of the starts, if any, let a call start now. */
 bool fr_can_start_by_limit (const fr_admission_t *admission);
--- a/packages/call/source/admission.c
+++ b/packages/call/source/admission.c
@@ -96,7 +96,7 @@
 
   if (entry->target_time > 0)
     return admission->policy == FR_POLICY_SHARES && rank->waiting > 1
-           && misses_target_time (rank, now, entry->target_time, entry->is_caller_retry)
+           && misses_target_time (rank, now, entry->target_time, entry->goes_first)
            && !fr_is_below_share (admission, rank);
   return admission->policy == FR_POLICY_SHARES && rank->options.latency_target > 0
          && rank->started > 0 && !entry->within_fair_share
@@ -112,9 +112,9 @@
 {
   const rank_t *rank = entry->flow->rank;
 
-  return admission->policy == FR_POLICY_SHARES && entry->target_time > 0
-         && !entry->is_caller_retry && admission->waiting > 1
-         && misses_target_time (rank, now, entry->target_time, entry->is_caller_retry)
+  return admission->policy == FR_POLICY_SHARES && entry->target_time > 0 && !entry->goes_first
+         && admission->waiting > 1
+         && misses_target_time (rank, now, entry->target_time, entry->goes_first)
          && !fr_is_below_share (admission, rank);
 }
 
@@ -317,14 +317,14 @@
 
   if (admission->policy != FR_POLICY_SHARES)
     return false;
-  wait = fr_estimate_limit_wait (admission, flow, times->is_caller_retry, refusal);
+  wait = fr_estimate_limit_wait (admission, flow, times->goes_first, refusal);
   if (wait == 0)
     return false;
   if (wait + rank->service_time_ns > (double)(times->deadline - now))
     return true;
   return times->target_time > 0 && !fr_is_below_share (admission, rank)
          && misses_target_time (rank, now + (fb_time_t)wait, times->target_time,
-                                times->is_caller_retry);
+                                times->goes_first);
 }
 
 static bool
@@ -346,7 +346,7 @@
   *refusal = FR_REFUSED_DEADLINE;
   if (admission->policy == FR_POLICY_SHARES && can_estimate_wait (rank, times))
     {
-      double wait = fr_estimate_wait (admission, flow, times->is_caller_retry);
+      double wait = fr_estimate_wait (admission, flow, times->goes_first);
       double latency = wait + rank->service_time_ns;
 
       if (latency > (double)(deadline - now))
@@ -355,7 +355,7 @@
       if (times->target_time > 0)
         return wait > 0
                && misses_target_time (rank, now + (fb_time_t)wait, times->target_time,
-                                      times->is_caller_retry)
+                                      times->goes_first)
                && !fr_is_below_share (admission, rank);
       /* Calls over the guaranteed share are refused when they would exceed the latency target;
        * calls within it are served late. */
@@ -403,7 +403,7 @@
       entry->arrived_at = fb_read_clock (admission->clock);
       entry->deadline = times->deadline;
       entry->target_time = times->target_time;
-      entry->is_caller_retry = times->is_caller_retry;
+      entry->goes_first = times->goes_first;
       g_hash_table_insert (admission->entries, &entry->id, entry);
       admission->waiting++;
       fr_push_entry (entry);
@@ -423,7 +423,7 @@
   fr_update_usage (admission);
   rank = entry->flow->rank;
   fr_charge_finish (entry, now - entry->started_at);
-  fr_sample_call_time (rank, now - entry->started_at, entry->is_caller_retry);
+  fr_sample_call_time (rank, now - entry->started_at, entry->goes_first);
   if (admission->policy == FR_POLICY_ADAPTIVE)
     fr_update_concurrency_limit (admission, now - entry->arrived_at, now - entry->started_at);
   admission->started--;
--- a/packages/node/source/node-backend-ranks.c
+++ b/packages/node/source/node-backend-ranks.c
@@ -6,8 +6,8 @@
 typedef struct
 {
   bool accepts_late; /* a route has time for late answers */
-  bool needs_prompt; /* a route has some time after its target, but not enough; one without any
-                        says nothing */
+  bool needs_prompt; /* a route has less time than that; routes whose timeout does not exceed
+                        their target are ignored */
 } rank_routes_t;
 
 static bool
