--- a/packages/call/include/foxtailrun/call/warmup.h
+++ b/packages/call/include/foxtailrun/call/warmup.h
@@ -52,7 +52,7 @@
 /* Returns whether it is in force because of fr_assume_cold. */
 bool fr_is_assumed_cold (const fr_warmup_t *warmup);
 
-/* Returns the time in ns until the backend server is warm by its own word; 0 when it is warm or
+/* Returns the time in ns until the backend server is warm, as it reported; 0 when it is warm or
  * when the time is not known. */
 fb_time_t fr_get_cold_time (const fr_warmup_t *warmup);
 
@@ -90,7 +90,7 @@
 } fr_health_response_t;
 
 /* Sets COLD_TIME to the time in ns for which the backend server says that it stays cold;
- * without a word of it, it is warm. FB_INVALID if the response says nothing about INSTANCE,
+ * without the field, it is warm. FB_INVALID if the response says nothing about INSTANCE,
  * empty if not known: another instance sent it, the time is no decimal number, or a failing
  * server names none.
  */
--- a/packages/node/source/node-backend-health.c
+++ b/packages/node/source/node-backend-health.c
@@ -146,11 +146,12 @@
 read_response (const fn_health_t *health, const fh_response_t *response, fb_time_t *left)
 {
   const fn_dialect_t *dialect = fn_get_adapter (health->backend->kernel)->dialect;
-  fr_health_response_t said = { response->status, find_header (response, dialect->instance_id),
-                                find_header (response, dialect->warmup_ms) };
+  fr_health_response_t fields
+      = { response->status, find_header (response, dialect->instance_id),
+          find_header (response, dialect->warmup_ms) };
 
   return response->result == FH_ANSWERED
-         && fr_read_health_response (&said, fb_get_name (&health->backend->local.instance),
+         && fr_read_health_response (&fields, fb_get_name (&health->backend->local.instance),
                                      left)
                 == FB_OK;
 }
