--- a/review/10/case.c
+++ b/review/10/case.c
@@ -1,4 +1,5 @@
-/* Clients send idempotent requests behind one another on kept connections; the answer to the first has no length. */
+/* Clients send idempotent requests behind one another on kept connections; the answer to the
+ * first has no length. */
 #include "../rig-2/rig.h"
 #include <errno.h>
 #include <pthread.h>
@@ -51,10 +52,12 @@
   if (known)
     known->ran = true;
   rig_sleep (is_first ? 100 : 400);
-  return rig_answer (fd, 200, instance, request, "rates\n", 6, !(is_first && rig_has_trouble ()));
+  return rig_answer (fd, 200, instance, request, "rates\n", 6,
+                     !(is_first && rig_has_trouble ()));
 }
 
-/* Reads the answers to COUNT framed requests in their order, or one that ends with the connection. */
+/* Reads the answers to COUNT framed requests in their order, or one that ends with the
+ * connection. */
 static void
 read_answers (int fd, client_t *client)
 {
@@ -106,8 +109,10 @@
     return NULL;
   for (int k = 0; k <= BEHIND; k++)
     {
-      rig_record ("client: sends GET /rates/%s id %s", k == 0 ? "first" : "next", client->requests[k].id);
-      rig_send_request (fd, "GET", k == 0 ? "/rates/first" : "/rates/next", client->requests[k].id, DEADLINE_MS, NULL, 0);
+      rig_record ("client: sends GET /rates/%s id %s", k == 0 ? "first" : "next",
+                  client->requests[k].id);
+      rig_send_request (fd, "GET", k == 0 ? "/rates/first" : "/rates/next",
+                        client->requests[k].id, DEADLINE_MS, NULL, 0);
     }
   read_answers (fd, client);
   for (int k = 0; k <= BEHIND; k++)
@@ -161,8 +166,9 @@
           lost += request->ran && !request->answered && clients[i].ended_by_node;
         }
     }
-  rig_record ("%d requests: %d answered, %d passed on to an instance and closed without an answer (allowed: %d)",
-              CLIENTS * (1 + BEHIND), answered, lost, CLOSES_ALLOWED);
+  rig_record (
+      "%d requests: %d answered, %d passed on to an instance and closed without an answer (allowed: %d)",
+      CLIENTS * (1 + BEHIND), answered, lost, CLOSES_ALLOWED);
   if (!rig_has_trouble () && answered < CLIENTS * (1 + BEHIND))
     rig_finish (2);
   rig_finish (lost > CLOSES_ALLOWED);
