--- a/review/rig-2/rig.c
+++ b/review/rig-2/rig.c
@@ -662,7 +662,6 @@
 typedef struct
 {
   int fd;
-  void *(*serve) (void *);
   rig_instance_t *instance;
 } listener_t;
 
@@ -780,7 +779,6 @@
 /* Instances. */
 
 static pthread_mutex_t slot_mutex[RIG_NODES_MAX];
-static pthread_cond_t slot_free[RIG_NODES_MAX];
 static int slots_used[RIG_NODES_MAX];
 
 void
@@ -942,7 +940,6 @@
   instance->slots = slots;
   instance->work = work;
   pthread_mutex_init (&slot_mutex[node], NULL);
-  pthread_cond_init (&slot_free[node], NULL);
   listener->fd = listen_at (node + 1, app_port);
   listener->instance = instance;
   if (listener->fd < 0)
