Do not take a reset for the end of a response without a length

Callers got part of a body as a complete answer: an instance answered an upload at once with a 200 without a length, sent a part of its body and reset the connection.

Cause: the HTTP client completed such a body on UV_EOF. libuv reports UV_EOF for a reset, too: when the reset arrives together with bytes (the hang-up of epoll after a short read is reported as the end without another read), and after a write has failed with it (which clears the error of the socket, so that the next read returns 0).

The client now asks TCP: FIN has a sequence number, and TCP_INFO counts it among the received bytes, so that the count is one more than the bytes read if and only if the stream ended in order. This does not depend on who takes the socket's error, nor on when the client reads. The state of the connection would refuse a whole answer behind which the instance resets the rest of an upload.

--- a/packages/http/source/http-client-state.h
+++ b/packages/http/source/http-client-state.h
@@ -35,6 +35,7 @@
   fh_reader_t *reader;
   fb_holder_t holder;       /* share of the process's account */
   size_t buffered_bytes;    /* share of the client's */
+  uint64_t received_bytes;  /* since the connection was established */
   size_t pending_writes;    /* writes not yet passed to the operating system */
   uint64_t idle_timeout_ms; /* close the connection when idle for longer */
   bool reused;
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -1,4 +1,5 @@
 #include "http-client-state.h"
+#include "http-transfer.h"
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/ioctl.h>
@@ -293,13 +294,25 @@
     }
 }
 
+/* Returns whether the server has ended the stream in order. ERROR does not tell: libuv reports
+ * UV_EOF for a reset that arrives together with bytes, or after a write has failed with it. */
+static bool
+has_orderly_end (const connection_t *connection, ssize_t error)
+{
+  uv_os_fd_t descriptor;
+
+  return error == UV_EOF
+         && uv_fileno ((const uv_handle_t *)&connection->stream, &descriptor) == 0
+         && fh_is_stream_complete (descriptor, connection->received_bytes);
+}
+
 static void
 handle_stream_end (connection_t *connection, ssize_t error)
 {
   fh_exchange_t *exchange = connection->exchange;
   fh_response_t response = { 0 };
 
-  if (exchange && error == UV_EOF && exchange->allows_close_delimited
+  if (exchange && exchange->allows_close_delimited && has_orderly_end (connection, error)
       && fh_parse_end (connection->reader) == FH_READ_COMPLETE)
     {
       fh_view_response (connection->reader, &response);
@@ -341,6 +354,8 @@
 
   if (length == 0 || connection->closing)
     return;
+  if (length > 0)
+    connection->received_bytes += (uint64_t)length;
   if (length < 0)
     handle_stream_end (connection, length);
   else if (!connection->exchange)
--- a/packages/http/tests/fixture-peer.c
+++ b/packages/http/tests/fixture-peer.c
@@ -1,6 +1,7 @@
 #include "fixture-peer.h"
 #include <glib.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 
 #define REQUEST_MAX 4096
 
@@ -46,6 +47,28 @@
     uv_close ((uv_handle_t *)&connection->stream, free_connection);
 }
 
+void
+peer_reset (peer_connection_t *connection)
+{
+  if (!uv_is_closing ((uv_handle_t *)&connection->stream))
+    uv_tcp_close_reset (&connection->stream, free_connection);
+}
+
+void
+peer_shut_down (peer_connection_t *connection)
+{
+  uv_os_fd_t descriptor;
+
+  g_assert_cmpint (uv_fileno ((uv_handle_t *)&connection->stream, &descriptor), ==, 0);
+  shutdown (descriptor, SHUT_WR);
+}
+
+void
+peer_stop_reading (peer_connection_t *connection)
+{
+  uv_read_stop ((uv_stream_t *)&connection->stream);
+}
+
 void
 peer_write (peer_connection_t *connection, const char *bytes, size_t len)
 {
--- a/packages/http/tests/fixture-peer.h
+++ b/packages/http/tests/fixture-peer.h
@@ -9,8 +9,8 @@
 typedef struct peer peer_t;
 typedef struct peer_connection peer_connection_t;
 
-/* Called for each request that arrives on CONNECTION. Requests are small and arrive in one
- * piece: TEXT is the whole one, and NUMBER counts those of the connection from 0. */
+/* Called for each read from CONNECTION; NUMBER counts those of the connection from 0. Small
+ * requests arrive in one piece: TEXT is the whole one, and NUMBER that of the request. */
 typedef void (*peer_answer_fn_t) (peer_connection_t *connection, size_t number,
                                   const char *text, void *user);
 
@@ -28,6 +28,15 @@
 void peer_write (peer_connection_t *connection, const char *bytes, size_t len);
 void peer_close (peer_connection_t *connection);
 
+/* Closes CONNECTION with a reset. */
+void peer_reset (peer_connection_t *connection);
+
+/* Leaves what arrives on CONNECTION from now on unread; peer_close then resets it. */
+void peer_stop_reading (peer_connection_t *connection);
+
+/* Ends the stream to the client; CONNECTION is still read. */
+void peer_shut_down (peer_connection_t *connection);
+
 /* Accepts no more connections. */
 void peer_close_listener (peer_t *peer);
 
