Refuse responses with damaged field lines

Callers got answers in whose head the name of a field held a blank, with that line left out, and answers whose body was a part of the head.

Cause: Debian builds http_parser without its strict mode, and only requests were checked apart. In responses it let pass blanks in names and before the colon, joined folded lines to the line before them, ended the head at a CR or LF that begins a line, took bare CR and LF for line endings, and let a control byte begin a value. The same holds for trailers and for the heads of interim responses.

Each byte of a head and of trailers is now checked before http_parser sees it, in the reader that all answers pass: of instances, other nodes, the store and to probes. What is not a field line ends the exchange like other bytes that are no response. Blanks before a colon are refused, too, not removed: the proxy does not pass the response on.

--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -1,4 +1,5 @@
 #include "http-response.h"
+#include "http-section.h"
 #include <glib.h>
 #include <http_parser.h>
 #include <string.h>
@@ -33,6 +34,7 @@
 struct fh_reader
 {
   http_parser parser;
+  fh_section_t section; /* FH_SECTION_END between the head and the trailers */
   size_t body_max;
   bool is_head;
   bool received_bytes;
@@ -206,12 +208,27 @@
   return 0;
 }
 
+/* Pauses http_parser before the trailers, which are checked first. */
+static int
+complete_chunk_head (http_parser *parser)
+{
+  fh_reader_t *reader = parser->data;
+
+  if (parser->content_length == 0)
+    {
+      reader->section = FH_SECTION_LINE_START;
+      http_parser_pause (parser, 1);
+    }
+  return 0;
+}
+
 static const http_parser_settings parser_callbacks = {
   .on_message_begin = begin_message,
   .on_header_field = append_header_name,
   .on_header_value = append_header_value,
   .on_headers_complete = complete_headers,
   .on_body = append_body,
+  .on_chunk_header = complete_chunk_head,
   .on_message_complete = complete_message,
 };
 
@@ -242,6 +259,7 @@
 {
   http_parser_init (&reader->parser, HTTP_RESPONSE);
   reader->parser.data = reader;
+  reader->section = FH_SECTION_STATUS_LINE;
   reader->is_head = is_head;
   reader->received_bytes = false;
   reader->headers_complete = false;
@@ -261,12 +279,10 @@
   g_byte_array_set_size (reader->body, 0);
 }
 
-fh_read_result_t
-fh_parse_bytes (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+/* Returns the result of parsing so far. */
+static fh_read_result_t
+get_result (const fh_reader_t *reader)
 {
-  reader->received_bytes = reader->received_bytes || bytes.len > 0;
-  *consumed = http_parser_execute (&reader->parser, &parser_callbacks, (const char *)bytes.data,
-                                   bytes.len);
   if (reader->complete)
     return FH_READ_COMPLETE;
   if (reader->too_large)
@@ -277,6 +293,45 @@
   return FH_READ_INCOMPLETE;
 }
 
+/* Parses BYTES up to the end of a head, of the last chunk's head or of the trailers at most,
+ * and sets *CONSUMED. */
+static fh_read_result_t
+parse_part (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+{
+  http_parser *parser = &reader->parser;
+  size_t length = bytes.len;
+
+  if (reader->section != FH_SECTION_END)
+    length = fh_check_section (&reader->section, bytes);
+  if (reader->section == FH_SECTION_INVALID)
+    return FH_READ_INVALID;
+  *consumed = http_parser_execute (parser, &parser_callbacks, (const char *)bytes.data, length);
+  if (!reader->complete && HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
+    http_parser_pause (parser, 0);
+  /* Another head follows that of an interim response. */
+  if (reader->section == FH_SECTION_END && !reader->headers_complete)
+    reader->section = FH_SECTION_STATUS_LINE;
+  return get_result (reader);
+}
+
+fh_read_result_t
+fh_parse_bytes (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+{
+  fh_read_result_t result = FH_READ_INCOMPLETE;
+  size_t length;
+
+  reader->received_bytes = reader->received_bytes || bytes.len > 0;
+  for (*consumed = 0; *consumed < bytes.len && result == FH_READ_INCOMPLETE;
+       *consumed += length)
+    {
+      fb_bytes_t rest = { bytes.data + *consumed, bytes.len - *consumed };
+
+      length = 0;
+      result = parse_part (reader, rest, &length);
+    }
+  return result;
+}
+
 fh_read_result_t
 fh_parse_end (fh_reader_t *reader)
 {
--- /dev/null
+++ b/packages/http/source/http-section.c
@@ -0,0 +1,57 @@
+#include "http-section.h"
+#include <foxtailrun/http/message.h>
+
+static bool
+is_name_byte (uint8_t byte)
+{
+  const char text = (char)byte;
+
+  return fh_is_token ((fb_str_t){ &text, 1 });
+}
+
+/* Returns the state after BYTE in a value. */
+static fh_section_t
+advance_in_value (uint8_t byte)
+{
+  if (byte == '\r')
+    return FH_SECTION_CR;
+  return byte == '\t' || (byte >= ' ' && byte != 0x7f) ? FH_SECTION_VALUE : FH_SECTION_INVALID;
+}
+
+static fh_section_t
+advance_section (fh_section_t section, uint8_t byte)
+{
+  switch (section)
+    {
+    case FH_SECTION_STATUS_LINE:
+      return byte == '\r' ? FH_SECTION_CR : FH_SECTION_STATUS_LINE;
+    case FH_SECTION_LINE_START:
+      if (byte == '\r')
+        return FH_SECTION_EMPTY_CR;
+      return is_name_byte (byte) ? FH_SECTION_NAME : FH_SECTION_INVALID;
+    case FH_SECTION_NAME:
+      if (byte == ':')
+        return FH_SECTION_VALUE;
+      return is_name_byte (byte) ? FH_SECTION_NAME : FH_SECTION_INVALID;
+    case FH_SECTION_VALUE:
+      return advance_in_value (byte);
+    case FH_SECTION_CR:
+      return byte == '\n' ? FH_SECTION_LINE_START : FH_SECTION_INVALID;
+    case FH_SECTION_EMPTY_CR:
+      return byte == '\n' ? FH_SECTION_END : FH_SECTION_INVALID;
+    case FH_SECTION_END:
+    case FH_SECTION_INVALID:
+      break;
+    }
+  return FH_SECTION_INVALID;
+}
+
+size_t
+fh_check_section (fh_section_t *section, fb_bytes_t bytes)
+{
+  size_t checked = 0;
+
+  while (checked < bytes.len && *section != FH_SECTION_END && *section != FH_SECTION_INVALID)
+    *section = advance_section (*section, bytes.data[checked++]);
+  return checked;
+}
--- /dev/null
+++ b/packages/http/tests/test-response.c
@@ -0,0 +1,235 @@
+/* Responses with field lines of each form that RFC 9112 excludes (section 5), and of forms that
+ * it allows. */
+#include "http-response.h"
+#include <glib.h>
+#include <string.h>
+
+#define BODY_MAX 1024
+
+#define OK_LINE "HTTP/1.1 200 OK\r\n"
+#define OWN_ID "request-id: own\r\n"
+#define LENGTH "content-length: 4\r\n"
+#define CHUNKED "transfer-encoding: chunked\r\n"
+
+/* Where the examined lines stand in a response; "%s" is replaced by them. */
+static const struct
+{
+  const char *name;
+  const char *text;
+  bool close_delimited;
+} places[] = {
+  { "first line", OK_LINE "%s" OWN_ID LENGTH "\r\nbody", false },
+  { "between lines", OK_LINE OWN_ID "%s" LENGTH "\r\nbody", false },
+  { "last line", OK_LINE OWN_ID LENGTH "%s\r\nbody", false },
+  { "only line behind the id, no length", OK_LINE OWN_ID "%s\r\nbody", true },
+  { "before the id, no length", OK_LINE "%s" OWN_ID "\r\nbody", true },
+  { "chunked", OK_LINE OWN_ID "%s" CHUNKED "\r\n4\r\nbody\r\n0\r\n\r\n", false },
+  { "behind chunked", OK_LINE OWN_ID CHUNKED "%s\r\n4\r\nbody\r\n0\r\n\r\n", false },
+  { "trailer", OK_LINE OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\n%s\r\n", false },
+  { "second trailer", OK_LINE OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\nx: y\r\n%s\r\n", false },
+  { "interim response", "HTTP/1.1 100 Continue\r\n%s\r\n" OK_LINE OWN_ID LENGTH "\r\nbody",
+    false },
+};
+
+static const size_t piece_lengths[] = { 1, 2, 7, BODY_MAX };
+
+/* Returns TEMPLATE with TEXT in place of "%s"; free with g_string_free. */
+static GString *
+insert_text (const char *template, fb_str_t text)
+{
+  const char *place = strstr (template, "%s");
+  GString *response = g_string_new_len (template, place - template);
+
+  g_string_append_len (response, text.data, (gssize)text.len);
+  return g_string_append (response, place + strlen ("%s"));
+}
+
+/* Reads RESPONSE in pieces of PIECE_LENGTH up to its end or an error. */
+static fh_read_result_t
+read_response (fh_reader_t *reader, const GString *response, size_t piece_length)
+{
+  fh_read_result_t result = FH_READ_INCOMPLETE;
+  size_t consumed;
+
+  fh_reset_reader (reader, false);
+  for (size_t at = 0; at < response->len && result == FH_READ_INCOMPLETE; at += consumed)
+    {
+      fb_bytes_t piece
+          = { (const uint8_t *)response->str + at, MIN (piece_length, response->len - at) };
+
+      result = fh_parse_bytes (reader, piece, &consumed);
+    }
+  return result == FH_READ_INCOMPLETE ? fh_parse_end (reader) : result;
+}
+
+/* Checks that the response is refused or, if it IS_ALLOWED, read with its own id and body. */
+static void
+check_response (fh_reader_t *reader, const GString *response, bool is_allowed)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (piece_lengths); i++)
+    {
+      fh_read_result_t result = read_response (reader, response, piece_lengths[i]);
+      fh_response_t view = { 0 };
+
+      if ((result == FH_READ_COMPLETE) != is_allowed)
+        {
+          char *text = g_strescape (response->str, NULL);
+
+          g_error ("pieces of %zu bytes: result %d for \"%s\"", piece_lengths[i], result, text);
+        }
+      if (!is_allowed)
+        continue;
+      fh_view_response (reader, &view);
+      g_assert_true (fb_equal_str (
+          fh_find_header (view.headers, view.header_count, FB_LITERAL ("request-id")),
+          FB_LITERAL ("own")));
+      g_assert_cmpmem (view.body.data, view.body.len, "body", 4);
+    }
+}
+
+static void
+check_lines (fb_str_t lines, bool is_allowed)
+{
+  fh_reader_t *reader = fh_create_reader (BODY_MAX);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (places); i++)
+    {
+      GString *response = insert_text (places[i].text, lines);
+
+      check_response (reader, response, is_allowed);
+      g_string_free (response, TRUE);
+    }
+  fh_destroy_reader (reader);
+}
+
+/* Guards against field lines that are passed on, left out, joined to the line before them, or
+ * taken for the end of the head. */
+static void
+test_excluded_lines (void)
+{
+  static const fb_str_t lines[] = {
+    /* A blank between name and colon. */
+    FB_LITERAL ("x-bad : 1\r\n"),
+    FB_LITERAL ("x-bad\t: 1\r\n"),
+    FB_LITERAL ("x-bad  \t : 1\r\n"),
+    FB_LITERAL ("content-length : 4\r\n"),
+    FB_LITERAL ("content-length : 2\r\n"),
+    FB_LITERAL ("transfer-encoding : chunked\r\n"),
+    FB_LITERAL ("connection : close\r\n"),
+    FB_LITERAL ("request-id : own\r\n"),
+    /* No name, or no colon. */
+    FB_LITERAL (": 1\r\n"),
+    FB_LITERAL (":\r\n"),
+    FB_LITERAL ("x-bad\r\n"),
+    FB_LITERAL ("x-bad 1\r\n"),
+    FB_LITERAL ("x\r\n-bad: 1\r\n"),
+    FB_LITERAL ("\"x-bad\": 1\r\n"),
+    FB_LITERAL ("x bad: 1\r\n"),
+    FB_LITERAL ("content length: 2\r\n"),
+    FB_LITERAL ("content-length x: 2\r\n"),
+    /* A blank at the start, and folded lines. */
+    FB_LITERAL (" x-bad: 1\r\n"),
+    FB_LITERAL ("\tx-bad: 1\r\n"),
+    FB_LITERAL (" \r\n"),
+    FB_LITERAL ("\t \r\n"),
+    FB_LITERAL (" : 1\r\n"),
+    FB_LITERAL ("x-bad: 1\r\n 2\r\n"),
+    FB_LITERAL ("x-bad: 1\r\n\t2\r\n"),
+    FB_LITERAL ("x-bad: 1\r\n \r\n"),
+    FB_LITERAL ("x-bad: 1\r\n \r\n 2\r\n"),
+    FB_LITERAL ("x-bad:\r\n 2\r\n"),
+    FB_LITERAL ("x-bad: 1\r\n x-other: 2\r\n"),
+    /* Line endings. */
+    FB_LITERAL ("x-bad: 1\n"),
+    FB_LITERAL ("x-bad: 1\r"),
+    FB_LITERAL ("x-bad: 1\r\r\n"),
+    FB_LITERAL ("x-bad: 1\nx-other: 2\r\n"),
+    FB_LITERAL ("x-bad: 1\rx-other: 2\r\n"),
+    FB_LITERAL ("x-bad:\n1\r\n"),
+    FB_LITERAL ("x-bad:\r1\r\n"),
+    FB_LITERAL ("x-bad: 1\n 2\r\n"),
+    FB_LITERAL ("\nx-bad: 1\r\n"),
+    FB_LITERAL ("\rx-bad: 1\r\n"),
+    FB_LITERAL ("\n"),
+    FB_LITERAL ("\r"),
+    FB_LITERAL ("\r\r\n"),
+    FB_LITERAL ("\n\r\n"),
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    check_lines (lines[i], false);
+}
+
+/* Guards against field lines that are refused although they are allowed. */
+static void
+test_allowed_lines (void)
+{
+  static const fb_str_t lines[] = {
+    FB_LITERAL (""),
+    FB_LITERAL ("x-good: 1\r\n"),
+    FB_LITERAL ("x-good:1\r\n"),
+    FB_LITERAL ("x-good:\r\n"),
+    FB_LITERAL ("x-good: \t \r\n"),
+    FB_LITERAL ("x-good:\t1 \t\r\n"),
+    FB_LITERAL ("x-good:: 1\r\n"),
+    FB_LITERAL ("x-good: a\tb  c\r\n"),
+    FB_LITERAL ("x-good: \"a\": b, c\r\n"),
+    FB_LITERAL ("x-good: \303\251\377\r\n"),
+    FB_LITERAL ("x: 1\r\nX: 2\r\n"),
+    FB_LITERAL ("!#$%&'*+-.^_`|~09azAZ: 1\r\n"),
+    FB_LITERAL ("contenT-lengtH-x: 9\r\n"),
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    check_lines (lines[i], true);
+}
+
+/* Guards against each byte that no name may hold, at its start, within it and at its end. */
+static void
+test_name_bytes (void)
+{
+  static const char *const names[] = { "?x-bad: 1\r\n", "x-?bad: 1\r\n", "x-bad?: 1\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    for (unsigned byte = 0; byte < 256; byte++)
+      {
+        char *line = g_strdup (names[i]);
+        char text = (char)byte;
+        /* A colon ends the name before it. */
+        bool is_allowed
+            = fh_is_token ((fb_str_t){ &text, 1 }) || (byte == ':' && names[i][0] != '?');
+
+        *strchr (line, '?') = text;
+        check_lines ((fb_str_t){ line, strlen (names[i]) }, is_allowed);
+        g_free (line);
+      }
+}
+
+/* Guards against each byte that no value may hold. */
+static void
+test_value_bytes (void)
+{
+  static const char *const values[] = { "x-bad:?1\r\n", "x-bad: 1?2\r\n", "x-bad: 1?\r\n" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (values); i++)
+    for (unsigned byte = 0; byte < 256; byte++)
+      {
+        char *line = g_strdup (values[i]);
+
+        *strchr (line, '?') = (char)byte;
+        check_lines ((fb_str_t){ line, strlen (values[i]) },
+                     byte == '\t' || (byte >= ' ' && byte != 0x7f));
+        g_free (line);
+      }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/http/response/excluded-lines", test_excluded_lines);
+  g_test_add_func ("/http/response/allowed-lines", test_allowed_lines);
+  g_test_add_func ("/http/response/name-bytes", test_name_bytes);
+  g_test_add_func ("/http/response/value-bytes", test_value_bytes);
+  return g_test_run ();
+}
