Refuse responses with damaged status lines

Callers got answers whose status line RFC 9112 (section 4) excludes: a code of four digits with a leading 0, two blanks before the code or none behind it, "HTTP 1.1", a lower-case letter in "HTTP", LF as the end of the line, or a control byte in the reason phrase. Status 000, the form that was reported, and other codes outside 100 to 599 were refused before; their tests stay.

Cause: http_parser without its strict mode accepts these forms, and only the version and the code that it had read were checked.

The check of heads now compares the status line byte by byte with its form, also behind interim responses. All cases pass, as do the allowed forms: an empty reason phrase, tabs and bytes over 127 in it, HTTP/1.0.

--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -34,7 +34,7 @@
 struct fh_reader
 {
   http_parser parser;
-  fh_section_t section; /* FH_SECTION_END between the head and the trailers */
+  fh_section_t section; /* at its end between the head and the trailers */
   size_t body_max;
   bool is_head;
   bool received_bytes;
@@ -158,7 +158,7 @@
   return false;
 }
 
-/* Returns whether the status line and framing are those of an HTTP/1 response. http_parser
+/* Returns whether version, status and framing are those of an HTTP/1 response. http_parser
  * accepts any version and any three digits; an upgrade is never requested. */
 static bool
 is_valid_head (const fh_reader_t *reader)
@@ -216,7 +216,7 @@
 
   if (parser->content_length == 0)
     {
-      reader->section = FH_SECTION_LINE_START;
+      fh_begin_trailers (&reader->section);
       http_parser_pause (parser, 1);
     }
   return 0;
@@ -259,7 +259,7 @@
 {
   http_parser_init (&reader->parser, HTTP_RESPONSE);
   reader->parser.data = reader;
-  reader->section = FH_SECTION_STATUS_LINE;
+  fh_begin_head (&reader->section);
   reader->is_head = is_head;
   reader->received_bytes = false;
   reader->headers_complete = false;
@@ -301,16 +301,16 @@
   http_parser *parser = &reader->parser;
   size_t length = bytes.len;
 
-  if (reader->section != FH_SECTION_END)
+  if (reader->section.state != FH_SECTION_END)
     length = fh_check_section (&reader->section, bytes);
-  if (reader->section == FH_SECTION_INVALID)
+  if (reader->section.state == FH_SECTION_INVALID)
     return FH_READ_INVALID;
   *consumed = http_parser_execute (parser, &parser_callbacks, (const char *)bytes.data, length);
   if (!reader->complete && HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
     http_parser_pause (parser, 0);
   /* Another head follows that of an interim response. */
-  if (reader->section == FH_SECTION_END && !reader->headers_complete)
-    reader->section = FH_SECTION_STATUS_LINE;
+  if (reader->section.state == FH_SECTION_END && !reader->headers_complete)
+    fh_begin_head (&reader->section);
   return get_result (reader);
 }
 
--- a/packages/http/source/http-section.c
+++ b/packages/http/source/http-section.c
@@ -1,5 +1,10 @@
 #include "http-section.h"
 #include <foxtailrun/http/message.h>
+#include <glib.h>
+#include <string.h>
+
+/* A status line up to its reason phrase, which may be empty; '0' stands for any digit. */
+#define STATUS_LINE "HTTP/0.0 000 "
 
 static bool
 is_name_byte (uint8_t byte)
@@ -10,7 +15,7 @@
 }
 
 /* Returns the state after BYTE in a value. */
-static fh_section_t
+static fh_section_state_t
 advance_in_value (uint8_t byte)
 {
   if (byte == '\r')
@@ -18,13 +23,23 @@
   return byte == '\t' || (byte >= ' ' && byte != 0x7f) ? FH_SECTION_VALUE : FH_SECTION_INVALID;
 }
 
-static fh_section_t
-advance_section (fh_section_t section, uint8_t byte)
+static fh_section_state_t
+advance_in_status_line (fh_section_t *section, uint8_t byte)
+{
+  char expected = STATUS_LINE[section->position++];
+
+  if (expected == '0' ? !g_ascii_isdigit (byte) : byte != (uint8_t)expected)
+    return FH_SECTION_INVALID;
+  return section->position < strlen (STATUS_LINE) ? FH_SECTION_STATUS_LINE : FH_SECTION_VALUE;
+}
+
+static fh_section_state_t
+advance_section (fh_section_t *section, uint8_t byte)
 {
-  switch (section)
+  switch (section->state)
     {
     case FH_SECTION_STATUS_LINE:
-      return byte == '\r' ? FH_SECTION_CR : FH_SECTION_STATUS_LINE;
+      return advance_in_status_line (section, byte);
     case FH_SECTION_LINE_START:
       if (byte == '\r')
         return FH_SECTION_EMPTY_CR;
@@ -46,12 +61,25 @@
   return FH_SECTION_INVALID;
 }
 
+void
+fh_begin_head (fh_section_t *section)
+{
+  *section = (fh_section_t){ .state = FH_SECTION_STATUS_LINE };
+}
+
+void
+fh_begin_trailers (fh_section_t *section)
+{
+  *section = (fh_section_t){ .state = FH_SECTION_LINE_START };
+}
+
 size_t
 fh_check_section (fh_section_t *section, fb_bytes_t bytes)
 {
   size_t checked = 0;
 
-  while (checked < bytes.len && *section != FH_SECTION_END && *section != FH_SECTION_INVALID)
-    *section = advance_section (*section, bytes.data[checked++]);
+  while (checked < bytes.len && section->state != FH_SECTION_END
+         && section->state != FH_SECTION_INVALID)
+    section->state = advance_section (section, bytes.data[checked++]);
   return checked;
 }
--- a/packages/http/tests/test-response.c
+++ b/packages/http/tests/test-response.c
@@ -1,5 +1,5 @@
-/* Responses with field lines of each form that RFC 9112 excludes (section 5), and of forms that
- * it allows. */
+/* Responses with status lines and field lines of each form that RFC 9112 excludes (sections 4
+ * and 5), and of forms that it allows. */
 #include "http-response.h"
 #include <glib.h>
 #include <string.h>
@@ -31,6 +31,18 @@
     false },
 };
 
+/* Where the examined status line stands; it replaces "%s" with its line ending. */
+static const struct
+{
+  const char *text;
+  bool close_delimited;
+} status_places[] = {
+  { "%s" OWN_ID LENGTH "\r\nbody", false },
+  { "%s" OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\n\r\n", false },
+  { "%s" OWN_ID "\r\nbody", true },
+  { "HTTP/1.1 100 Continue\r\n\r\n%s" OWN_ID LENGTH "\r\nbody", false },
+};
+
 static const size_t piece_lengths[] = { 1, 2, 7, BODY_MAX };
 
 /* Returns TEMPLATE with TEXT in place of "%s"; free with g_string_free. */
@@ -102,6 +114,144 @@
   fh_destroy_reader (reader);
 }
 
+static void
+check_status_line (fb_str_t line, bool is_allowed)
+{
+  fh_reader_t *reader = fh_create_reader (BODY_MAX);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (status_places); i++)
+    {
+      GString *response = insert_text (status_places[i].text, line);
+
+      check_response (reader, response, is_allowed);
+      g_string_free (response, TRUE);
+    }
+  fh_destroy_reader (reader);
+}
+
+static const fb_str_t excluded_status_lines[] = {
+  /* The status code. */
+  FB_LITERAL ("HTTP/1.1 000 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 001 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 099 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 600 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 999 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 0 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 00 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 0000 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 2 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 20 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 2000 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 0200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 +200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 -200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 2x0 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 20x OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 2 0 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 20\0 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 0xc8 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200.1 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1  OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 \r\n"),
+  FB_LITERAL ("HTTP/1.1\r\n"),
+  /* The blanks between the parts. */
+  FB_LITERAL ("HTTP/1.1 200\r\n"),
+  FB_LITERAL ("HTTP/1.1 200OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200\tOK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200\vOK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200\fOK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200\rOK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200\nOK\r\n"),
+  FB_LITERAL ("HTTP/1.1  200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1\t200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1\v200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1\r200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.1200 OK\r\n"),
+  FB_LITERAL (" HTTP/1.1 200 OK\r\n"),
+  FB_LITERAL ("\tHTTP/1.1 200 OK\r\n"),
+  FB_LITERAL ("\r\nHTTP/1.1 200 OK\r\n"),
+  FB_LITERAL ("\nHTTP/1.1 200 OK\r\n"),
+  FB_LITERAL ("\rHTTP/1.1 200 OK\r\n"),
+  /* The version. */
+  FB_LITERAL ("http/1.1 200 OK\r\n"),
+  FB_LITERAL ("HTTp/1.1 200 OK\r\n"),
+  FB_LITERAL ("HTP/1.1 200 OK\r\n"),
+  FB_LITERAL ("HTTPS/1.1 200 OK\r\n"),
+  FB_LITERAL ("xHTTP/1.1 200 OK\r\n"),
+  FB_LITERAL ("ICY 200 OK\r\n"),
+  FB_LITERAL ("HTTP 200 OK\r\n"),
+  FB_LITERAL ("HTTP 1.1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/ 1.1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/1. 200 OK\r\n"),
+  FB_LITERAL ("HTTP/.1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/1,1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/1..1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/01.1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.01 200 OK\r\n"),
+  FB_LITERAL ("HTTP/11.1 200 OK\r\n"),
+  FB_LITERAL ("HTTP/1.11 200 OK\r\n"),
+  FB_LITERAL ("HTTP/x.y 200 OK\r\n"),
+  FB_LITERAL ("HTTP/0.9 200 OK\r\n"),
+  FB_LITERAL ("HTTP/2.0 200 OK\r\n"),
+  FB_LITERAL ("HTTP/2 200 OK\r\n"),
+  FB_LITERAL ("200 OK\r\n"),
+  FB_LITERAL ("GET / HTTP/1.1\r\n"),
+  FB_LITERAL ("OK\r\n"),
+  FB_LITERAL (""),
+  /* The end of the line. */
+  FB_LITERAL ("HTTP/1.1 200 OK\n"),
+  FB_LITERAL ("HTTP/1.1 200 OK\r"),
+  FB_LITERAL ("HTTP/1.1 200 OK\r\r\n"),
+  FB_LITERAL ("HTTP/1.1 200 OK\rOK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200 OK\nOK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200 OK\r\n OK\r\n"),
+  FB_LITERAL ("HTTP/1.1 200 OK\r\n\tOK\r\n"),
+};
+
+/* Guards against a damaged status line that is passed on as a response. */
+static void
+test_excluded_status_line (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (excluded_status_lines); i++)
+    check_status_line (excluded_status_lines[i], false);
+}
+
+/* Guards against a status line that is refused although it is allowed. */
+static void
+test_allowed_status_line (void)
+{
+  static const fb_str_t lines[] = {
+    FB_LITERAL ("HTTP/1.1 200 OK\r\n"),
+    FB_LITERAL ("HTTP/1.0 200 OK\r\n"),
+    FB_LITERAL ("HTTP/1.9 200 OK\r\n"),
+    FB_LITERAL ("HTTP/1.1 200 \r\n"),
+    FB_LITERAL ("HTTP/1.1 200  \r\n"),
+    FB_LITERAL ("HTTP/1.1 299 Other: \"success\"\r\n"),
+    FB_LITERAL ("HTTP/1.1 404 Not\tFound \r\n"),
+    FB_LITERAL ("HTTP/1.1 503 HTTP/1.1 200 OK\r\n"),
+    FB_LITERAL ("HTTP/1.1 599 \303\251\377\r\n"),
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (lines); i++)
+    check_status_line (lines[i], true);
+}
+
+/* Guards against a control byte in a reason phrase that is passed on as a response. */
+static void
+test_reason_bytes (void)
+{
+  for (unsigned byte = 0; byte < 256; byte++)
+    {
+      char line[] = "HTTP/1.1 200 O?K\r\n";
+
+      *strchr (line, '?') = (char)byte;
+      check_status_line ((fb_str_t){ line, sizeof line - 1 },
+                         byte == '\t' || (byte >= ' ' && byte != 0x7f));
+    }
+}
+
 /* Guards against field lines that are passed on, left out, joined to the line before them, or
  * taken for the end of the head. */
 static void
@@ -227,6 +377,9 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/http/response/excluded-status-line", test_excluded_status_line);
+  g_test_add_func ("/http/response/allowed-status-line", test_allowed_status_line);
+  g_test_add_func ("/http/response/reason-bytes", test_reason_bytes);
   g_test_add_func ("/http/response/excluded-lines", test_excluded_lines);
   g_test_add_func ("/http/response/allowed-lines", test_allowed_lines);
   g_test_add_func ("/http/response/name-bytes", test_name_bytes);
--- a/packages/http/tests/test-status.c
+++ b/packages/http/tests/test-status.c
@@ -104,7 +104,8 @@
     "HTTP/1.1 000 Odd", "HTTP/1.1 00 Odd",   "HTTP/1.1 0 Odd",    "HTTP/1.1 099 Odd",
     "HTTP/1.1 600 Odd", "HTTP/1.1 999 Odd",  "HTTP/1.1 1000 Odd", "HTTP/1.1 200x Odd",
     "HTTP/1.1 2 0 Odd", "HTTP/1.1 +200 Odd", "HTTP/1.1 -1 Odd",   "HTTP/1.1 000",
-    "HTTP/1.1 Odd",     "HTTP/1.0 000 Odd",
+    "HTTP/1.1 Odd",     "HTTP/1.0 000 Odd",  "HTTP/1.1 0200 Odd", "HTTP/1.1  200 Odd",
+    "HTTP/1.1 200",     "HTTP 1.1 200 Odd",
   };
 
   for (size_t i = 0; i < G_N_ELEMENTS (status_lines); i++)
