Refuse responses with damaged lines between chunks

Callers could get a chunked body of which bytes were left out.

Cause: http_parser without its strict mode accepts any two bytes in place of CRLF behind the data of a chunk, any byte behind the CR of a size line, and LF or NUL in a chunk extension. Requests were checked, responses were not.

--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -1,4 +1,5 @@
 #include "http-response.h"
+#include "http-chunks.h"
 #include "http-section.h"
 #include <glib.h>
 #include <http_parser.h>
@@ -35,6 +36,7 @@
 {
   http_parser parser;
   fh_section_t section; /* at its end between the head and the trailers */
+  fh_chunk_lines_t chunk_lines;
   size_t body_max;
   bool is_head;
   bool received_bytes;
@@ -180,6 +182,7 @@
   if (is_informational (parser))
     return 0;
   reader->headers_complete = true;
+  fh_begin_chunks (&reader->chunk_lines);
   reader->close_delimited = is_close_delimited (parser) && !reader->is_head;
   reader->keep_alive = http_should_keep_alive (parser) != 0;
   return reader->is_head ? 1 : 0;
@@ -190,6 +193,8 @@
 {
   fh_reader_t *reader = parser->data;
 
+  if (parser->flags & F_CHUNKED)
+    fh_skip_chunk_data (&reader->chunk_lines, data, len);
   if (reader->body->len + len > reader->body_max)
     return reject_too_large (reader);
   g_byte_array_append (reader->body, (const guint8 *)data, (guint)len);
@@ -299,19 +304,27 @@
 parse_part (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
 {
   http_parser *parser = &reader->parser;
+  const char *data = (const char *)bytes.data;
+  bool is_body = reader->section.state == FH_SECTION_END;
   size_t length = bytes.len;
+  fh_read_result_t result;
 
-  if (reader->section.state != FH_SECTION_END)
+  if (!is_body)
     length = fh_check_section (&reader->section, bytes);
   if (reader->section.state == FH_SECTION_INVALID)
     return FH_READ_INVALID;
-  *consumed = http_parser_execute (parser, &parser_callbacks, (const char *)bytes.data, length);
+  fh_begin_chunk_input (&reader->chunk_lines, data);
+  *consumed = http_parser_execute (parser, &parser_callbacks, data, length);
   if (!reader->complete && HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
     http_parser_pause (parser, 0);
   /* Another head follows that of an interim response. */
   if (reader->section.state == FH_SECTION_END && !reader->headers_complete)
     fh_begin_head (&reader->section);
-  return get_result (reader);
+  result = get_result (reader);
+  if (result == FH_READ_INCOMPLETE && is_body && (parser->flags & F_CHUNKED)
+      && !fh_check_chunk_lines (&reader->chunk_lines, data + *consumed))
+    return FH_READ_INVALID;
+  return result;
 }
 
 fh_read_result_t
--- a/packages/http/tests/test-response.c
+++ b/packages/http/tests/test-response.c
@@ -1,5 +1,5 @@
-/* Responses with status lines and field lines of each form that RFC 9112 excludes (sections 4
- * and 5), and of forms that it allows. */
+/* Responses with status lines, field lines and chunks of forms that RFC 9112 excludes (sections
+ * 4, 5 and 7.1), and of forms that it allows. */
 #include "http-response.h"
 #include <glib.h>
 #include <string.h>
@@ -334,6 +334,53 @@
     check_lines (lines[i], true);
 }
 
+/* Guards against a chunked body whose size lines or chunk ends are damaged: bytes of it would
+ * be left out. */
+static void
+test_chunks (void)
+{
+  static const struct
+  {
+    fb_str_t body;
+    bool is_allowed;
+  } cases[] = {
+    { FB_LITERAL ("4\r\nbody\r\n0\r\n\r\n"), true },
+    { FB_LITERAL ("1\r\nb\r\n3\r\nody\r\n0\r\n\r\n"), true },
+    { FB_LITERAL ("04\r\nbody\r\n00\r\n\r\n"), true },
+    { FB_LITERAL ("4;a=b\r\nbody\r\n0;c\r\n\r\n"), true },
+    { FB_LITERAL ("4\r\nbody\r\n0\r\nx: y\r\n\r\n"), true },
+    { FB_LITERAL ("4\r\nbodyxy0\r\n\r\n"), false },
+    { FB_LITERAL ("4\r\nbody\rx0\r\n\r\n"), false },
+    { FB_LITERAL ("4\r\nbody\n\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4\r\nbody\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4\r\nbody0\r\n\r\n"), false },
+    { FB_LITERAL ("4\rxbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4;a\nb\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4;a\rb\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4;a\0b\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL (" 4\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("\r\n4\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("0x4\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("-4\r\nbody\r\n0\r\n\r\n"), false },
+    { FB_LITERAL ("4\r\nbody\r\n0\rx\r\n"), false },
+    { FB_LITERAL ("4\r\nbody\r\n0\n\r\n"), false },
+    { FB_LITERAL ("4\r\nbody\r\n0\r\n\n"), false },
+    { FB_LITERAL ("4\r\nbody\r\n0\r\n\rx"), false },
+    { FB_LITERAL ("10000000000000004\r\nbody\r\n0\r\n\r\n"), false },
+  };
+  fh_reader_t *reader = fh_create_reader (BODY_MAX);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *response = insert_text (OK_LINE OWN_ID CHUNKED "\r\n%s", cases[i].body);
+
+      check_response (reader, response, cases[i].is_allowed);
+      g_string_free (response, TRUE);
+    }
+  fh_destroy_reader (reader);
+}
+
 /* Guards against each byte that no name may hold, at its start, within it and at its end. */
 static void
 test_name_bytes (void)
@@ -384,5 +431,6 @@
   g_test_add_func ("/http/response/allowed-lines", test_allowed_lines);
   g_test_add_func ("/http/response/name-bytes", test_name_bytes);
   g_test_add_func ("/http/response/value-bytes", test_value_bytes);
+  g_test_add_func ("/http/response/chunks", test_chunks);
   return g_test_run ();
 }
