Test resets where a length is required, as of the store, other nodes and probes

The same cuts, ends and moments as for instances, for requests that do not accept a body without a length.

--- a/packages/http/tests/test-reset.c
+++ b/packages/http/tests/test-reset.c
@@ -70,7 +70,8 @@
   size_t upload;
   end_t end;
   moment_t moment;
-  bool is_kept; /* a response came before on the same connection */
+  bool is_kept;                /* a response came before on the same connection */
+  bool allows_close_delimited; /* as for instances, unlike the store, other nodes and probes */
 } case_t;
 
 typedef struct
@@ -167,7 +168,7 @@
           .path = FB_LITERAL ("/a"),
           .body = { fixture->upload, upload },
           .echoed_header = { FB_LITERAL ("request-id"), FB_LITERAL ("own") },
-          .allows_close_delimited = true };
+          .allows_close_delimited = fixture->current->allows_close_delimited };
 
   fh_send_request (fixture->client, &request, record_response, fixture);
 }
@@ -201,7 +202,7 @@
 {
   const char *response = current->framing->response;
   const char *last_head = strstr (response, OWN_ID "\r\n");
-  bool has_end = current->end != ENDS_BY_RESET
+  bool has_end = current->allows_close_delimited && current->end != ENDS_BY_RESET
                  && (current->end != ENDS_BY_CLOSE || current->upload < LONG_UPLOAD);
 
   if (!current->framing->close_delimited)
@@ -257,9 +258,8 @@
 static void
 test_cut_response (const void *user)
 {
-  const size_t *upload = user;
+  case_t current = *(const case_t *)user;
   fixture_t fixture = { 0 };
-  case_t current = { .upload = *upload };
 
   set_up (&fixture);
   for (size_t i = 0; i < G_N_ELEMENTS (framings); i++)
@@ -268,7 +268,7 @@
         for (int is_kept = 0; is_kept < 2; is_kept++)
           {
             /* A paused connection that holds a long upload is closed for its memory. */
-            if (moment == ENDS_WHILE_PAUSED && *upload == LONG_UPLOAD)
+            if (moment == ENDS_WHILE_PAUSED && current.upload == LONG_UPLOAD)
               continue;
             current.framing = &framings[i];
             current.end = (end_t)end;
@@ -282,11 +282,19 @@
 int
 main (int argc, char **argv)
 {
-  static const size_t uploads[] = { 0, SHORT_UPLOAD, LONG_UPLOAD };
+  static const struct
+  {
+    const char *name;
+    case_t first; /* the other fields are set by the test */
+  } tests[] = {
+    { "/http/reset/no-upload", { .upload = 0, .allows_close_delimited = true } },
+    { "/http/reset/short-upload", { .upload = SHORT_UPLOAD, .allows_close_delimited = true } },
+    { "/http/reset/long-upload", { .upload = LONG_UPLOAD, .allows_close_delimited = true } },
+    { "/http/reset/length-required", { .upload = SHORT_UPLOAD } },
+  };
 
   g_test_init (&argc, &argv, NULL);
-  g_test_add_data_func ("/http/reset/no-upload", &uploads[0], test_cut_response);
-  g_test_add_data_func ("/http/reset/short-upload", &uploads[1], test_cut_response);
-  g_test_add_data_func ("/http/reset/long-upload", &uploads[2], test_cut_response);
+  for (size_t i = 0; i < G_N_ELEMENTS (tests); i++)
+    g_test_add_data_func (tests[i].name, &tests[i].first, test_cut_response);
   return g_test_run ();
 }
