--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -303,7 +303,7 @@
 
   return error == UV_EOF
          && uv_fileno ((const uv_handle_t *)&connection->stream, &descriptor) == 0
-         && fh_is_stream_complete (descriptor, connection->received_bytes);
+         && fh_has_received_fin (descriptor, connection->received_bytes);
 }
 
 static void
--- a/packages/http/source/http-transfer.c
+++ b/packages/http/source/http-transfer.c
@@ -23,7 +23,7 @@
 }
 
 bool
-fh_is_stream_complete (int descriptor, uint64_t received)
+fh_has_received_fin (int descriptor, uint64_t received)
 {
   struct tcp_info info;
 
--- a/packages/http/source/http-transfer.h
+++ b/packages/http/source/http-transfer.h
@@ -9,8 +9,8 @@
  * on an error. */
 void fh_read_acknowledged (int descriptor, uint64_t *acknowledged);
 
-/* Returns whether the peer of the connection with DESCRIPTOR has ended its stream with FIN,
- * behind RECEIVED bytes, all of which were read. False on an error. */
-bool fh_is_stream_complete (int descriptor, uint64_t received);
+/* Returns whether the peer of the connection with DESCRIPTOR has ended its stream with FIN, of
+ * which RECEIVED bytes were read. False if there is more to read, or on an error. */
+bool fh_has_received_fin (int descriptor, uint64_t received);
 
 #endif
--- a/packages/http/tests/test-response.c
+++ b/packages/http/tests/test-response.c
@@ -11,38 +11,34 @@
 #define LENGTH "content-length: 4\r\n"
 #define CHUNKED "transfer-encoding: chunked\r\n"
 
-/* Where the examined lines stand in a response; "%s" is replaced by them. */
-static const struct
-{
-  const char *name;
-  const char *text;
-  bool close_delimited;
-} places[] = {
-  { "first line", OK_LINE "%s" OWN_ID LENGTH "\r\nbody", false },
-  { "between lines", OK_LINE OWN_ID "%s" LENGTH "\r\nbody", false },
-  { "last line", OK_LINE OWN_ID LENGTH "%s\r\nbody", false },
-  { "only line behind the id, no length", OK_LINE OWN_ID "%s\r\nbody", true },
-  { "before the id, no length", OK_LINE "%s" OWN_ID "\r\nbody", true },
-  { "chunked", OK_LINE OWN_ID "%s" CHUNKED "\r\n4\r\nbody\r\n0\r\n\r\n", false },
-  { "behind chunked", OK_LINE OWN_ID CHUNKED "%s\r\n4\r\nbody\r\n0\r\n\r\n", false },
-  { "trailer", OK_LINE OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\n%s\r\n", false },
-  { "second trailer", OK_LINE OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\nx: y\r\n%s\r\n", false },
-  { "interim response", "HTTP/1.1 100 Continue\r\n%s\r\n" OK_LINE OWN_ID LENGTH "\r\nbody",
-    false },
+/* Places of the examined field lines; they replace "%s". */
+static const char *const line_places[] = {
+  OK_LINE "%s" OWN_ID LENGTH "\r\nbody",
+  OK_LINE OWN_ID "%s" LENGTH "\r\nbody",
+  OK_LINE OWN_ID LENGTH "%s\r\nbody",
+  /* Without a length. */
+  OK_LINE "%s" OWN_ID "\r\nbody",
+  OK_LINE OWN_ID "%s\r\nbody",
+  /* In chunks, and as trailers. */
+  OK_LINE OWN_ID "%s" CHUNKED "\r\n4\r\nbody\r\n0\r\n\r\n",
+  OK_LINE OWN_ID CHUNKED "%s\r\n4\r\nbody\r\n0\r\n\r\n",
+  OK_LINE OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\n%s\r\n",
+  OK_LINE OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\nx: y\r\n%s\r\n",
+  /* In an interim response. */
+  "HTTP/1.1 100 Continue\r\n%s\r\n" OK_LINE OWN_ID LENGTH "\r\nbody",
 };
 
-/* Where the examined status line stands; it replaces "%s" with its line ending. */
-static const struct
-{
-  const char *text;
-  bool close_delimited;
-} status_places[] = {
-  { "%s" OWN_ID LENGTH "\r\nbody", false },
-  { "%s" OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\n\r\n", false },
-  { "%s" OWN_ID "\r\nbody", true },
-  { "HTTP/1.1 100 Continue\r\n\r\n%s" OWN_ID LENGTH "\r\nbody", false },
+/* Places of the examined status line with its line ending. */
+static const char *const status_line_places[] = {
+  "%s" OWN_ID LENGTH "\r\nbody",
+  "%s" OWN_ID CHUNKED "\r\n4\r\nbody\r\n0\r\n\r\n",
+  "%s" OWN_ID "\r\nbody",
+  "HTTP/1.1 100 Continue\r\n\r\n%s" OWN_ID LENGTH "\r\nbody",
 };
 
+/* The place of the examined chunks, with the trailers. */
+static const char *const chunk_places[] = { OK_LINE OWN_ID CHUNKED "\r\n%s" };
+
 static const size_t piece_lengths[] = { 1, 2, 7, BODY_MAX };
 
 /* Returns TEMPLATE with TEXT in place of "%s"; free with g_string_free. */
@@ -99,14 +95,15 @@
     }
 }
 
+/* Checks the responses with TEXT at each of the COUNT PLACES. */
 static void
-check_lines (fb_str_t lines, bool is_allowed)
+check_places (const char *const *places, size_t count, fb_str_t text, bool is_allowed)
 {
   fh_reader_t *reader = fh_create_reader (BODY_MAX);
 
-  for (size_t i = 0; i < G_N_ELEMENTS (places); i++)
+  for (size_t i = 0; i < count; i++)
     {
-      GString *response = insert_text (places[i].text, lines);
+      GString *response = insert_text (places[i], text);
 
       check_response (reader, response, is_allowed);
       g_string_free (response, TRUE);
@@ -115,18 +112,15 @@
 }
 
 static void
-check_status_line (fb_str_t line, bool is_allowed)
+check_lines (fb_str_t lines, bool is_allowed)
 {
-  fh_reader_t *reader = fh_create_reader (BODY_MAX);
-
-  for (size_t i = 0; i < G_N_ELEMENTS (status_places); i++)
-    {
-      GString *response = insert_text (status_places[i].text, line);
+  check_places (line_places, G_N_ELEMENTS (line_places), lines, is_allowed);
+}
 
-      check_response (reader, response, is_allowed);
-      g_string_free (response, TRUE);
-    }
-  fh_destroy_reader (reader);
+static void
+check_status_line (fb_str_t line, bool is_allowed)
+{
+  check_places (status_line_places, G_N_ELEMENTS (status_line_places), line, is_allowed);
 }
 
 static const fb_str_t excluded_status_lines[] = {
@@ -369,16 +363,10 @@
     { FB_LITERAL ("4\r\nbody\r\n0\r\n\rx"), false },
     { FB_LITERAL ("10000000000000004\r\nbody\r\n0\r\n\r\n"), false },
   };
-  fh_reader_t *reader = fh_create_reader (BODY_MAX);
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
-    {
-      GString *response = insert_text (OK_LINE OWN_ID CHUNKED "\r\n%s", cases[i].body);
-
-      check_response (reader, response, cases[i].is_allowed);
-      g_string_free (response, TRUE);
-    }
-  fh_destroy_reader (reader);
+    check_places (chunk_places, G_N_ELEMENTS (chunk_places), cases[i].body,
+                  cases[i].is_allowed);
 }
 
 /* Guards against each byte that no name may hold, at its start, within it and at its end. */
