Decode the chunks of responses in one pass instead of checking them beside http_parser

http-chunks.c now decodes these bodies itself, and http_parser reads no more than the head. Size lines and trailers have limits of their own, since http_parser's no longer hold; a test covers both.

--- a/packages/http/source/http-chunks.c
+++ b/packages/http/source/http-chunks.c
@@ -1,35 +1,81 @@
 #include "http-chunks.h"
 
+/* Maximum bytes between the data of two chunks. */
+#define SIZE_LINE_MAX (16 * 1024)
+
 void
-fh_begin_chunks (fh_chunk_lines_t *lines)
+fh_begin_chunks (fh_chunks_t *chunks)
 {
-  *lines = (fh_chunk_lines_t){ .line = FH_LINE_START };
+  *chunks = (fh_chunks_t){ .state = FH_CHUNK_START };
 }
 
-void
-fh_begin_chunk_input (fh_chunk_lines_t *lines, const char *data)
+/* Returns the state after BYTE, outside of data; LEFT is the size that was read so far. */
+static fh_chunk_state_t
+advance_state (fh_chunk_state_t state, uint8_t byte, size_t left)
 {
-  lines->unchecked = data;
+  switch (state)
+    {
+    case FH_CHUNK_START:
+      return g_ascii_isxdigit (byte) ? FH_CHUNK_SIZE : FH_CHUNK_INVALID;
+    case FH_CHUNK_SIZE:
+      if (byte == '\r')
+        return FH_CHUNK_SIZE_CR;
+      if (g_ascii_isxdigit (byte))
+        return left <= SIZE_MAX >> 4 ? FH_CHUNK_SIZE : FH_CHUNK_INVALID;
+      return byte == ';' || byte == ' ' || byte == '\t' ? FH_CHUNK_EXTENSION : FH_CHUNK_INVALID;
+    case FH_CHUNK_EXTENSION:
+      if (byte == '\r')
+        return FH_CHUNK_SIZE_CR;
+      return byte == '\t' || (byte >= ' ' && byte != 0x7f) ? FH_CHUNK_EXTENSION
+                                                           : FH_CHUNK_INVALID;
+    case FH_CHUNK_SIZE_CR:
+      if (byte != '\n')
+        return FH_CHUNK_INVALID;
+      return left > 0 ? FH_CHUNK_DATA : FH_CHUNK_LAST;
+    case FH_CHUNK_DATA_END:
+      return byte == '\r' ? FH_CHUNK_DATA_CR : FH_CHUNK_INVALID;
+    case FH_CHUNK_DATA_CR:
+      return byte == '\n' ? FH_CHUNK_START : FH_CHUNK_INVALID;
+    case FH_CHUNK_DATA:
+    case FH_CHUNK_LAST:
+    case FH_CHUNK_INVALID:
+      break;
+    }
+  return FH_CHUNK_INVALID;
 }
 
-bool
-fh_check_chunk_lines (fh_chunk_lines_t *lines, const char *end)
+size_t
+fh_decode_chunks (fh_chunks_t *chunks, fb_bytes_t bytes, GByteArray *body, size_t body_max)
 {
-  fb_bytes_t bytes = { (const uint8_t *)lines->unchecked, (size_t)(end - lines->unchecked) };
+  const uint8_t *at = bytes.data;
+  const uint8_t *end = at + bytes.len;
+  fh_chunk_state_t state = chunks->state;
+  size_t left = chunks->left;
+  size_t line_len = chunks->line_len;
 
-  if (fh_check_lines (&lines->line, bytes) < bytes.len || lines->line == FH_LINE_INVALID)
-    lines->invalid = true;
-  return !lines->invalid;
-}
+  while (at < end && state < FH_CHUNK_LAST)
+    if (state == FH_CHUNK_DATA)
+      {
+        size_t length = left < (size_t)(end - at) ? left : (size_t)(end - at);
 
-void
-fh_skip_chunk_data (fh_chunk_lines_t *lines, const char *data, size_t len)
-{
-  bool continues_chunk = lines->unchecked == data && lines->line == FH_LINE_CHUNK_END;
+        if (length > body_max - body->len)
+          break;
+        g_byte_array_append (body, at, (guint)length);
+        at += length;
+        left -= length;
+        line_len = 0;
+        state = left > 0 ? FH_CHUNK_DATA : FH_CHUNK_DATA_END;
+      }
+    else
+      {
+        uint8_t byte = *at++;
 
-  fh_check_chunk_lines (lines, data);
-  if (!continues_chunk && lines->line != FH_LINE_START)
-    lines->invalid = true;
-  lines->line = FH_LINE_CHUNK_END;
-  lines->unchecked = data + len;
+        state = advance_state (state, byte, left);
+        if (state == FH_CHUNK_SIZE)
+          left = left << 4 | (size_t)g_ascii_xdigit_value ((char)byte);
+        if (++line_len > SIZE_LINE_MAX)
+          state = FH_CHUNK_INVALID;
+      }
+  *chunks = (fh_chunks_t){ state, left, line_len };
+  return (size_t)(at - bytes.data);
 }
--- a/packages/http/source/http-chunks.h
+++ b/packages/http/source/http-chunks.h
@@ -1,30 +1,39 @@
-/* Strict check of the lines that frame the chunks of a body (RFC 9112, section 7.1).
- * http_parser, built without its strict mode, accepts any bytes in place of CRLF there and
- * drops them. */
+/* Strict decoder of bodies in chunks (RFC 9112, section 7.1). http_parser, built without its
+ * strict mode, accepts any bytes in place of the CRLF behind a chunk and drops them. */
 #ifndef FOXTAILRUN_HTTP_CHUNKS_H
 #define FOXTAILRUN_HTTP_CHUNKS_H
 
-#include "http-lines.h"
+#include <foxtailrun/base/string.h>
+#include <glib.h>
 
-typedef struct
+typedef enum
 {
-  fh_line_state_t line;
-  const char *unchecked; /* first byte of the input that may belong to these lines */
-  bool invalid;
-} fh_chunk_lines_t;
-
-/* Prepares for the first chunk of a body. */
-void fh_begin_chunks (fh_chunk_lines_t *lines);
+  FH_CHUNK_START, /* before the first digit of a size */
+  FH_CHUNK_SIZE,
+  FH_CHUNK_EXTENSION,
+  FH_CHUNK_SIZE_CR, /* after the CR behind size and extension */
+  FH_CHUNK_DATA,
+  FH_CHUNK_DATA_END, /* before the CR behind the data */
+  FH_CHUNK_DATA_CR,
+  /* Nothing is decoded in these. */
+  FH_CHUNK_LAST, /* after the size line of the last chunk; the trailers follow */
+  FH_CHUNK_INVALID
+} fh_chunk_state_t;
 
-/* Prepares for input from DATA on, which http_parser is about to parse. */
-void fh_begin_chunk_input (fh_chunk_lines_t *lines, const char *data);
+typedef struct
+{
+  fh_chunk_state_t state;
+  size_t left;     /* bytes of data */
+  size_t line_len; /* of the size line */
+} fh_chunks_t;
 
-/* Checks the input before the LEN bytes at DATA, which http_parser has reported as data of a
- * chunk. */
-void fh_skip_chunk_data (fh_chunk_lines_t *lines, const char *data, size_t len);
+void fh_begin_chunks (fh_chunks_t *chunks);
 
-/* Checks the input before END, up to which it was parsed. Returns whether the lines are valid
- * so far. */
-bool fh_check_chunk_lines (fh_chunk_lines_t *lines, const char *end);
+/* Decodes BYTES up to and including the size line of the last chunk, and appends the data to
+ * BODY while it holds at most BODY_MAX bytes. Returns the number of bytes decoded. The state is
+ * then FH_CHUNK_LAST behind that line, FH_CHUNK_INVALID after a byte that is not allowed or a
+ * size line that is too long, FH_CHUNK_DATA if the data exceeds BODY_MAX. */
+size_t fh_decode_chunks (fh_chunks_t *chunks, fb_bytes_t bytes, GByteArray *body,
+                         size_t body_max);
 
 #endif
--- a/packages/http/source/http-request.c
+++ b/packages/http/source/http-request.c
@@ -1,5 +1,5 @@
 #include "http-request.h"
-#include "http-chunks.h"
+#include "http-lines.h"
 #include <http_parser.h>
 #include <string.h>
 
@@ -16,10 +16,9 @@
 {
   http_parser parser;
   size_t body_max;
-  fh_line_state_t line_state; /* of the head */
-  fh_chunk_lines_t chunk_lines;
-  GByteArray *head; /* raw bytes of an incomplete head */
-  bool is_first;    /* no request of the connection was complete yet */
+  fh_line_state_t line_state; /* of the head, then of the lines that frame chunks */
+  GByteArray *head;           /* raw bytes of an incomplete head */
+  bool is_first;              /* no request of the connection was complete yet */
   bool head_complete;
   bool complete;
   bool is_chunked; /* http_parser forgets it at a trailer named transfer-encoding */
@@ -27,6 +26,8 @@
   bool body_too_large;
   bool last_was_value; /* the next name begins a new header */
   bool expects_continue;
+  bool framing_invalid;
+  const char *framing; /* first byte of the input that may belong to the lines around chunks */
   fb_str_t target;
   fh_header_t headers[FH_HEADERS_MAX];
   fh_message_t message;
@@ -96,13 +97,32 @@
   return 0;
 }
 
+/* Checks the bytes before END that are not data of a chunk. */
+static void
+check_framing (fh_request_reader_t *reader, const char *end)
+{
+  fb_bytes_t bytes = { (const uint8_t *)reader->framing, (size_t)(end - reader->framing) };
+
+  if (fh_check_lines (&reader->line_state, bytes) < bytes.len
+      || reader->line_state == FH_LINE_INVALID)
+    reader->framing_invalid = true;
+}
+
 static int
 append_body (http_parser *parser, const char *data, size_t len)
 {
   fh_request_reader_t *reader = parser->data;
 
   if (reader->is_chunked)
-    fh_skip_chunk_data (&reader->chunk_lines, data, len);
+    {
+      bool continues_chunk = reader->framing == data && reader->line_state == FH_LINE_CHUNK_END;
+
+      check_framing (reader, data);
+      if (!continues_chunk && reader->line_state != FH_LINE_START)
+        reader->framing_invalid = true;
+      reader->line_state = FH_LINE_CHUNK_END;
+      reader->framing = data + len;
+    }
   if (reader->message.body->len + len > reader->body_max)
     {
       reader->body_too_large = true;
@@ -353,7 +373,7 @@
   if (HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
     return reject (reader, get_parse_error_status (reader));
   message->body = g_byte_array_new ();
-  fh_begin_chunks (&reader->chunk_lines);
+  reader->line_state = FH_LINE_START;
   return FH_REQUEST_INCOMPLETE;
 }
 
@@ -400,14 +420,17 @@
 {
   const char *data = (const char *)bytes.data;
 
-  fh_begin_chunk_input (&reader->chunk_lines, data);
+  reader->framing = data;
   *consumed = http_parser_execute (&reader->parser, &parser_callbacks, data, bytes.len);
   if (!reader->complete && HTTP_PARSER_ERRNO (&reader->parser) != HPE_OK)
     return reject (reader, get_parse_error_status (reader));
-  if (reader->is_chunked
-      && (!fh_check_chunk_lines (&reader->chunk_lines, data + *consumed)
-          || (reader->complete && reader->chunk_lines.line != FH_LINE_SECTION)))
-    return reject (reader, 400);
+  if (reader->is_chunked)
+    {
+      check_framing (reader, data + *consumed);
+      if (reader->framing_invalid
+          || (reader->complete && reader->line_state != FH_LINE_SECTION))
+        return reject (reader, 400);
+    }
   return reader->complete ? FH_REQUEST_COMPLETE : FH_REQUEST_INCOMPLETE;
 }
 
--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -35,8 +35,10 @@
 struct fh_reader
 {
   http_parser parser;
-  fh_section_t section; /* at its end between the head and the trailers */
-  fh_chunk_lines_t chunk_lines;
+  fh_section_t section; /* head or trailers */
+  size_t trailer_bytes;
+  fh_chunks_t chunks;
+  bool is_chunked;
   size_t body_max;
   bool is_head;
   bool received_bytes;
@@ -182,7 +184,8 @@
   if (is_informational (parser))
     return 0;
   reader->headers_complete = true;
-  fh_begin_chunks (&reader->chunk_lines);
+  reader->is_chunked = parser->flags & F_CHUNKED;
+  fh_begin_chunks (&reader->chunks);
   reader->close_delimited = is_close_delimited (parser) && !reader->is_head;
   reader->keep_alive = http_should_keep_alive (parser) != 0;
   return reader->is_head ? 1 : 0;
@@ -193,8 +196,6 @@
 {
   fh_reader_t *reader = parser->data;
 
-  if (parser->flags & F_CHUNKED)
-    fh_skip_chunk_data (&reader->chunk_lines, data, len);
   if (reader->body->len + len > reader->body_max)
     return reject_too_large (reader);
   g_byte_array_append (reader->body, (const guint8 *)data, (guint)len);
@@ -213,27 +214,12 @@
   return 0;
 }
 
-/* Pauses http_parser before the trailers, which are checked first. */
-static int
-complete_chunk_head (http_parser *parser)
-{
-  fh_reader_t *reader = parser->data;
-
-  if (parser->content_length == 0)
-    {
-      fh_begin_trailers (&reader->section);
-      http_parser_pause (parser, 1);
-    }
-  return 0;
-}
-
 static const http_parser_settings parser_callbacks = {
   .on_message_begin = begin_message,
   .on_header_field = append_header_name,
   .on_header_value = append_header_value,
   .on_headers_complete = complete_headers,
   .on_body = append_body,
-  .on_chunk_header = complete_chunk_head,
   .on_message_complete = complete_message,
 };
 
@@ -265,6 +251,8 @@
   http_parser_init (&reader->parser, HTTP_RESPONSE);
   reader->parser.data = reader;
   fh_begin_head (&reader->section);
+  reader->trailer_bytes = 0;
+  reader->is_chunked = false;
   reader->is_head = is_head;
   reader->received_bytes = false;
   reader->headers_complete = false;
@@ -298,33 +286,62 @@
   return FH_READ_INCOMPLETE;
 }
 
-/* Parses BYTES up to the end of a head, of the last chunk's head or of the trailers at most,
- * and sets *CONSUMED. */
+/* Parses BYTES up to the end of the head at most and sets *CONSUMED. */
 static fh_read_result_t
-parse_part (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+parse_head (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
 {
-  http_parser *parser = &reader->parser;
-  const char *data = (const char *)bytes.data;
-  bool is_body = reader->section.state == FH_SECTION_END;
-  size_t length = bytes.len;
-  fh_read_result_t result;
-
-  if (!is_body)
-    length = fh_check_section (&reader->section, bytes);
+  size_t length = fh_check_section (&reader->section, bytes);
+
   if (reader->section.state == FH_SECTION_INVALID)
     return FH_READ_INVALID;
-  fh_begin_chunk_input (&reader->chunk_lines, data);
-  *consumed = http_parser_execute (parser, &parser_callbacks, data, length);
-  if (!reader->complete && HTTP_PARSER_ERRNO (parser) == HPE_PAUSED)
-    http_parser_pause (parser, 0);
+  *consumed = http_parser_execute (&reader->parser, &parser_callbacks, (const char *)bytes.data,
+                                   length);
   /* Another head follows that of an interim response. */
   if (reader->section.state == FH_SECTION_END && !reader->headers_complete)
     fh_begin_head (&reader->section);
-  result = get_result (reader);
-  if (result == FH_READ_INCOMPLETE && is_body && (parser->flags & F_CHUNKED)
-      && !fh_check_chunk_lines (&reader->chunk_lines, data + *consumed))
+  return get_result (reader);
+}
+
+/* Decodes BYTES up to the last chunk at most and sets *CONSUMED. */
+static fh_read_result_t
+parse_chunks (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+{
+  *consumed = fh_decode_chunks (&reader->chunks, bytes, reader->body, reader->body_max);
+  if (reader->chunks.state == FH_CHUNK_INVALID)
     return FH_READ_INVALID;
-  return result;
+  if (reader->chunks.state == FH_CHUNK_LAST)
+    fh_begin_trailers (&reader->section);
+  else if (*consumed < bytes.len)
+    return FH_READ_TOO_LARGE;
+  return FH_READ_INCOMPLETE;
+}
+
+/* Checks BYTES up to the end of the trailers, which are ignored, and sets *CONSUMED. */
+static fh_read_result_t
+parse_trailers (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+{
+  *consumed = fh_check_section (&reader->section, bytes);
+  reader->trailer_bytes += *consumed;
+  if (reader->section.state == FH_SECTION_INVALID)
+    return FH_READ_INVALID;
+  if (reader->trailer_bytes > HEADER_BYTES_MAX)
+    return FH_READ_TOO_LARGE;
+  reader->complete = reader->section.state == FH_SECTION_END;
+  return reader->complete ? FH_READ_COMPLETE : FH_READ_INCOMPLETE;
+}
+
+static fh_read_result_t
+parse_part (fh_reader_t *reader, fb_bytes_t bytes, size_t *consumed)
+{
+  if (!reader->headers_complete)
+    return parse_head (reader, bytes, consumed);
+  if (reader->section.state != FH_SECTION_END)
+    return parse_trailers (reader, bytes, consumed);
+  if (reader->is_chunked)
+    return parse_chunks (reader, bytes, consumed);
+  *consumed = http_parser_execute (&reader->parser, &parser_callbacks, (const char *)bytes.data,
+                                   bytes.len);
+  return get_result (reader);
 }
 
 fh_read_result_t
@@ -333,14 +350,15 @@
   fh_read_result_t result = FH_READ_INCOMPLETE;
   size_t length;
 
+  *consumed = 0;
   reader->received_bytes = reader->received_bytes || bytes.len > 0;
-  for (*consumed = 0; *consumed < bytes.len && result == FH_READ_INCOMPLETE;
-       *consumed += length)
+  while (*consumed < bytes.len && result == FH_READ_INCOMPLETE)
     {
       fb_bytes_t rest = { bytes.data + *consumed, bytes.len - *consumed };
 
       length = 0;
       result = parse_part (reader, rest, &length);
+      *consumed += length;
     }
   return result;
 }
--- a/packages/http/tests/test-response.c
+++ b/packages/http/tests/test-response.c
@@ -369,6 +369,40 @@
                   cases[i].is_allowed);
 }
 
+/* Guards against size lines and trailers without end, which no limit of the body stops. */
+static void
+test_chunk_limits (void)
+{
+  static const struct
+  {
+    const char *start;
+    const char *unit; /* repeated COUNT times */
+    size_t count;
+    const char *end;
+    bool is_allowed;
+  } cases[] = {
+    { "4;", "x", 1000, "\r\nbody\r\n0\r\n\r\n", true },
+    { "4;", "x", 100000, "\r\nbody\r\n0\r\n\r\n", false },
+    { "", "0", 1000, "4\r\nbody\r\n0\r\n\r\n", true },
+    { "", "0", 100000, "4\r\nbody\r\n0\r\n\r\n", false },
+    { "4\r\nbody\r\n0\r\n", "x: y\r\n", 1000, "\r\n", true },
+    { "4\r\nbody\r\n0\r\n", "x: y\r\n", 100000, "\r\n", false },
+    { "4\r\nbody\r\n0\r\nx: ", "y", 100000, "\r\n\r\n", false },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      GString *text = g_string_new (cases[i].start);
+
+      for (size_t n = 0; n < cases[i].count; n++)
+        g_string_append (text, cases[i].unit);
+      g_string_append (text, cases[i].end);
+      check_places (chunk_places, G_N_ELEMENTS (chunk_places),
+                    (fb_str_t){ text->str, text->len }, cases[i].is_allowed);
+      g_string_free (text, TRUE);
+    }
+}
+
 /* Guards against each byte that no name may hold, at its start, within it and at its end. */
 static void
 test_name_bytes (void)
@@ -420,5 +454,6 @@
   g_test_add_func ("/http/response/name-bytes", test_name_bytes);
   g_test_add_func ("/http/response/value-bytes", test_value_bytes);
   g_test_add_func ("/http/response/chunks", test_chunks);
+  g_test_add_func ("/http/response/chunk-limits", test_chunk_limits);
   return g_test_run ();
 }
