--- a/packages/http/include/foxtailrun/http/message.h
+++ b/packages/http/include/foxtailrun/http/message.h
@@ -21,6 +21,9 @@
  */
 bool fh_is_token (fb_str_t text);
 
+/* Returns whether BYTE may stand in a header value (RFC 9110, section 5.5). */
+bool fh_is_value_byte (uint8_t byte);
+
 /* Returns whether header NAME must not be forwarded: hop-by-hop or generated per connection
  * (such as host and content-length). */
 bool fh_is_hop_header (fb_str_t name);
--- a/packages/http/source/http-chunks.c
+++ b/packages/http/source/http-chunks.c
@@ -1,4 +1,5 @@
 #include "http-chunks.h"
+#include <foxtailrun/http/message.h>
 
 /* Maximum bytes between the data of two chunks. */
 #define SIZE_LINE_MAX (16 * 1024)
@@ -26,8 +27,7 @@
     case FH_CHUNK_EXTENSION:
       if (byte == '\r')
         return FH_CHUNK_SIZE_CR;
-      return byte == '\t' || (byte >= ' ' && byte != 0x7f) ? FH_CHUNK_EXTENSION
-                                                           : FH_CHUNK_INVALID;
+      return fh_is_value_byte (byte) ? FH_CHUNK_EXTENSION : FH_CHUNK_INVALID;
     case FH_CHUNK_SIZE_CR:
       if (byte != '\n')
         return FH_CHUNK_INVALID;
--- a/packages/http/source/http-message.c
+++ b/packages/http/source/http-message.c
@@ -24,6 +24,12 @@
   return text.len > 0;
 }
 
+bool
+fh_is_value_byte (uint8_t byte)
+{
+  return byte == '\t' || (byte >= ' ' && byte != 0x7f);
+}
+
 bool
 fh_is_hop_header (fb_str_t name)
 {
--- a/packages/http/source/http-response.c
+++ b/packages/http/source/http-response.c
@@ -81,8 +81,6 @@
   fh_reader_t *reader = parser->data;
   header_range_t *range;
 
-  if (reader->headers_complete) /* a trailer */
-    return 0;
   if (reader->header_text->len + len > HEADER_BYTES_MAX)
     return reject_too_large (reader);
   if (reader->last_was_value)
@@ -106,8 +104,6 @@
   fh_reader_t *reader = parser->data;
   header_range_t *range = &reader->header_ranges[reader->header_count - 1];
 
-  if (reader->headers_complete)
-    return 0;
   if (reader->header_text->len + len > HEADER_BYTES_MAX)
     return reject_too_large (reader);
   if (!reader->last_was_value)
--- a/packages/http/source/http-section.c
+++ b/packages/http/source/http-section.c
@@ -20,7 +20,7 @@
 {
   if (byte == '\r')
     return FH_SECTION_CR;
-  return byte == '\t' || (byte >= ' ' && byte != 0x7f) ? FH_SECTION_VALUE : FH_SECTION_INVALID;
+  return fh_is_value_byte (byte) ? FH_SECTION_VALUE : FH_SECTION_INVALID;
 }
 
 static fh_section_state_t
