--- a/packages/http/source/http-client-state.h
+++ b/packages/http/source/http-client-state.h
@@ -91,6 +91,16 @@
  * client's own. */
 uint64_t fh_parse_idle_timeout (const fh_response_t *response);
 
+/* http-client-socket.c */
+
+/* Makes the OS close the connection when data stays unacknowledged. Errors are ignored:
+ * without these options exchanges still time out. */
+void fh_detect_dead_peer (const connection_t *connection);
+
+/* Returns whether the server has ended the stream in order. ERROR does not tell: libuv reports
+ * UV_EOF for a reset that arrives together with bytes, or after a write has failed with it. */
+bool fh_has_orderly_end (const connection_t *connection, ssize_t error);
+
 /* http-client-request.c */
 
 /* Returns the text of REQUEST; free with g_string_free. */
--- a/packages/http/source/http-client.c
+++ b/packages/http/source/http-client.c
@@ -1,15 +1,8 @@
 #include "http-client-state.h"
-#include "http-transfer.h"
-#include <netinet/tcp.h>
 #include <string.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
-/* TCP keep-alive probes: detect an unresponsive server within 3 s. */
-#define PROBE_IDLE_S 1
-#define PROBE_INTERVAL_S 1
-#define PROBE_COUNT 2
-
 /* Bytes held for all incomplete responses of a client, in largest bodies. Servers that send
  * bodies without end reach the limit of each response at about the same time. */
 #define BUFFERED_BODIES_MAX 2
@@ -18,9 +11,6 @@
  * end. */
 #define OTHER_RESPONSES_MAX 16
 
-/* Close when sent bytes stay unacknowledged for this long. */
-#define USER_TIMEOUT_MS 3000
-
 typedef struct
 {
   uv_write_t write;
@@ -294,25 +284,13 @@
     }
 }
 
-/* Returns whether the server has ended the stream in order. ERROR does not tell: libuv reports
- * UV_EOF for a reset that arrives together with bytes, or after a write has failed with it. */
-static bool
-has_orderly_end (const connection_t *connection, ssize_t error)
-{
-  uv_os_fd_t descriptor;
-
-  return error == UV_EOF
-         && uv_fileno ((const uv_handle_t *)&connection->stream, &descriptor) == 0
-         && fh_has_received_fin (descriptor, connection->received_bytes);
-}
-
 static void
 handle_stream_end (connection_t *connection, ssize_t error)
 {
   fh_exchange_t *exchange = connection->exchange;
   fh_response_t response = { 0 };
 
-  if (exchange && exchange->allows_close_delimited && has_orderly_end (connection, error)
+  if (exchange && exchange->allows_close_delimited && fh_has_orderly_end (connection, error)
       && fh_parse_end (connection->reader) == FH_READ_COMPLETE)
     {
       fh_view_response (connection->reader, &response);
@@ -413,28 +391,6 @@
     complete_write (&write->write, UV_EIO);
 }
 
-static void
-set_option (int descriptor, int level, int option, int value)
-{
-  setsockopt (descriptor, level, option, &value, sizeof value);
-}
-
-/* Makes the OS close the connection when data stays unacknowledged. Errors are ignored:
- * without these options exchanges still time out. */
-static void
-detect_dead_peer (connection_t *connection)
-{
-  uv_os_fd_t descriptor;
-
-  if (uv_fileno ((const uv_handle_t *)&connection->stream, &descriptor) != 0)
-    return;
-  set_option (descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
-  set_option (descriptor, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_IDLE_S);
-  set_option (descriptor, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_INTERVAL_S);
-  set_option (descriptor, IPPROTO_TCP, TCP_KEEPCNT, PROBE_COUNT);
-  set_option (descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
-}
-
 static void
 complete_connect (uv_connect_t *request, int status)
 {
@@ -448,7 +404,7 @@
       return;
     }
   uv_tcp_nodelay (&connection->stream, 1);
-  detect_dead_peer (connection);
+  fh_detect_dead_peer (connection);
   if (!connection->holder.paused)
     uv_read_start ((uv_stream_t *)&connection->stream, allocate_buffer, receive_bytes);
   write_request (connection);
