Take names of services and zones and ids of instances in any length and form

Callers saw: with a service whose name has 48 bytes or more, or a character that no name of a document has, no node ever became ready. An instance with an id of 48 to 192 bytes got no request, without a line in the log.

Cause: names of services went into the document as they are, so that it was refused; names in settings were limited to 47 bytes, so that nodes beside such a service did not start; fb_set_name refused the id of an entry, and the entry was ignored.

The full id goes with the endpoint from node to node, in the feed's update where the two differ, so that updates of usual ids stay as they were; X-Expected-Instance, health responses and X-Caller-Service have the platform's own text.

--- a/packages/config/include/foxtailrun/config/settings.h
+++ b/packages/config/include/foxtailrun/config/settings.h
@@ -41,14 +41,17 @@
  * budget_bytes, descriptors, header_timeout_ms, body_window_ms, response_window_ms,
  * progress_bytes; [drain] limit_ms; [hedge] budget_share; [backend] address, port,
  * limit_burst_ms, warmup_overage, warmup_tolerance, pace; [platform] address, port; [seeds]
- * nodes; [admin] key; [log] level, format. The fields source_poll_interval, retry_ratio,
- * shared_retry_floor and evacuation have no key and are 0 after fc_check_settings. */
+ * nodes; [admin] key; [log] level, format. The fields caller, source_poll_interval,
+ * retry_ratio, shared_retry_floor and evacuation have no key and are 0 after fc_check_settings.
+ */
 typedef struct
 {
   fb_name_t id;
   fb_name_t zone;
   fb_name_t region;
-  fb_name_t service; /* service of the backend server; empty for none */
+  fb_name_t service;  /* service of the backend server; empty for none */
+  const char *caller; /* its name in requests to backend servers, where the platform's names
+                         are longer; NULL for SERVICE; static */
   fb_name_t address;
   uint16_t caller_port;
   uint16_t call_port;
@@ -92,6 +95,10 @@
 fb_status_t fc_check_settings (fb_bytes_t document, fc_settings_t *settings,
                                fc_problems_t *problems);
 
+/* Returns the name of the node's service in requests to backend servers; borrowed from
+ * SETTINGS. */
+fb_str_t fc_get_caller (const fc_settings_t *settings);
+
 /* Sets the fields of [memory] to their defaults. */
 void fc_set_default_memory (fc_settings_t *settings);
 
--- a/packages/config/source/settings.c
+++ b/packages/config/source/settings.c
@@ -82,6 +82,12 @@
       = (fb_time_t)fc_get_value (&row, "limit_ms")->integer * FB_MILLISECOND;
 }
 
+fb_str_t
+fc_get_caller (const fc_settings_t *settings)
+{
+  return settings->caller ? fb_wrap_text (settings->caller) : fb_get_name (&settings->service);
+}
+
 void
 fc_set_default_memory (fc_settings_t *settings)
 {
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -99,9 +99,10 @@
 /* The backend server on this node's host, as the platform describes it. */
 typedef struct
 {
-  fb_name_t instance;   /* empty if the platform lists none */
-  uint64_t incarnation; /* start of the instance, as in its endpoint */
-  uint32_t slots;       /* calls that it runs concurrently; 0 if not known */
+  fb_name_t instance;       /* empty if the platform lists none */
+  fw_instance_id_t full_id; /* that INSTANCE stands for; empty if they are the same */
+  uint64_t incarnation;     /* start of the instance, as in its endpoint */
+  uint32_t slots;           /* calls that it runs concurrently; 0 if not known */
   bool leaving;
 } fn_local_backend_t;
 
--- a/packages/node/source/node-backend-health.c
+++ b/packages/node/source/node-backend-health.c
@@ -140,6 +140,12 @@
                       : (fb_str_t){ NULL, 0 };
 }
 
+static fb_str_t
+get_full_id (const fn_backend_t *backend)
+{
+  return fw_get_instance_id (&backend->local.instance, &backend->local.full_id);
+}
+
 /* Returns whether RESPONSE says how long this instance stays cold, and the time in ns in LEFT.
  */
 static bool
@@ -151,9 +157,7 @@
           find_header (response, dialect->warmup_ms) };
 
   return response->result == FH_ANSWERED
-         && fr_read_health_response (&fields, fb_get_name (&health->backend->local.instance),
-                                     left)
-                == FB_OK;
+         && fr_read_health_response (&fields, get_full_id (health->backend), left) == FB_OK;
 }
 
 static void
@@ -208,8 +212,7 @@
       fh_set_connect_timeout (health->client, CONNECT_TIMEOUT);
     }
   if (dialect->instance.len > 0 && instance->len > 0)
-    headers[request.header_count++]
-        = (fh_header_t){ dialect->instance, fb_get_name (instance) };
+    headers[request.header_count++] = (fh_header_t){ dialect->instance, get_full_id (backend) };
   health->checked_at = fb_read_clock (fk_get_clock (backend->kernel));
   fr_count_health_check (backend->warmup);
   fb_add_counter (health->checks, 1);
--- a/packages/node/source/node-backend.c
+++ b/packages/node/source/node-backend.c
@@ -215,6 +215,7 @@
   fb_time_t now = fb_read_clock (fk_get_clock (backend->kernel));
   const fn_dialect_t *dialect = fn_get_adapter (backend->kernel)->dialect;
   const fb_name_t *instance = &backend->local.instance;
+  fb_str_t full_id = fw_get_instance_id (instance, &backend->local.full_id);
   fh_header_t headers[FW_HEADERS_MAX + 3];
   fh_client_request_t outgoing
       = { .method = backend_call->call.method,
@@ -234,7 +235,7 @@
             (backend_call->deadline - now) / FB_MILLISECOND);
   headers[count++] = (fh_header_t){ dialect->timeout_ms, fb_wrap_text (remaining) };
   if (dialect->instance.len > 0 && instance->len > 0)
-    headers[count++] = (fh_header_t){ dialect->instance, fb_get_name (instance) };
+    headers[count++] = (fh_header_t){ dialect->instance, full_id };
   if (dialect->echoes_request_id)
     {
       outgoing.echoed_header
--- a/packages/node/source/node-entry-attempt.c
+++ b/packages/node/source/node-entry-attempt.c
@@ -237,7 +237,7 @@
     }
   if (dialect->caller.len > 0)
     message->headers[message->header_count++]
-        = (fw_header_t){ dialect->caller, fb_get_name (&settings->service) };
+        = (fw_header_t){ dialect->caller, fc_get_caller (settings) };
 }
 
 static void
--- a/packages/node/source/node-entry-quarantine.c
+++ b/packages/node/source/node-entry-quarantine.c
@@ -26,7 +26,7 @@
                                .body = fh_get_body (call->request) };
 
   if (fn_get_adapter (kernel)->dialect->caller.len > 0)
-    parts.caller = fb_get_name (&fn_get_settings (kernel)->service);
+    parts.caller = fc_get_caller (fn_get_settings (kernel));
   return fr_get_request_key (&parts);
 }
 
--- a/packages/node/source/node-feed.c
+++ b/packages/node/source/node-feed.c
@@ -135,9 +135,11 @@
         best = candidate;
     }
   if (best)
-    local = (fn_local_backend_t){ best->endpoint.member.id, best->endpoint.member.incarnation,
-                                  best->endpoint.slots,
-                                  best->endpoint.member.state == FW_LEAVING };
+    local = (fn_local_backend_t){ .instance = best->endpoint.member.id,
+                                  .full_id = best->endpoint.full_id,
+                                  .incarnation = best->endpoint.member.incarnation,
+                                  .slots = best->endpoint.slots,
+                                  .leaving = best->endpoint.member.state == FW_LEAVING };
   fn_set_local_backend (feed->kernel, &local);
 }
 
@@ -203,6 +205,10 @@
           FB_TEXT ("address", member->address.data), FB_TEXT ("zone", member->zone.data),
           FB_NUMBER ("position", fd_get_position (feed->feed).revision),
           FB_NUMBER ("age_ms", age / FB_MILLISECOND));
+  if (endpoint->full_id.len > 0)
+    FB_LOG (fk_get_log (feed->kernel), FB_LOG_INFO, FN_SOURCE,
+            "endpoint is listed under another id", FB_TEXT ("instance", member->id.data),
+            FB_STR ("listed", fw_get_instance_id (&member->id, &endpoint->full_id)));
   if (stops_serving (feed, member))
     fb_observe_time (feed->leaving_ages, age);
   if (record_local_endpoint (feed, endpoint))
--- a/packages/wire/include/foxtailrun/wire/member.h
+++ b/packages/wire/include/foxtailrun/wire/member.h
@@ -28,13 +28,32 @@
   fb_name_t service; /* empty when no backend server is attached */
 } fw_member_t;
 
+/* Longest id of an instance on a platform, in bytes. */
+#define FW_INSTANCE_ID_MAX 192
+
+/* An instance's id on the platform, stored by value. */
+typedef struct
+{
+  uint8_t len;
+  char data[FW_INSTANCE_ID_MAX];
+} fw_instance_id_t;
+
 /* An instance listed by the platform, with its node. */
 typedef struct
 {
   fw_member_t member;
-  uint32_t slots; /* calls that the backend server runs concurrently */
+  uint32_t slots;           /* calls that the backend server runs concurrently */
+  fw_instance_id_t full_id; /* that the member's id stands for; empty if they are the same */
 } fw_endpoint_t;
 
+/* Stores TEXT in ID; returns false and leaves ID empty when it is longer than
+ * FW_INSTANCE_ID_MAX. */
+bool fw_set_instance_id (fw_instance_id_t *id, fb_str_t text);
+
+/* Returns the id that the platform and the backend server know: FULL_ID, or NAME when that is
+ * empty. Borrowed. */
+fb_str_t fw_get_instance_id (const fb_name_t *name, const fw_instance_id_t *full_id);
+
 /* Returns the lower-case name of STATE. */
 const char *fw_describe_state (fw_member_state_t state);
 
--- a/packages/wire/source/wire-feed.c
+++ b/packages/wire/source/wire-feed.c
@@ -24,8 +24,11 @@
 /* Elements before the zones: era and revision of the position up to which the set is known. */
 #define EVACUATIONS_HEADER_FIELDS 2
 
-/* Elements of one endpoint: the member and its slots. */
+/* Elements of one endpoint: the member and its slots or, if the member's id stands for a longer
+ * one, an array of both. Builds that don't know the array refuse such a message and read the
+ * store. */
 #define ENDPOINT_FIELDS 2
+#define LONG_ID_FIELDS 2
 
 static bool
 has_eras (const fw_feed_message_t *message)
@@ -55,6 +58,17 @@
     fw_pack_name (packer, &message->evacuated_zones[i]);
 }
 
+static void
+pack_endpoint (msgpack_packer *packer, const fw_endpoint_t *endpoint)
+{
+  fw_pack_member (packer, &endpoint->member);
+  if (endpoint->full_id.len > 0)
+    msgpack_pack_array (packer, LONG_ID_FIELDS);
+  msgpack_pack_uint64 (packer, endpoint->slots);
+  if (endpoint->full_id.len > 0)
+    fw_pack_str (packer, (fb_str_t){ endpoint->full_id.data, endpoint->full_id.len });
+}
+
 uint8_t *
 fw_encode_feed (const fw_feed_message_t *message, size_t *length)
 {
@@ -79,10 +93,7 @@
   msgpack_pack_array (&packer, 1 + ENDPOINT_FIELDS * message->endpoint_count);
   msgpack_pack_uint64 (&packer, message->complete);
   for (size_t i = 0; i < message->endpoint_count; i++)
-    {
-      fw_pack_member (&packer, &message->endpoints[i].member);
-      msgpack_pack_uint64 (&packer, message->endpoints[i].slots);
-    }
+    pack_endpoint (&packer, &message->endpoints[i]);
   if (field_count >= FEED_FIELDS_WITH_KNOWN_POSITION)
     msgpack_pack_uint64 (&packer, message->document_known_position.revision);
   if (field_count >= FEED_FIELDS_WITH_ERAS)
@@ -100,6 +111,24 @@
   return copy;
 }
 
+static void
+read_endpoint (fw_reader_t *list, fw_endpoint_t *endpoint)
+{
+  fw_reader_t fields;
+
+  fw_read_member (list, &endpoint->member);
+  if (!fw_is_array (list))
+    {
+      endpoint->slots = (uint32_t)fw_read_u64 (list, UINT32_MAX);
+      return;
+    }
+  fields = fw_start_reader (fw_read_array (list, LONG_ID_FIELDS));
+  endpoint->slots = (uint32_t)fw_read_u64 (&fields, UINT32_MAX);
+  fw_set_instance_id (&endpoint->full_id, fw_read_str (&fields, FW_INSTANCE_ID_MAX));
+  if (!fw_finish_reader (&fields) || endpoint->full_id.len == 0)
+    list->failed = true;
+}
+
 static bool
 read_endpoints (fw_reader_t *list, fw_feed_message_t *message)
 {
@@ -109,10 +138,7 @@
   message->endpoint_count = list->count / ENDPOINT_FIELDS;
   message->endpoints = g_new0 (fw_endpoint_t, message->endpoint_count);
   for (size_t i = 0; i < message->endpoint_count; i++)
-    {
-      fw_read_member (list, &message->endpoints[i].member);
-      message->endpoints[i].slots = (uint32_t)fw_read_u64 (list, UINT32_MAX);
-    }
+    read_endpoint (list, &message->endpoints[i]);
   return fw_finish_reader (list);
 }
 
--- a/packages/wire/source/wire-read.c
+++ b/packages/wire/source/wire-read.c
@@ -119,6 +119,13 @@
   fw_read_digest (reader, &version->digest);
 }
 
+bool
+fw_is_array (const fw_reader_t *reader)
+{
+  return !reader->failed && reader->next < reader->count
+         && reader->items[reader->next].type == MSGPACK_OBJECT_ARRAY;
+}
+
 const msgpack_object *
 fw_read_array (fw_reader_t *reader, size_t max)
 {
--- a/packages/wire/source/wire-read.h
+++ b/packages/wire/source/wire-read.h
@@ -32,6 +32,9 @@
 void fw_read_version (fw_reader_t *reader, fb_version_t *version);
 void fw_read_member (fw_reader_t *reader, fw_member_t *member);
 
+/* Returns whether the next element is an array. */
+bool fw_is_array (const fw_reader_t *reader);
+
 /* Returns the next element when it is an array of at most MAX elements, else NULL. */
 const msgpack_object *fw_read_array (fw_reader_t *reader, size_t max);
 
--- a/packages/wire/tests/test-wire.c
+++ b/packages/wire/tests/test-wire.c
@@ -473,6 +473,46 @@
   g_free (bytes);
 }
 
+/* Guards against ids of instances that are cut or lost in transit, and against updates without
+ * long ids that an earlier build would refuse. */
+static void
+test_feed_long_ids (void)
+{
+  static const struct
+  {
+    size_t len;
+    bool stored;
+  } cases[] = { { 0, true },   { 1, true },   { 48, true },
+                { 191, true }, { 192, true }, { 193, false } };
+  size_t plain_length = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fw_endpoint_t endpoints[2];
+      fw_feed_message_t sent = make_feed (endpoints);
+      char *id = g_strnfill (cases[i].len, 'i');
+      fw_feed_message_t decoded;
+      size_t length;
+      uint8_t *bytes;
+
+      g_assert_cmpint (fw_set_instance_id (&endpoints[1].full_id, fb_wrap_text (id)), ==,
+                       cases[i].stored);
+      bytes = fw_encode_feed (&sent, &length);
+      if (i == 0)
+        plain_length = length;
+      else
+        g_assert_cmpint (length > plain_length, ==, cases[i].stored);
+      g_assert_cmpint (fw_decode_feed ((fb_bytes_t){ bytes, length }, &decoded), ==, FB_OK);
+      g_assert_cmpuint (decoded.endpoints[0].full_id.len, ==, 0);
+      g_assert_cmpuint (decoded.endpoints[1].slots, ==, endpoints[1].slots);
+      g_assert_cmpmem (&decoded.endpoints[1].full_id, sizeof decoded.endpoints[1].full_id,
+                       &endpoints[1].full_id, sizeof endpoints[1].full_id);
+      fw_clear_feed (&decoded);
+      g_free (bytes);
+      g_free (id);
+    }
+}
+
 static fb_status_t
 decode_any (int codec, fb_bytes_t bytes)
 {
@@ -671,6 +711,7 @@
   g_test_add_func ("/wire/call-pace", test_call_pace);
   g_test_add_func ("/wire/crash-round-trip", test_crash_round_trip);
   g_test_add_func ("/wire/feed-round-trip", test_feed_round_trip);
+  g_test_add_func ("/wire/feed-long-ids", test_feed_long_ids);
   g_test_add_func ("/wire/feed-known-position", test_feed_known_position);
   g_test_add_func ("/wire/feed-evacuations", test_feed_evacuations);
   g_test_add_func ("/wire/malformed", test_malformed);
