Take prefixes, hosts and health paths of the platform in any length and form

Callers saw: a PathPrefix of 256 bytes or more, of more than 32 segments, or with an empty segment, a blank, a quote or a letter beyond ASCII kept the whole configuration out of force, as did a host of 256 bytes. A health path of 256 bytes was left out, so that cold instances lost their protection.

Cause: the translation's texts had 255 bytes without escapes, and the document's paths and hosts have the limits of what an operator writes by hand.

Fix: a document is checked against limits of its origin. Those of operators' documents are unchanged; translated ones, which only the source of a node with an adapter brings, take any path that starts with "/", any host and lines of any length. The route index keeps empty segments apart: "//" and "/a//" were taken for "/" and "/a/".

--- a/packages/config/include/foxtailrun/config/schema.h
+++ b/packages/config/include/foxtailrun/config/schema.h
@@ -22,7 +22,11 @@
   FC_TYPE_ADDRESS,           /* numeric IP address */
   FC_TYPE_SOCKET_ADDRESSES,  /* array of "IP:PORT" */
   FC_TYPE_CHOICE,            /* one of the strings listed in ALLOWED */
-  FC_TYPE_ADMIN_KEY          /* string of printable ASCII characters without spaces */
+  FC_TYPE_ADMIN_KEY,         /* string of printable ASCII characters without spaces */
+  /* In translated documents only, of any length. */
+  FC_TYPE_TEXT,            /* any string but an empty one */
+  FC_TYPE_ANY_PATH,        /* string that starts with "/" */
+  FC_TYPE_ANY_REQUEST_PATH /* as FC_TYPE_REQUEST_PATH */
 } fc_type_t;
 
 /* Definition of one key. */
@@ -50,6 +54,10 @@
 /* Returns the static schema of the configuration document. */
 const fc_schema_t *fc_get_document_schema (void);
 
+/* Returns the static schema of documents that are translated from a platform's configuration.
+ * It has the same keys with wider limits. */
+const fc_schema_t *fc_get_translation_schema (void);
+
 /* Returns the static schema of the settings file. */
 const fc_schema_t *fc_get_settings_schema (void);
 
--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -2,6 +2,7 @@
 #ifndef FOXTAILRUN_CONFIG_SNAPSHOT_H
 #define FOXTAILRUN_CONFIG_SNAPSHOT_H
 
+#include "limits.h"
 #include "problem.h"
 #include <foxtailrun/base/string.h>
 
@@ -78,15 +79,16 @@
 
 typedef struct fc_snapshot fc_snapshot_t;
 
-/* Parses and checks DOCUMENT. Returns a snapshot with one reference, or NULL with every
- * problem added to PROBLEMS, which may be NULL. Only this and fc_check_change create
- * snapshots, so that every index is valid. */
+/* Parses and checks DOCUMENT, which an operator wrote. Returns a snapshot with one reference,
+ * or NULL with every problem added to PROBLEMS, which may be NULL. Only this and
+ * fc_check_change create snapshots, so that every index is valid. */
 fc_snapshot_t *fc_check_document (fb_bytes_t document, fc_problems_t *problems);
 
-/* As fc_check_document, but parses only the sections that differ from BASE when they are at
- * most half of the text. BASE is borrowed and may be NULL. */
+/* As fc_check_document, but against LIMITS, and parses only the sections that differ from BASE
+ * when they are at most half of the text. BASE is borrowed, was checked against the same limits
+ * and may be NULL. */
 fc_snapshot_t *fc_check_change (fc_snapshot_t *base, fb_bytes_t document,
-                                fc_problems_t *problems);
+                                const fc_limits_t *limits, fc_problems_t *problems);
 
 /* Adds a reference and returns SNAPSHOT; thread-safe. */
 fc_snapshot_t *fc_retain_snapshot (fc_snapshot_t *snapshot);
@@ -124,8 +126,8 @@
                                      uint32_t *index);
 
 /* Returns HOST's route with the longest prefix of PATH (a query after "?" is ignored) that
- * allows METHOD, or NULL. Prefixes match complete segments. Routes without a host are
- * searched when HOST, which may be empty, has no match. */
+ * allows METHOD, or NULL. Prefixes match complete segments, empty ones too. Routes without a
+ * host are searched when HOST, which may be empty, has no match. */
 const fc_route_t *fc_find_route (const fc_snapshot_t *snapshot, fb_str_t host, fb_str_t method,
                                  fb_str_t path);
 
--- a/packages/config/source/check-change.c
+++ b/packages/config/source/check-change.c
@@ -353,10 +353,11 @@
 }
 
 static fc_snapshot_t *
-check_tree (const tree_builder_t *builder, fb_bytes_t document, GArray *sections)
+check_tree (const tree_builder_t *builder, fb_bytes_t document, const fc_limits_t *limits,
+            GArray *sections)
 {
   fc_problems_t *problems = fc_create_problems ();
-  fc_checker_t checker = { .root = &builder->root, .problems = problems };
+  fc_checker_t checker = { .root = &builder->root, .problems = problems, .limits = limits };
 
   checker.snapshot = fc_create_snapshot (document);
   fc_check_root (&checker);
@@ -372,7 +373,8 @@
 }
 
 fc_snapshot_t *
-fc_check_changed_sections (const fc_snapshot_t *base, fb_bytes_t document, GArray *sections)
+fc_check_changed_sections (const fc_snapshot_t *base, fb_bytes_t document,
+                           const fc_limits_t *limits, GArray *sections)
 {
   tree_builder_t builder = { .base = base };
   fc_snapshot_t *snapshot = NULL;
@@ -385,7 +387,7 @@
   builder.chunks = g_ptr_array_new_with_free_func (g_free);
   builder.texts = g_string_chunk_new (1024);
   if (build_tree (&builder, sections))
-    snapshot = check_tree (&builder, document, sections);
+    snapshot = check_tree (&builder, document, limits, sections);
   g_string_chunk_free (builder.texts);
   g_ptr_array_unref (builder.chunks);
   g_ptr_array_unref (builder.documents);
--- a/packages/config/source/check-document.c
+++ b/packages/config/source/check-document.c
@@ -46,7 +46,7 @@
   if (!*table)
     return false;
   g_snprintf (path, sizeof path, "%s[%zu]", section, *index);
-  fc_check_row (row, fc_get_document_schema (), section, path, *table, checker->problems);
+  fc_check_row (row, checker->limits->schema, section, path, *table, checker->problems);
   return true;
 }
 
@@ -97,7 +97,7 @@
 {
   fc_row_t row;
 
-  fc_check_row (&row, fc_get_document_schema (), "", "", checker->root, checker->problems);
+  fc_check_row (&row, checker->limits->schema, "", "", checker->root, checker->problems);
   checker->snapshot->version_number = fc_get_value (&row, "version")->integer;
   checker->snapshot->idle_timeout_ms = (uint32_t)fc_get_value (&row, "idle_ms")->integer;
   check_count (checker, "rank", FC_RANKS_MAX);
@@ -169,9 +169,10 @@
 
 /* Parses and checks the complete DOCUMENT. */
 static fc_snapshot_t *
-check_full_text (fb_bytes_t document, GArray *sections, fc_problems_t *problems)
+check_full_text (fb_bytes_t document, const fc_limits_t *limits, GArray *sections,
+                 fc_problems_t *problems)
 {
-  fc_checker_t checker = { .problems = problems };
+  fc_checker_t checker = { .problems = problems, .limits = limits };
   fb_str_t text = { (const char *)document.data, document.len };
   fc_toml_document_t *parsed = fc_parse_toml (text, problems);
 
@@ -187,7 +188,8 @@
 }
 
 static fc_snapshot_t *
-build_snapshot (const fc_snapshot_t *base, fb_bytes_t document, fc_problems_t *problems)
+build_snapshot (const fc_snapshot_t *base, fb_bytes_t document, const fc_limits_t *limits,
+                fc_problems_t *problems)
 {
   fb_str_t text = { (const char *)document.data, document.len };
   fc_snapshot_t *snapshot = NULL;
@@ -203,12 +205,12 @@
       return NULL;
     }
   headers.items = g_array_new (FALSE, FALSE, sizeof (fc_header_t));
-  if (!fc_scan_headers (text, problems, &headers))
+  if (!fc_scan_headers (text, limits, problems, &headers))
     goto done;
   sections = fc_split_sections (text, &headers);
-  snapshot = fc_check_changed_sections (base, document, sections);
+  snapshot = fc_check_changed_sections (base, document, limits, sections);
   if (!snapshot)
-    snapshot = check_full_text (document, sections, problems);
+    snapshot = check_full_text (document, limits, sections, problems);
 
 done:
   if (sections)
@@ -218,10 +220,11 @@
 }
 
 fc_snapshot_t *
-fc_check_change (fc_snapshot_t *base, fb_bytes_t document, fc_problems_t *problems)
+fc_check_change (fc_snapshot_t *base, fb_bytes_t document, const fc_limits_t *limits,
+                 fc_problems_t *problems)
 {
   fc_problems_t *found = fc_create_problems ();
-  fc_snapshot_t *snapshot = build_snapshot (base, document, found);
+  fc_snapshot_t *snapshot = build_snapshot (base, document, limits, found);
 
   if (fc_count_problems (found) > 0)
     {
@@ -241,5 +244,5 @@
 fc_snapshot_t *
 fc_check_document (fb_bytes_t document, fc_problems_t *problems)
 {
-  return fc_check_change (NULL, document, problems);
+  return fc_check_change (NULL, document, fc_get_document_limits (), problems);
 }
--- a/packages/config/source/check-text.c
+++ b/packages/config/source/check-text.c
@@ -71,9 +71,9 @@
 }
 
 static bool
-is_request_path (fb_str_t text)
+is_request_path (fb_str_t text, size_t max_bytes)
 {
-  if (text.len == 0 || text.len > PATH_MAX_BYTES || text.data[0] != '/')
+  if (text.len == 0 || text.len > max_bytes || text.data[0] != '/')
     return false;
   for (size_t i = 0; i < text.len; i++)
     if (!g_ascii_isgraph (text.data[i]) || text.data[i] == '"' || text.data[i] == '\\'
@@ -114,7 +114,13 @@
     case FC_TYPE_PATH:
       return is_path (text);
     case FC_TYPE_REQUEST_PATH:
-      return is_request_path (text);
+      return is_request_path (text, PATH_MAX_BYTES);
+    case FC_TYPE_ANY_REQUEST_PATH:
+      return is_request_path (text, SIZE_MAX);
+    case FC_TYPE_ANY_PATH:
+      return text.len > 0 && text.data[0] == '/';
+    case FC_TYPE_TEXT:
+      return text.len > 0;
     case FC_TYPE_HOST:
       return is_host (text);
     case FC_TYPE_ADDRESS:
--- a/packages/config/source/checker.h
+++ b/packages/config/source/checker.h
@@ -11,6 +11,7 @@
   const fc_toml_t *root;
   fc_snapshot_t *snapshot; /* being built */
   fc_problems_t *problems;
+  const fc_limits_t *limits;
 } fc_checker_t;
 
 /* Returns the number of tables in [[SECTION]]. */
@@ -51,6 +52,6 @@
  * Returns NULL when a full check is necessary: BASE or SECTIONS is NULL or has no sections,
  * too much has changed, or there is any problem. */
 fc_snapshot_t *fc_check_changed_sections (const fc_snapshot_t *base, fb_bytes_t document,
-                                          GArray *sections);
+                                          const fc_limits_t *limits, GArray *sections);
 
 #endif
--- a/packages/config/source/route-index.c
+++ b/packages/config/source/route-index.c
@@ -51,14 +51,14 @@
 }
 
 /* Stores the segment after the "/" at *OFFSET of PATH and advances *OFFSET; false at the
- * end. */
+ * end. It may be empty: "/a/" has "a" and "". */
 static bool
 next_segment (fb_str_t path, size_t *offset, fb_str_t *segment)
 {
   const char *end;
   size_t start = *offset + 1;
 
-  if (start >= path.len)
+  if (start > path.len)
     return false;
   end = memchr (path.data + start, '/', path.len - start);
   *offset = end ? (size_t)(end - path.data) : path.len;
@@ -147,7 +147,8 @@
   fb_str_t segment;
   size_t offset = 0;
 
-  while (next_segment (route->path, &offset, &segment))
+  /* "/" is a prefix of every path; continued by a "/", it is "//". */
+  while ((route->below || route->path.len > 1) && next_segment (route->path, &offset, &segment))
     node_number = add_node (index, node_number, segment);
   for (uint32_t i = NODE (index, node_number).entry; i != NONE; i = ENTRY (index, i).next)
     if (ENTRY (index, i).below == entry.below && (ENTRY (index, i).methods & methods))
--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -4,6 +4,7 @@
 #include <foxtailrun/config/settings.h>
 #include <foxtailrun/config/snapshot.h>
 #include <glib.h>
+#include <string.h>
 
 #define NAME_TEXT "a name of 1 to 47 letters, digits, '.', '_' or '-'"
 #define ADDRESS_TEXT "a numeric IP address"
@@ -192,6 +193,40 @@
   return &schema;
 }
 
+/* Replaces the fields of SCHEMA that have the keys of WIDER. */
+static void
+replace_fields (fc_field_t *fields, size_t count, const fc_field_t *wider, size_t wider_count)
+{
+  for (size_t i = 0; i < wider_count; i++)
+    for (size_t j = 0; j < count; j++)
+      if (strcmp (fields[j].section, wider[i].section) == 0
+          && strcmp (fields[j].key, wider[i].key) == 0)
+        fields[j] = wider[i];
+}
+
+const fc_schema_t *
+fc_get_translation_schema (void)
+{
+  static const fc_field_t wider[] = {
+    { "service", "health", FC_TYPE_ANY_REQUEST_PATH, "", "", 0, 0,
+      "a path of printable ASCII characters that starts with \"/\", without spaces, quotes, "
+      "backslashes or '#'",
+      "path of health checks; required with warmup_rate" },
+    { "route", "host", FC_TYPE_TEXT, "", "", 0, 0, "a text", "host of the request" },
+    { "route", "path", FC_TYPE_ANY_PATH, "", NULL, 0, 0, "a text that starts with \"/\"",
+      "prefix of the request path, matched by complete segments" },
+  };
+  static fc_field_t fields[G_N_ELEMENTS (document_fields)];
+  static const fc_schema_t schema = { fields, G_N_ELEMENTS (fields), true };
+
+  if (!fields[0].section)
+    {
+      memcpy (fields, document_fields, sizeof fields);
+      replace_fields (fields, G_N_ELEMENTS (fields), wider, G_N_ELEMENTS (wider));
+    }
+  return &schema;
+}
+
 const fc_schema_t *
 fc_get_settings_schema (void)
 {
@@ -213,6 +248,9 @@
     case FC_TYPE_CHOICE:
     case FC_TYPE_ADMIN_KEY:
     case FC_TYPE_HOST:
+    case FC_TYPE_TEXT:
+    case FC_TYPE_ANY_PATH:
+    case FC_TYPE_ANY_REQUEST_PATH:
       return "string";
     case FC_TYPE_INTEGER:
       return "integer";
--- a/packages/config/source/toml-scan.c
+++ b/packages/config/source/toml-scan.c
@@ -6,9 +6,6 @@
 /* The parser recurses at each level; the schema has 3. */
 #define NESTING_LEVELS_MAX 16
 
-/* The parser scans a line once per value, in quadratic time. */
-#define LINE_MAX_BYTES 16384
-
 /* A value needs about 300 bytes in the parse; a document at its limits has 40,000. */
 #define VALUES_MAX 100000
 
@@ -25,6 +22,7 @@
 typedef struct
 {
   fb_str_t text;
+  const fc_limits_t *limits;
   size_t offset;
   scan_state_t state;
   uint32_t line;
@@ -177,7 +175,7 @@
       found = "more than 16 levels";
       allowed = "at most 16 levels of tables and arrays";
     }
-  else if (scan->offset - scan->line_start >= LINE_MAX_BYTES)
+  else if (scan->offset - scan->line_start >= scan->limits->line_bytes)
     {
       found = "a line of more than 16384 bytes";
       allowed = "lines of at most 16384 bytes";
@@ -196,13 +194,14 @@
 bool
 fc_scan_toml (fb_str_t text, fc_problems_t *problems)
 {
-  return fc_scan_headers (text, problems, NULL);
+  return fc_scan_headers (text, fc_get_document_limits (), problems, NULL);
 }
 
 bool
-fc_scan_headers (fb_str_t text, fc_problems_t *problems, fc_headers_t *headers)
+fc_scan_headers (fb_str_t text, const fc_limits_t *limits, fc_problems_t *problems,
+                 fc_headers_t *headers)
 {
-  scan_t scan = { .text = text, .line = 1, .headers = headers };
+  scan_t scan = { .text = text, .limits = limits, .line = 1, .headers = headers };
 
   if (headers)
     headers->divisible = text.len == 0 || !memchr (text.data, '\r', text.len);
--- a/packages/config/source/toml-tree.h
+++ b/packages/config/source/toml-tree.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_CONFIG_TOML_TREE_H
 
 #include <foxtailrun/base/string.h>
+#include <foxtailrun/config/limits.h>
 #include <foxtailrun/config/problem.h>
 #include <glib.h>
 
@@ -67,8 +68,9 @@
                    * prevents splitting at headers */
 } fc_headers_t;
 
-/* As fc_scan_toml; appends the table headers of TEXT, less than 4 GB, to HEADERS, which may
- * be NULL. */
-bool fc_scan_headers (fb_str_t text, fc_problems_t *problems, fc_headers_t *headers);
+/* As fc_scan_toml, within LIMITS; appends the table headers of TEXT, less than 4 GB, to
+ * HEADERS, which may be NULL. */
+bool fc_scan_headers (fb_str_t text, const fc_limits_t *limits, fc_problems_t *problems,
+                      fc_headers_t *headers);
 
 #endif
--- a/packages/dist/include/foxtailrun/dist/node.h
+++ b/packages/dist/include/foxtailrun/dist/node.h
@@ -46,6 +46,10 @@
  * ready, and stays ready after a pause of the process. Call before the first tick. */
 void fd_set_standalone (fd_node_t *node);
 
+/* Sets the limits of documents, those of operators' documents before; LIMITS must be static.
+ * Call before the first tick. */
+void fd_set_limits (fd_node_t *node, const fc_limits_t *limits);
+
 /* Frees the node; NULL is allowed. */
 void fd_destroy_node (fd_node_t *node);
 
--- a/packages/dist/source/dist-document.c
+++ b/packages/dist/source/dist-document.c
@@ -131,7 +131,7 @@
 check_document (fd_node_t *node, fb_version_t *version, fb_bytes_t document)
 {
   fc_problems_t *problems = fc_create_problems ();
-  fc_snapshot_t *snapshot = fc_check_change (node->snapshot, document, problems);
+  fc_snapshot_t *snapshot = fc_check_change (node->snapshot, document, node->limits, problems);
   fd_document_outcome_t outcome = FD_DOCUMENT_REFUSED;
 
   if (snapshot == NULL)
--- a/packages/dist/source/dist-node.c
+++ b/packages/dist/source/dist-node.c
@@ -60,6 +60,7 @@
   node->clock = clock;
   node->log = log;
   node->hooks = *hooks;
+  node->limits = fc_get_document_limits ();
   node->random = g_rand_new_with_seed (seed);
   node->next_request_id = ((uint64_t)g_rand_int (node->random) << 32) + 1;
   find_counters (&node->counters, counters);
@@ -78,6 +79,12 @@
   node->standalone = true;
 }
 
+void
+fd_set_limits (fd_node_t *node, const fc_limits_t *limits)
+{
+  node->limits = limits;
+}
+
 void
 fd_destroy_node (fd_node_t *node)
 {
--- a/packages/dist/source/dist-state.h
+++ b/packages/dist/source/dist-state.h
@@ -178,8 +178,9 @@
   fd_counters_t counters;
   uint64_t next_request_id;
 
-  bool standalone; /* no other node takes part */
-  bool started;    /* the first tick has run */
+  bool standalone;           /* no other node takes part */
+  const fc_limits_t *limits; /* of documents */
+  bool started;              /* the first tick has run */
   bool ready;
   fb_time_t last_tick_at;
 
--- a/packages/node/include/foxtailrun/node/adapter.h
+++ b/packages/node/include/foxtailrun/node/adapter.h
@@ -3,6 +3,7 @@
 #define FOXTAILRUN_NODE_ADAPTER_H
 
 #include <foxtailrun/base/status.h>
+#include <foxtailrun/config/snapshot.h>
 #include <foxtailrun/dist/feed.h>
 #include <foxtailrun/kernel/kernel.h>
 #include <foxtailrun/wire/member.h>
@@ -58,6 +59,8 @@
   /* The source lists endpoints too. The node runs no membership protocol and gets documents
    * only from its source, which may follow another node as its relay. */
   bool source_lists_endpoints;
+  const fc_limits_t *document_limits; /* of documents from the source; NULL for those of
+                                         documents that operators write */
 } fn_adapter_t;
 
 /* Feed of a store that lists endpoints and holds the configuration. */
--- a/packages/node/source/node-distribution.c
+++ b/packages/node/source/node-distribution.c
@@ -167,6 +167,8 @@
   distribution->node = fd_create_node (fn_get_members (fk_find_service (kernel, FN_MEMBERSHIP)),
                                        randombytes_random (), fk_get_clock (kernel),
                                        fk_get_counters (kernel), fk_get_log (kernel), &hooks);
+  if (fn_get_adapter (kernel)->document_limits)
+    fd_set_limits (distribution->node, fn_get_adapter (kernel)->document_limits);
   fk_register_service (kernel, FN_DISTRIBUTION, &vtable, distribution);
 }
 
