Give translated documents limits of size and count of their own

Callers saw: a configuration of over some 1.02 MB of the 1 MB that a value of the store may have, with over 8,000 routes, over 1,000 services or over 100,000 values in its translation, was refused by every node as a whole.

Cause: the translated text is up to 11 times as long as the original, and was checked against the size and counts of operators' documents.

Fix: the limits of translated documents have no counts and 16 MB, which no configuration of 1 MB reaches; a relay's delta is decoded within the same. Operators' documents keep theirs, with the same problems.

--- a/bench/bench-dist.c
+++ b/bench/bench-dist.c
@@ -231,7 +231,8 @@
   encoded = read_cpu_ms ();
   for (int i = 0; i < REPETITIONS; i++)
     {
-      if (fc_decode_delta (base, (fb_bytes_t){ frame, length }, &decoded, &decoded_length)
+      if (fc_decode_delta (base, (fb_bytes_t){ frame, length }, FC_DOCUMENT_MAX, &decoded,
+                           &decoded_length)
           != FB_OK)
         g_error ("the delta frame does not decode");
       g_free (decoded);
--- a/packages/config/include/foxtailrun/config/delta.h
+++ b/packages/config/include/foxtailrun/config/delta.h
@@ -11,8 +11,8 @@
 
 /* Restores the document of FRAME, encoded with the same BASE, into *DOCUMENT; free with
  * g_free. FB_INVALID when FRAME is malformed or was encoded with another base, FB_TOO_LARGE
- * when the document exceeds FC_DOCUMENT_MAX bytes. */
-fb_status_t fc_decode_delta (fb_bytes_t base, fb_bytes_t frame, uint8_t **document,
+ * when the document exceeds MAX bytes. */
+fb_status_t fc_decode_delta (fb_bytes_t base, fb_bytes_t frame, size_t max, uint8_t **document,
                              size_t *length);
 
 #endif
--- a/packages/config/include/foxtailrun/config/limits.h
+++ b/packages/config/include/foxtailrun/config/limits.h
@@ -7,7 +7,11 @@
 typedef struct
 {
   const fc_schema_t *schema;
+  size_t document_bytes;
   size_t line_bytes; /* of one line, without its end */
+  size_t values;     /* of all tables and arrays */
+  size_t services;
+  size_t routes;
 } fc_limits_t;
 
 /* Returns the limits of documents and settings that operators write; static. */
--- a/packages/config/include/foxtailrun/config/snapshot.h
+++ b/packages/config/include/foxtailrun/config/snapshot.h
@@ -6,14 +6,21 @@
 #include "problem.h"
 #include <foxtailrun/base/string.h>
 
+/* Limits of documents that operators write. */
 #define FC_DOCUMENT_MAX (1024 * 1024)
 #define FC_SERVICES_MAX 1000
 #define FC_ROUTES_MAX 8000
-#define FC_RANKS_MAX 16
 #define FC_SLOTS_MAX 10000 /* of an instance */
 #define FC_CUSTOMERS_MAX 4000
 #define FC_OBJECTIVES_MAX 4000
 
+/* Limit of translated documents: a configuration of 1 MB (2^20 bytes) has at most 11 times as
+ * many, when it consists of services with short names that no document takes. */
+#define FC_TRANSLATION_MAX (16 * 1024 * 1024)
+
+/* Limit of both. */
+#define FC_RANKS_MAX 16
+
 typedef struct
 {
   fb_name_t name;
--- a/packages/config/source/check-document.c
+++ b/packages/config/source/check-document.c
@@ -101,8 +101,8 @@
   checker->snapshot->version_number = fc_get_value (&row, "version")->integer;
   checker->snapshot->idle_timeout_ms = (uint32_t)fc_get_value (&row, "idle_ms")->integer;
   check_count (checker, "rank", FC_RANKS_MAX);
-  check_count (checker, "service", FC_SERVICES_MAX);
-  check_count (checker, "route", FC_ROUTES_MAX);
+  check_count (checker, "service", checker->limits->services);
+  check_count (checker, "route", checker->limits->routes);
   check_count (checker, "customer", FC_CUSTOMERS_MAX);
   check_count (checker, "objective", FC_OBJECTIVES_MAX);
   fc_check_ranks (checker);
@@ -196,11 +196,13 @@
   GArray *sections = NULL;
   fc_headers_t headers;
 
-  if (document.len > FC_DOCUMENT_MAX)
+  if (document.len > limits->document_bytes)
     {
       char *found = g_strdup_printf ("%zu bytes", document.len);
+      char *allowed = g_strdup_printf ("at most %zu bytes", limits->document_bytes);
 
-      fc_add_problem (problems, 0, "file", found, "at most 1048576 bytes");
+      fc_add_problem (problems, 0, "file", found, allowed);
+      g_free (allowed);
       g_free (found);
       return NULL;
     }
--- a/packages/config/source/delta.c
+++ b/packages/config/source/delta.c
@@ -1,7 +1,6 @@
 /* Compression of documents with zstd. */
 #include <foxtailrun/base/invariant.h>
 #include <foxtailrun/config/delta.h>
-#include <foxtailrun/config/snapshot.h>
 #include <glib.h>
 #include <zstd.h>
 
@@ -33,7 +32,8 @@
 }
 
 fb_status_t
-fc_decode_delta (fb_bytes_t base, fb_bytes_t frame, uint8_t **document, size_t *length)
+fc_decode_delta (fb_bytes_t base, fb_bytes_t frame, size_t max, uint8_t **document,
+                 size_t *length)
 {
   unsigned long long size;
   ZSTD_DCtx *context;
@@ -47,7 +47,7 @@
   size = ZSTD_getFrameContentSize (frame.data, frame.len);
   if (size == ZSTD_CONTENTSIZE_ERROR || size == ZSTD_CONTENTSIZE_UNKNOWN)
     return FB_INVALID;
-  if (size > FC_DOCUMENT_MAX)
+  if (size > max)
     return FB_TOO_LARGE;
   context = ZSTD_createDCtx ();
   FB_INVARIANT (context != NULL);
--- a/packages/config/source/toml-scan.c
+++ b/packages/config/source/toml-scan.c
@@ -4,10 +4,7 @@
 #include <string.h>
 
 /* The parser recurses at each level; the schema has 3. */
-#define NESTING_LEVELS_MAX 16
-
-/* A value needs about 300 bytes in the parse; a document at its limits has 40,000. */
-#define VALUES_MAX 100000
+#define NESTING_LEVELS_MAX ((size_t)16)
 
 typedef enum
 {
@@ -164,30 +161,33 @@
   return false;
 }
 
+/* Adds a problem; FOUND and ALLOWED are formats with LIMIT. */
+static void
+report_excess (const scan_t *scan, fc_problems_t *problems, const char *found,
+               const char *allowed, size_t limit)
+{
+  char found_text[64];
+  char allowed_text[64];
+
+  g_snprintf (found_text, sizeof found_text, found, limit);
+  g_snprintf (allowed_text, sizeof allowed_text, allowed, limit);
+  fc_add_problem (problems, scan->line, "syntax", found_text, allowed_text);
+}
+
 static bool
 is_within_limits (const scan_t *scan, fc_problems_t *problems)
 {
-  const char *found;
-  const char *allowed;
-
   if (scan->depth > NESTING_LEVELS_MAX || scan->dots > NESTING_LEVELS_MAX)
-    {
-      found = "more than 16 levels";
-      allowed = "at most 16 levels of tables and arrays";
-    }
+    report_excess (scan, problems, "more than %zu levels",
+                   "at most %zu levels of tables and arrays", NESTING_LEVELS_MAX);
   else if (scan->offset - scan->line_start >= scan->limits->line_bytes)
-    {
-      found = "a line of more than 16384 bytes";
-      allowed = "lines of at most 16384 bytes";
-    }
-  else if (scan->values > VALUES_MAX)
-    {
-      found = "more than 100000 values";
-      allowed = "at most 100000 values";
-    }
+    report_excess (scan, problems, "a line of more than %zu bytes",
+                   "lines of at most %zu bytes", scan->limits->line_bytes);
+  else if (scan->values > scan->limits->values)
+    report_excess (scan, problems, "more than %zu values", "at most %zu values",
+                   scan->limits->values);
   else
     return true;
-  fc_add_problem (problems, scan->line, "syntax", found, allowed);
   return false;
 }
 
--- a/packages/config/tests/test-random.c
+++ b/packages/config/tests/test-random.c
@@ -128,7 +128,7 @@
       change_text (text, random);
       frame = fc_encode_delta (wrap_bytes (base), wrap_bytes (text->str), &frame_length);
       g_assert_cmpint (fc_decode_delta (wrap_bytes (base), (fb_bytes_t){ frame, frame_length },
-                                        &restored, &length),
+                                        FC_DOCUMENT_MAX, &restored, &length),
                        ==, FB_OK);
       g_assert_cmpmem (restored, length, text->str, text->len);
       g_free (restored);
--- a/packages/dist/source/dist-fetch.c
+++ b/packages/dist/source/dist-fetch.c
@@ -136,7 +136,7 @@
   if (!fd_is_zero_digest (&message->base_digest)
       && !fd_find_document (node, &message->base_digest, &base))
     return FD_DOCUMENT_CORRUPT;
-  if (fc_decode_delta (base, message->payload, &document, &length) != FB_OK)
+  if (fc_decode_delta (base, message->payload, FC_DOCUMENT_MAX, &document, &length) != FB_OK)
     return FD_DOCUMENT_CORRUPT;
   outcome = fd_apply_document (node, &message->version, (fb_bytes_t){ document, length });
   if (outcome == FD_DOCUMENT_APPLIED)
--- a/packages/dist/source/feed-document.c
+++ b/packages/dist/source/feed-document.c
@@ -1,6 +1,7 @@
 /* Configuration documents that a feed stores, and deltas between them. */
 #include "feed-state.h"
 #include <foxtailrun/config/delta.h>
+#include <foxtailrun/config/snapshot.h>
 
 static fb_bytes_t
 view_bytes (GBytes *bytes)
@@ -110,7 +111,8 @@
   fb_digest_t found;
   bool same;
 
-  if (fc_decode_delta (view_bytes (feed->documents[0].text), update->delta, &text, &len)
+  if (fc_decode_delta (view_bytes (feed->documents[0].text), update->delta, FC_TRANSLATION_MAX,
+                       &text, &len)
       != FB_OK)
     return false;
   found = fb_compute_digest ((fb_bytes_t){ text, len });
