--- a/standins/standin-store.c
+++ b/standins/standin-store.c
@@ -21,6 +21,9 @@
 #define POLL_INTERVAL (10 * FB_MILLISECOND)
 #define SLOW_DELAY (300 * FB_MILLISECOND)
 #define PAGE_ITEMS_MAX 3 /* small, so that lists have several pages */
+#define PAGE_BYTES_MAX                                                                         \
+  ((size_t)1024 * 1024) /* of values; a page ends with the one beyond it                       \
+                         */
 
 typedef struct
 {
@@ -123,6 +126,8 @@
   bool include_removed;    /* watch: removed items as well */
   bool has_more;
   size_t limit;
+  size_t bytes; /* of the values selected */
+  size_t bytes_limit;
 } selection_t;
 
 static gboolean
@@ -136,11 +141,13 @@
       || (!item->value && !selection->include_removed)
       || (selection->after && strcmp (item->key, selection->after) <= 0))
     return FALSE;
-  if (json_array_size (selection->list) == selection->limit)
+  if (json_array_size (selection->list) == selection->limit
+      || selection->bytes > selection->bytes_limit)
     {
       selection->has_more = true;
       return TRUE;
     }
+  selection->bytes += item->value ? strlen (item->value) : 0;
   json_array_append_new (selection->list, encode_item (item));
   return FALSE;
 }
@@ -168,8 +175,11 @@
 {
   char *prefix = read_parameter (path, "PathPrefix");
   char *after = read_parameter (path, "after");
-  selection_t selection
-      = { json_array (), prefix ? prefix : "", after, 0, false, false, PAGE_ITEMS_MAX };
+  selection_t selection = { .list = json_array (),
+                            .prefix = prefix ? prefix : "",
+                            .after = after,
+                            .limit = PAGE_ITEMS_MAX,
+                            .bytes_limit = PAGE_BYTES_MAX };
 
   g_tree_foreach (store->items, select_item, &selection);
   respond_json (store, request, 200,
@@ -183,8 +193,12 @@
 static bool
 complete_watch (store_t *store, watch_t *watch)
 {
-  selection_t selection
-      = { json_array (), watch->prefix, NULL, watch->after, true, false, SIZE_MAX };
+  selection_t selection = { .list = json_array (),
+                            .prefix = watch->prefix,
+                            .after_revision = watch->after,
+                            .include_removed = true,
+                            .limit = SIZE_MAX,
+                            .bytes_limit = SIZE_MAX };
 
   g_tree_foreach (store->items, select_item, &selection);
   if (json_array_size (selection.list) == 0
