--- a/packages/config/source/schema.c
+++ b/packages/config/source/schema.c
@@ -4,6 +4,7 @@
 #include <foxtailrun/config/settings.h>
 #include <foxtailrun/config/snapshot.h>
 #include <glib.h>
+#include <stdint.h>
 #include <string.h>
 
 #define NAME_TEXT "a name of 1 to 47 letters, digits, '.', '_' or '-'"
@@ -212,6 +213,14 @@
       "a path of printable ASCII characters that starts with \"/\", without spaces, quotes, "
       "backslashes or '#'",
       "path of health checks; required with warmup_rate" },
+    { "", "version", FC_TYPE_INTEGER, "", NULL, 1, 9223372036854775807.0, NULL,
+      "version number of the document, increased with each publication" },
+    { "", "idle_ms", FC_TYPE_INTEGER, "ms", "10000", 100, UINT32_MAX, NULL,
+      "time for which a caller's connection may stay idle" },
+    { "service", "warmup_ms", FC_TYPE_INTEGER, "ms", "0", 0, UINT32_MAX, NULL,
+      "how long an instance is usually cold after its start" },
+    { "route", "timeout_ms", FC_TYPE_INTEGER, "ms", "1000", 1, UINT32_MAX, NULL,
+      "timeout of a call, including all its attempts" },
     { "route", "host", FC_TYPE_TEXT, "", "", 0, 0, "a text", "host of the request" },
     { "route", "path", FC_TYPE_ANY_PATH, "", NULL, 0, 0, "a text that starts with \"/\"",
       "prefix of the request path, matched by complete segments" },
