Cut long texts in the log between characters

A log line of a name of over 256 bytes beyond ASCII could end within a character, so that it was no valid JSON. The text is cut before it.

base/test-base (log-cut-character) fails without the fix and passes.

--- a/packages/base/source/log.c
+++ b/packages/base/source/log.c
@@ -77,9 +77,13 @@
 static fb_str_t
 shorten_text (fb_str_t text, GString *buffer)
 {
+  gssize len = TEXT_MAX;
+
   if (text.len <= TEXT_MAX)
     return text;
-  g_string_append_len (buffer, text.data, TEXT_MAX);
+  while (len > 0 && ((unsigned char)text.data[len] & 0xC0) == 0x80)
+    len--; /* not within a UTF-8 sequence */
+  g_string_append_len (buffer, text.data, len);
   g_string_append_printf (buffer, "...(%zu bytes)", text.len);
   return (fb_str_t){ buffer->str, buffer->len };
 }
--- a/packages/base/tests/test-base.c
+++ b/packages/base/tests/test-base.c
@@ -221,6 +221,36 @@
     }
 }
 
+/* Guards against a long text that is cut within a character, so that the line is no JSON. */
+static void
+test_log_cut_character (void)
+{
+  static const char *const characters[]
+      = { "x", "\xc3\xa9", "\xe2\x82\xac", "\xf0\x9f\x9b\x92" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (characters); i++)
+    for (size_t offset = 0; offset < 4; offset++)
+      {
+        fb_clock_t *clock = fb_create_manual_clock (0);
+        GString *line = g_string_new ("");
+        fb_log_t *log = fb_create_log (clock, FB_LOG_JSON, FB_LOG_INFO, append_line, line);
+        GString *text = g_string_new ("");
+
+        for (size_t j = 0; j < offset; j++)
+          g_string_append_c (text, 'x');
+        while (text->len < 300)
+          g_string_append (text, characters[i]);
+        FB_LOG (log, FB_LOG_INFO, "test", "long",
+                FB_STR ("a", ((fb_str_t){ text->str, text->len })));
+        g_assert_true (g_utf8_validate (line->str, (gssize)line->len, NULL));
+        g_assert_nonnull (strstr (line->str, " bytes)\"}\n"));
+        g_string_free (text, TRUE);
+        g_string_free (line, TRUE);
+        fb_destroy_log (log);
+        fb_destroy_clock (clock);
+      }
+}
+
 /* Guards against repeated messages that flood the log or are suppressed uncounted. */
 static void
 test_log_repeats (void)
@@ -256,6 +286,7 @@
   g_test_add_func ("/base/histogram", test_histogram);
   g_test_add_func ("/base/log-quoting", test_log_quoting);
   g_test_add_func ("/base/log-long-text", test_log_long_text);
+  g_test_add_func ("/base/log-cut-character", test_log_cut_character);
   g_test_add_func ("/base/log-repeats", test_log_repeats);
   return g_test_run ();
 }
