Bound the memory of earlier configurations by their size

A node kept four earlier translations for other nodes in its distribution and three more in its feed, whatever their size. With configurations of 1 MB of 93,000 services (2.7 to 7 MB translated) six versions took nodes to 170 MB, more than the smallest host has.

A node whose source lists the endpoints serves no documents from its distribution and keeps none there; the feed keeps earlier ones up to 4 MB together with the newest. A follower without the base of a delta reads the store, as it does for large deltas.

--- a/packages/dist/source/dist-document.c
+++ b/packages/dist/source/dist-document.c
@@ -66,6 +66,12 @@
 
   if (node->snapshot == NULL)
     return;
+  /* Earlier documents are kept for other nodes. */
+  if (node->standalone)
+    {
+      fc_release_snapshot (node->snapshot);
+      return;
+    }
   document = fc_get_document (node->snapshot);
   if (node->history_count == FD_HISTORY_MAX)
     g_free (node->history[--node->history_count].data);
--- a/packages/dist/source/feed-document.c
+++ b/packages/dist/source/feed-document.c
@@ -3,6 +3,10 @@
 #include <foxtailrun/config/delta.h>
 #include <foxtailrun/config/snapshot.h>
 
+/* Of all documents that a feed keeps. A node without the base of a relay's delta reads the
+ * store instead. */
+#define DOCUMENTS_BYTES_MAX ((size_t)4 * 1024 * 1024)
+
 static fb_bytes_t
 view_bytes (GBytes *bytes)
 {
@@ -46,6 +50,20 @@
   return fb_compare_positions (position, other_position) > 0;
 }
 
+/* Drops the oldest documents while all take more than DOCUMENTS_BYTES_MAX. */
+static void
+drop_large_documents (fd_feed_t *feed)
+{
+  size_t bytes = view_bytes (feed->documents[0].text).len;
+
+  for (size_t i = 1; i < FD_DOCUMENTS_MAX; i++)
+    {
+      bytes += view_bytes (feed->documents[i].text).len;
+      if (bytes > DOCUMENTS_BYTES_MAX)
+        clear_document (&feed->documents[i]);
+    }
+}
+
 bool
 fd_add_document (fd_feed_t *feed, fb_position_t position, uint64_t number, fb_bytes_t text)
 {
@@ -66,6 +84,7 @@
                                         .number = number,
                                         .digest = fb_compute_digest (text),
                                         .text = g_bytes_new (text.data, text.len) };
+  drop_large_documents (feed);
   return true;
 }
 
