Send no part of the endpoints as all of them

With more than 8,192 endpoints a relay sent the first 8,192 as the full list, so that the nodes that follow it took the others for removed. It now says that it has no update, and they read the store. Found by reading, for the inventory of limits; no deployment is as large.

--- a/packages/dist/source/feed-relay.c
+++ b/packages/dist/source/feed-relay.c
@@ -402,6 +402,7 @@
 static void
 send_update (fd_feed_t *feed, const fd_pending_request_t *pending, fb_time_t now)
 {
+  static const fw_feed_message_t unavailable = { .kind = FW_FEED_UNAVAILABLE };
   GArray *endpoints = g_array_new (FALSE, FALSE, sizeof (fw_endpoint_t));
   fw_feed_message_t update
       = { .kind = FW_FEED_UPDATE,
@@ -420,7 +421,14 @@
                                                   append_endpoint, endpoints);
   if (update.complete)
     fm_visit_listing_changes (feed->listing, 0, append_endpoint, endpoints);
-  update.endpoint_count = MIN (endpoints->len, FW_ENDPOINTS_MAX);
+  if (endpoints->len > FW_ENDPOINTS_MAX)
+    {
+      /* A part would be taken for the full list: the requester reads the store instead. */
+      feed->hooks.send_response (pending->requester, &unavailable, feed->hooks.user);
+      g_array_free (endpoints, TRUE);
+      return;
+    }
+  update.endpoint_count = endpoints->len;
   update.endpoints = (fw_endpoint_t *)(void *)endpoints->data;
   if (has_newer_document (feed, &pending->message))
     update.delta = fd_find_delta (feed, pending->message.document_position);
--- a/packages/dist/tests/test-feed.c
+++ b/packages/dist/tests/test-feed.c
@@ -211,6 +211,54 @@
     }
 }
 
+/* Guards against a relay that sends a part of its endpoints as all of them, so that nodes which
+ * follow it take the others for removed. */
+static void
+test_endpoint_count (void)
+{
+  static const struct
+  {
+    size_t count;
+    fw_feed_message_kind_t kind;
+  } cases[] = { { FW_ENDPOINTS_MAX - 1, FW_FEED_UPDATE },
+                { FW_ENDPOINTS_MAX, FW_FEED_UPDATE },
+                { FW_ENDPOINTS_MAX + 1, FW_FEED_UNAVAILABLE } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      fb_clock_t *clock = fb_create_manual_clock (100 * FB_SECOND);
+      fb_counters_t *counters = fb_create_counters ();
+      recorder_t recorder = { 0 };
+      fd_feed_t *relay = create_recorded_feed ("10.0.0.1", clock, counters, &recorder);
+      fw_feed_message_t request = { .kind = FW_FEED_REQUEST };
+      fw_feed_message_t response;
+
+      fd_run_feed (relay);
+      for (size_t number = 0; number < cases[i].count; number++)
+        {
+          char address[24];
+
+          g_snprintf (address, sizeof address, "10.0.%zu.%zu", number / 256, number % 256);
+          deliver_node (relay, at (4), address, FW_ALIVE);
+        }
+      deliver_text (relay, at (5), "first");
+      finish_recorded_read (relay, at (10));
+      fd_handle_request (relay, &recorder, &request);
+      g_assert_nonnull (recorder.response);
+      g_assert_cmpint (
+          fw_decode_feed ((fb_bytes_t){ recorder.response, recorder.response_len }, &response),
+          ==, FB_OK);
+      g_assert_cmpint (response.kind, ==, cases[i].kind);
+      if (response.kind == FW_FEED_UPDATE)
+        g_assert_cmpuint (response.endpoint_count, ==, cases[i].count);
+      fw_clear_feed (&response);
+      g_free (recorder.response);
+      fd_destroy_feed (relay);
+      fb_destroy_counters (counters);
+      fb_destroy_clock (clock);
+    }
+}
+
 /* Lets RELAY know the document up to position 14 and the endpoints up to position 20, as after
  * a series of publications. */
 static void
@@ -433,6 +481,7 @@
   g_test_add_func ("/dist/feed/faults", test_faults);
   g_test_add_func ("/dist/feed/no-responding-relay", test_no_responding_relay);
   g_test_add_func ("/dist/feed/order", test_order);
+  g_test_add_func ("/dist/feed/endpoint-count", test_endpoint_count);
   g_test_add_func ("/dist/feed/relay-end", test_relay_end);
   g_test_add_func ("/dist/feed/outage", test_outage);
   g_test_add_func ("/dist/feed/documents", test_documents);
