--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -60,7 +60,8 @@
 void
 rig_sleep_ms (double ms)
 {
-  struct timespec time = { (time_t)(ms / 1e3), (long)((ms - 1e3 * (double)(long)(ms / 1e3)) * 1e6) };
+  struct timespec time
+      = { (time_t)(ms / 1e3), (long)((ms - 1e3 * (double)(long)(ms / 1e3)) * 1e6) };
 
   while (nanosleep (&time, &time) != 0 && errno == EINTR)
     ;
@@ -414,7 +415,7 @@
         {
           /* A fiftieth of a second's bytes at a time. */
           size_t step = (size_t)(rate / 50) < sizeof reader->bytes ? (size_t)(rate / 50)
-                                                                    : sizeof reader->bytes;
+                                                                   : sizeof reader->bytes;
 
           reader->start = 0;
           count = rig_receive (descriptor, reader->bytes, step, timeout_ms);
@@ -578,11 +579,12 @@
         if (strcmp (items[i].key, key) == 0)
           {
             *status = 200;
-            fprintf (out,
-                     "{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":%llu,\"CreatedRevision\":%llu,"
-                     "\"LeaseId\":0,\"At\":%llu}",
-                     key, items[i].value, (unsigned long long)items[i].revision,
-                     (unsigned long long)items[i].revision, (unsigned long long)store_revision);
+            fprintf (
+                out,
+                "{\"Key\":\"%s\",\"Value\":\"%s\",\"Revision\":%llu,\"CreatedRevision\":%llu,"
+                "\"LeaseId\":0,\"At\":%llu}",
+                key, items[i].value, (unsigned long long)items[i].revision,
+                (unsigned long long)items[i].revision, (unsigned long long)store_revision);
           }
       if (*status == 404)
         fprintf (out, "{\"At\":%llu}", (unsigned long long)store_revision);
@@ -612,9 +614,10 @@
 
       sscanf (head, "%*s %511s", path);
       body = answer_store (path, &status);
-      snprintf (line, sizeof line,
-                "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-                status, strlen (body));
+      snprintf (
+          line, sizeof line,
+          "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
+          status, strlen (body));
       if (!rig_send (reader->socket, line, strlen (line))
           || !rig_send (reader->socket, body, strlen (body)))
         {
@@ -752,15 +755,16 @@
   file = fopen (path, "w");
   if (!file)
     rig_give_up ("no settings file");
-  fprintf (file,
-           "NodeName: \"sidecar-gh-south-a-%d\"\nRole: \"node\"\nMachineClass: \"sidecar\"\n"
-           "Serves:\n  - \"sidecar\"\nIp: \"%s%d\"\nZone: \"gh-south-a\"\nRegion: \"gh-south\"\n"
-           "Zones:\n  gh-south-a: \"gh-south\"\nListenAddrs:\n  Inbound: \"%s%d:%d\"\n"
-           "  Outbound: \"%s%d:%d\"\n  Readiness: \"%s%d:%d\"\nInternalPorts:\n  - 7380\n  - 7395\n"
-           "SeedNodes: []\nBootstrap: true\nFaultCounted: false\nLimits:\n  CpuQuota: 0.2\n"
-           "  CpuCores: 1\n  MemoryMb: %d\n  MaxFds: 4100\n  BandwidthMbps: 1000.0\n  DiskMb: 0\n",
-           node, prefix, node, prefix, node, INBOUND_PORT, prefix, node, OUTBOUND_PORT, prefix,
-           node, READY_PORT, options.memory_mb);
+  fprintf (
+      file,
+      "NodeName: \"sidecar-gh-south-a-%d\"\nRole: \"node\"\nMachineClass: \"sidecar\"\n"
+      "Serves:\n  - \"sidecar\"\nIp: \"%s%d\"\nZone: \"gh-south-a\"\nRegion: \"gh-south\"\n"
+      "Zones:\n  gh-south-a: \"gh-south\"\nListenAddrs:\n  Inbound: \"%s%d:%d\"\n"
+      "  Outbound: \"%s%d:%d\"\n  Readiness: \"%s%d:%d\"\nInternalPorts:\n  - 7380\n  - 7395\n"
+      "SeedNodes: []\nBootstrap: true\nFaultCounted: false\nLimits:\n  CpuQuota: 0.2\n"
+      "  CpuCores: 1\n  MemoryMb: %d\n  MaxFds: 4100\n  BandwidthMbps: 1000.0\n  DiskMb: 0\n",
+      node, prefix, node, prefix, node, INBOUND_PORT, prefix, node, OUTBOUND_PORT, prefix, node,
+      READY_PORT, options.memory_mb);
   fprintf (file,
            "DataDir: null\nDiscovery: \"platform\"\nEntryType: \"static\"\nHeartbeatMs: 1500\n"
            "Bounds:\n  SeedLagS: 3\n  ReuseAfterS: 2\n  StabilityMs: 3000\n  AckMs: 4000\n"
@@ -790,7 +794,8 @@
   if (pid == 0)
     {
       char *arguments[] = { (char *)NODE_PROGRAM, NULL };
-      char *environment[] = { setting, (char *)"PATH=/usr/bin:/bin", (char *)"HOME=/tmp", NULL };
+      char *environment[]
+          = { setting, (char *)"PATH=/usr/bin:/bin", (char *)"HOME=/tmp", NULL };
       int output = open (log, O_CREAT | O_WRONLY | O_APPEND, 0600);
 
       prctl (PR_SET_PDEATHSIG, SIGKILL);
@@ -858,11 +863,12 @@
   size_t size;
   FILE *out = open_memstream (&text, &size);
 
-  fprintf (out,
-           "{\"Version\":\"r7\",\"Routes\":{%s},\"Services\":{%s},\"Limits\":{\"MaxHeaderBytes\":"
-           "16384,\"MaxBodyBytes\":67108864,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
-           "\"BaseVersion\":\"r5\"}",
-           options.routes, options.service_list);
+  fprintf (
+      out,
+      "{\"Version\":\"r7\",\"Routes\":{%s},\"Services\":{%s},\"Limits\":{\"MaxHeaderBytes\":"
+      "16384,\"MaxBodyBytes\":67108864,\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000},"
+      "\"BaseVersion\":\"r5\"}",
+      options.routes, options.service_list);
   fclose (out);
   put_item ("op/config", text);
   free (text);
@@ -874,11 +880,12 @@
 
       make_instance_id (i, id);
       snprintf (key, sizeof key, "servers/%s", id);
-      snprintf (value, sizeof value,
-                "{\"Service\":\"%s\",\"Address\":\"127.%u.%u.%d:%d\",\"Zone\":\"gh-south-a\","
-                "\"Version\":\"v1\",\"MaxConcurrency\":%d,\"State\":\"ready\",\"WarmupLeftMs\":0,"
-                "\"Sequence\":4,\"born\":1700000000000}",
-                options.services[i], network[0], network[1], i, INSTANCE_PORT, options.slots);
+      snprintf (
+          value, sizeof value,
+          "{\"Service\":\"%s\",\"Address\":\"127.%u.%u.%d:%d\",\"Zone\":\"gh-south-a\","
+          "\"Version\":\"v1\",\"MaxConcurrency\":%d,\"State\":\"ready\",\"WarmupLeftMs\":0,"
+          "\"Sequence\":4,\"born\":1700000000000}",
+          options.services[i], network[0], network[1], i, INSTANCE_PORT, options.slots);
       put_item (key, value);
     }
 }
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -34,10 +34,10 @@
   int grace_s;
   int drain_ms;
   int memory_mb;
-  int slots;                       /* of each instance */
+  int slots;                               /* of each instance */
   const char *services[RIG_NODES_MAX + 1]; /* by number of the node, from 1 on */
-  const char *routes;              /* JSON of the routes */
-  const char *service_list;        /* JSON of the services */
+  const char *routes;                      /* JSON of the routes */
+  const char *service_list;                /* JSON of the services */
   rig_serve_t serve;
 } rig_options_t;
 
