--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -7,6 +7,6 @@
 for source in review/1[1-5]/case.c; do
   [ -e "$source" ] || continue
   name=$(basename "$(dirname "$source")")
-  cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -Wno-unused-parameter -pthread -Ireview/rig-3 \
+  cc -std=gnu11 -D_GNU_SOURCE -O2 -Wall -Wextra -Wno-unused-parameter -pthread \
     -o "target/review-3/case-$name" "$source" review/rig-3/rig.c
 done
--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -28,6 +28,7 @@
 #define STORE_HOST 200
 #define READY_TIMEOUT_MS 15000
 #define TOTAL_TIMEOUT_S 115
+#define HEAD_BYTES 65536
 
 static rig_options_t options;
 static char folder[] = "/tmp/foxtailrun-review-XXXXXX";
@@ -341,39 +342,27 @@
   return true;
 }
 
-void
-rig_read_answer (int descriptor, double rate, double timeout_ms, rig_answer_t *answer)
+/* Reads a head byte by byte, so that the rest stays unread. */
+static bool
+read_only_head (int descriptor, char *head, size_t size, double timeout_ms)
 {
-  reader_t *reader = calloc (1, sizeof *reader);
-  char *head = malloc (65536);
-  char text[64];
-  double start = rig_now_ms ();
-  bool has_head;
+  size_t at = 0;
+  bool ended = false;
 
-  *answer = (rig_answer_t){ 0 };
-  reader->socket = descriptor;
-  if (rate > 0)
+  while (!ended && at < size - 1 && rig_receive (descriptor, head + at, 1, timeout_ms) == 1)
     {
-      /* Only the head first, so that the rest stays unread. */
-      size_t at = 0;
-
-      while (at < 65535 && (at < 4 || memcmp (head + at - 4, "\r\n\r\n", 4) != 0)
-             && rig_receive (descriptor, head + at, 1, timeout_ms) == 1)
-        at++;
-      head[at] = '\0';
-      has_head = at >= 4 && memcmp (head + at - 4, "\r\n\r\n", 4) == 0;
+      at++;
+      ended = at >= 4 && memcmp (head + at - 4, "\r\n\r\n", 4) == 0;
     }
-  else
-    has_head = read_head (reader, head, 65536, timeout_ms);
-  if (!has_head)
-    {
-      ssize_t count = rig_receive (descriptor, text, 1, 0);
+  head[at] = '\0';
+  return ended;
+}
+
+static void
+parse_head (const char *head, rig_answer_t *answer)
+{
+  char text[64];
 
-      answer->ended = count == 0 || count == -1;
-      answer->reset = count == -1;
-      answer->at_ms = rig_now_ms ();
-      goto done;
-    }
   sscanf (head, "HTTP/1.%*d %d", &answer->status);
   find_header (head, "x-attempt-id", answer->id, sizeof answer->id);
   answer->has_signature = find_header (head, "x-response-signature", text, sizeof text);
@@ -381,60 +370,83 @@
   answer->length = answer->has_length ? strtoul (text, NULL, 10) : 0;
   find_header (head, "connection", text, sizeof text);
   answer->closes = strcasecmp (text, "close") == 0;
-  for (;;)
+}
+
+/* Takes the bytes of READER that belong to the body; returns whether it is whole. */
+static bool
+take_body (reader_t *reader, rig_answer_t *answer)
+{
+  size_t have = reader->end - reader->start;
+  size_t left = answer->length - answer->body_bytes;
+  size_t taken = answer->has_length && have > left ? left : have;
+
+  answer->body_bytes += taken;
+  reader->start += taken;
+  answer->whole = answer->has_length && answer->body_bytes == answer->length;
+  return answer->whole;
+}
+
+/* Reads more into READER, with RATE a fiftieth of a second's bytes. */
+static ssize_t
+read_more (reader_t *reader, double rate, double timeout_ms)
+{
+  size_t step = (size_t)(rate / 50);
+  ssize_t count;
+
+  if (rate <= 0)
+    return fill_reader (reader, timeout_ms);
+  if (step > sizeof reader->bytes)
+    step = sizeof reader->bytes;
+  reader->start = 0;
+  count = rig_receive (reader->socket, reader->bytes, step, timeout_ms);
+  reader->end = count > 0 ? (size_t)count : 0;
+  return count;
+}
+
+static void
+read_body (reader_t *reader, double rate, double timeout_ms, rig_answer_t *answer)
+{
+  double start = rig_now_ms ();
+
+  while (!take_body (reader, answer) && rig_now_ms () - start <= timeout_ms)
     {
-      size_t have = reader->end - reader->start;
-      size_t left = answer->length - answer->body_bytes;
-      size_t taken = answer->has_length && have > left ? left : have;
+      double due = rate > 0 ? start + (double)answer->body_bytes / rate * 1e3 : start;
       ssize_t count;
 
-      if (answer->body_bytes < sizeof answer->excess - 1 && taken > 0)
-        {
-          size_t copied = sizeof answer->excess - 1 - answer->body_bytes;
+      if (due > rig_now_ms ())
+        rig_sleep_ms (due - rig_now_ms ());
+      count = read_more (reader, rate, timeout_ms);
+      if (count > 0)
+        continue;
+      answer->ended = count != -2;
+      answer->reset = count == -1;
+      answer->whole = !answer->has_length && count == 0;
+      return;
+    }
+}
 
-          memcpy (answer->excess + answer->body_bytes, reader->bytes + reader->start,
-                  taken < copied ? taken : copied);
-        }
-      answer->body_bytes += taken;
-      reader->start += taken;
-      if (answer->has_length && answer->body_bytes == answer->length)
-        {
-          answer->whole = true;
-          break;
-        }
-      if (rate > 0)
-        {
-          double due = start + (double)answer->body_bytes / rate * 1e3;
+void
+rig_read_answer (int descriptor, double rate, double timeout_ms, rig_answer_t *answer)
+{
+  reader_t *reader = calloc (1, sizeof *reader);
+  char *head = malloc (HEAD_BYTES);
 
-          if (due > rig_now_ms ())
-            rig_sleep_ms (due - rig_now_ms ());
-        }
-      if (rig_now_ms () - start > timeout_ms)
-        break;
-      if (rate > 0)
-        {
-          /* A fiftieth of a second's bytes at a time. */
-          size_t step = (size_t)(rate / 50) < sizeof reader->bytes ? (size_t)(rate / 50)
-                                                                   : sizeof reader->bytes;
+  *answer = (rig_answer_t){ 0 };
+  reader->socket = descriptor;
+  if (rate > 0 ? read_only_head (descriptor, head, HEAD_BYTES, timeout_ms)
+               : read_head (reader, head, HEAD_BYTES, timeout_ms))
+    {
+      parse_head (head, answer);
+      read_body (reader, rate, timeout_ms, answer);
+    }
+  else
+    {
+      ssize_t count = rig_receive (descriptor, head, 1, 0);
 
-          reader->start = 0;
-          count = rig_receive (descriptor, reader->bytes, step, timeout_ms);
-          reader->end = count > 0 ? (size_t)count : 0;
-        }
-      else
-        count = fill_reader (reader, timeout_ms);
-      if (count == -2)
-        break;
-      if (count <= 0)
-        {
-          answer->ended = true;
-          answer->reset = count < 0;
-          answer->whole = !answer->has_length && count == 0;
-          break;
-        }
+      answer->ended = count == 0 || count == -1;
+      answer->reset = count == -1;
     }
   answer->at_ms = rig_now_ms ();
-done:
   free (head);
   free (reader);
 }
--- a/review/rig-3/rig.h
+++ b/review/rig-3/rig.h
@@ -98,7 +98,6 @@
   bool reset;        /* the connection ended with an error */
   bool ended;        /* the connection ended */
   bool closes;       /* connection: close */
-  char excess[64];   /* start of the body */
   double at_ms;      /* of its end */
 } rig_answer_t;
 
