--- a/review/rig-3/rig.c
+++ b/review/rig-3/rig.c
@@ -773,7 +773,7 @@
       "Serves:\n  - \"sidecar\"\nIp: \"%s%d\"\nZone: \"gh-south-a\"\nRegion: \"gh-south\"\n"
       "Zones:\n  gh-south-a: \"gh-south\"\nListenAddrs:\n  Inbound: \"%s%d:%d\"\n"
       "  Outbound: \"%s%d:%d\"\n  Readiness: \"%s%d:%d\"\nInternalPorts:\n  - 7380\n  - 7395\n"
-      "SeedNodes: []\nBootstrap: true\nFaultCounted: false\nLimits:\n  CpuQuota: 0.2\n"
+      "SeedNodes: []\nBootstrap: true\nFaultCounted: false\nLimits:\n  CpuQuota: 0.1\n"
       "  CpuCores: 1\n  MemoryMb: %d\n  MaxFds: 4100\n  BandwidthMbps: 1000.0\n  DiskMb: 0\n",
       node, prefix, node, prefix, node, INBOUND_PORT, prefix, node, OUTBOUND_PORT, prefix, node,
       READY_PORT, options.memory_mb);
